--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# carawayusher: see README.md.
+GO            ?= go
+GOLANGCI      ?= golangci-lint
+LINT_VERSION  := v2.15.0
+SEED          ?= 1
+BIN           := bin
+export PATH   := $(shell $(GO) env GOPATH)/bin:$(PATH)
+
+.PHONY: all build run test unit lint fmt fmt-check tools measure bench clean
+
+all: build
+
+## build: compile the programs into bin/.
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+## run: submit a mixed load to an embedded system and check the outcome.
+run: build
+	$(BIN)/carawayusherd demo
+
+## test: formatter, linter and all tests with the race detector.
+test: lint unit
+
+## unit: all tests with the race detector; cases of KNOWN-RED.txt are skipped and printed.
+unit:
+	@GO="$(GO)" bash scripts/unit.sh
+
+## lint: formatter check and linter.
+lint: tools fmt-check
+	$(GOLANGCI) run ./...
+
+fmt-check: tools
+	@out="$$($(GOLANGCI) fmt --diff ./... 2>&1)"; if [ -n "$$out" ]; then echo "$$out"; echo "run 'make fmt'"; exit 1; fi
+
+## fmt: format the code.
+fmt: tools
+	$(GOLANGCI) fmt ./...
+
+tools:
+	@command -v $(GOLANGCI) >/dev/null 2>&1 && $(GOLANGCI) version 2>/dev/null | grep -q "$(LINT_VERSION:v%=%)" || \
+		$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/pkg/errkind/errkind_test.go
@@ -0,0 +1,34 @@
+package errkind
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Guards against a kind that is listed twice, reuses an exit code or has no help text.
+func TestTableIsComplete(t *testing.T) {
+	exits := map[int]Kind{}
+	for _, a := range Table() {
+		if other, ok := exits[a.Exit]; ok && a.Exit != 2 {
+			t.Errorf("%s and %s share exit code %d", a.Kind, other, a.Exit)
+		}
+		exits[a.Exit] = a.Kind
+		if a.Status < 400 || a.Help == "" {
+			t.Errorf("%s: incomplete row %+v", a.Kind, a)
+		}
+	}
+	if len(byKind) != len(table) {
+		t.Errorf("%d kinds in %d rows", len(byKind), len(table))
+	}
+}
+
+// Guards against a wrapped error losing its kind on the way to the answer.
+func TestKindSurvivesWrapping(t *testing.T) {
+	err := fmt.Errorf("while placing: %w", New(Overloaded, "queue full"))
+	if Of(err) != Overloaded || !Retryable(err) {
+		t.Errorf("kind = %s, retryable = %v", Of(err), Retryable(err))
+	}
+	if got := Of(fmt.Errorf("plain")); got != Internal {
+		t.Errorf("plain error: kind = %s", got)
+	}
+}
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,43 @@
+// Package gate is the one place that every automatic action passes. While
+// automation is held, the gate permits none and lists what would have been
+// done as proposals.
+package gate
+
+import (
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+)
+
+// Kind is the closed list of automatic actions.
+type Kind string
+
+// Automatic actions.
+const (
+	Preempt    Kind = "preempt"
+	Reclaim    Kind = "reclaim"
+	Move       Kind = "move"
+	Hedge      Kind = "hedge"
+	Retry      Kind = "retry"
+	Quarantine Kind = "quarantine"
+	Throttle   Kind = "throttle"
+	Rebalance  Kind = "rebalance"
+)
+
+// Kinds returns the closed list.
+func Kinds() []Kind {
+	return []Kind{Preempt, Reclaim, Move, Hedge, Retry, Quarantine, Throttle, Rebalance}
+}
+
+// Proposal is an action that was not taken because automation is held.
+type Proposal struct {
+	ID        string        `json:"id" cbor:"1,keyasint"`
+	Kind      Kind          `json:"kind" cbor:"2,keyasint"`
+	Workspace string        `json:"workspace,omitempty" cbor:"3,keyasint,omitempty"`
+	Job       api.JobID     `json:"job,omitempty" cbor:"4,keyasint,omitempty"`
+	Worker    string        `json:"worker,omitempty" cbor:"5,keyasint,omitempty"`
+	Domain    string        `json:"failureDomain,omitempty" cbor:"6,keyasint,omitempty"`
+	Reason    string        `json:"reason" cbor:"7,keyasint"`
+	LostWork  time.Duration `json:"lostWork,omitempty" cbor:"8,keyasint,omitempty"`
+	At        time.Time     `json:"at" cbor:"9,keyasint"`
+}
--- /dev/null
+++ b/pkg/platform/platform.go
@@ -0,0 +1,110 @@
+// Package platform defines what the platform offers: the key-value service
+// (Store) and the list of virtual machines (VMLister). Adapters live in the
+// packages below it; replacing an adapter changes one package.
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the store keeps.
+const MaxValueBytes = 1 << 20
+
+// AnyVersion as expected version disables the comparison of Put and Delete.
+const AnyVersion int64 = -1
+
+// LeaseID identifies a lease; zero means none.
+type LeaseID int64
+
+// Entry is one key with its value.
+type Entry struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Version is the store's revision of the last write to this key; it never
+	// repeats and grows over the whole store. Zero means that the key is absent.
+	Version int64   `json:"version"`
+	Lease   LeaseID `json:"lease,omitempty"`
+}
+
+// Event is one change that a watch delivers.
+type Event struct {
+	Entry   Entry `json:"entry"`
+	Deleted bool  `json:"deleted,omitempty"`
+	// Revision is the store's revision of the change.
+	Revision int64 `json:"revision"`
+}
+
+// Store is the platform's key-value service. Each call counts against the
+// service's rates, a waiting Watch as one. Errors have the kinds
+// store_unavailable (outcome of a write is then unknown), conflict (the
+// expected version did not match; nothing was written), not_found, too_large
+// and quota_exceeded (rate limit; nothing was written).
+type Store interface {
+	// Get returns the entry at key, or not_found.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns the entries with the prefix in key order, after the key
+	// `after`, at most limit entries (0 means 1000) and 1 MiB of values, and the
+	// store's revision at which they were read. More says that others follow.
+	List(ctx context.Context, prefix, after string, limit int) (ListResult, error)
+	// Put writes value if the key's version equals expect (0: absent,
+	// AnyVersion: no comparison) and returns the new version. A non-zero lease
+	// binds the key to that lease.
+	Put(ctx context.Context, key string, value []byte, expect int64, lease LeaseID) (int64, error)
+	// Delete removes the key if its version equals expect.
+	Delete(ctx context.Context, key string, expect int64) error
+	// Watch waits until something with the prefix changed after revision, or
+	// ctx ends, and returns the changes in order. When the store no longer has
+	// the history it returns kind conflict and the caller lists again.
+	Watch(ctx context.Context, prefix string, after int64) ([]Event, error)
+	// GrantLease creates a lease with the given time to live.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews the lease, or returns not_found when it has lapsed.
+	KeepAlive(ctx context.Context, id LeaseID) error
+	// Revoke ends the lease and deletes the keys bound to it.
+	Revoke(ctx context.Context, id LeaseID) error
+}
+
+// ListResult is the answer of Store.List.
+type ListResult struct {
+	Entries  []Entry `json:"entries"`
+	Revision int64   `json:"revision"`
+	More     bool    `json:"more,omitempty"`
+}
+
+// VMState is the state of a virtual machine in the platform's list.
+type VMState string
+
+// States of a VM.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VMRole says what the platform runs on a VM.
+type VMRole string
+
+// Roles of a VM.
+const (
+	RoleEntry  VMRole = "entry"  // runs carawayusherd
+	RoleTarget VMRole = "target" // runs tasks
+)
+
+// VM is one row of the platform's list of virtual machines. The list lags.
+type VM struct {
+	ID            string  `json:"id"`
+	Role          VMRole  `json:"role"`
+	Address       string  `json:"address"` // host:port, by IP number
+	State         VMState `json:"state"`
+	FailureDomain string  `json:"failureDomain"`
+	Rack          string  `json:"rack,omitempty"`
+	Accelerators  int     `json:"accelerators,omitempty"`
+	Slots         int     `json:"slots,omitempty"`
+	Cores         int     `json:"cores,omitempty"`
+	MemoryMiB     int     `json:"memoryMiB,omitempty"`
+}
+
+// VMLister returns the platform's list of VMs.
+type VMLister interface {
+	ListVMs(ctx context.Context) ([]VM, error)
+}
