sched: first API of the decision package

Cause: the other packages need the scheduler's interface to be written against. Change: Domain with free-block masks, guaranteed cells pinned to accelerators, lending, reclaim with claims, holds as proposals, preview and the check of guarantees. Result: go test -race ./pkg/sched/ passes (3 example tests); no load measured yet.

--- /dev/null
+++ b/pkg/sched/decide.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+)
+
+// Decide returns the actions that follow from the events so far.
+func (d *Domain) Decide(now time.Time) []Action { return d.DecideInto(now, nil) }
+
+// DecideInto is Decide for a caller that brings the slice to append to, which
+// saves an allocation for each call.
+func (d *Domain) DecideInto(now time.Time, out []Action) []Action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wake = time.Time{}
+	d.settlePins()
+	d.settleClaims(now, &out)
+	d.pass(now, &out)
+	d.settleClaims(now, &out)
+	return out
+}
+
+func (d *Domain) settlePins() {
+	if d.pinsStale {
+		d.pinsStale = false
+		d.repin()
+	}
+}
+
+// pass tries the waiting jobs in order. When nothing became free since the last
+// pass, only queues with a new job are tried.
+func (d *Domain) pass(now time.Time, out *[]Action) {
+	all := d.freed
+	d.freed = false
+	for _, g := range d.order() {
+		if !all && !g.dirty {
+			continue
+		}
+		g.dirty = false
+		for len(g.jobs) > 0 && d.try(now, g.jobs[0], out) {
+			continue
+		}
+	}
+}
+
+// try places the job or starts to make room for it; it reports whether the next
+// job of the group may be tried.
+func (d *Domain) try(now time.Time, j *job, out *[]Action) bool {
+	if !j.Deadline.IsZero() && !now.Before(j.Deadline) {
+		d.withdraw(j)
+		*out = append(*out, Action{
+			Type: ActionRefuse, Job: j.ID, Workspace: j.Workspace, Attempt: j.Attempt,
+			Kind: errkind.DeadlinePassed, Reason: "the deadline passed before the job could start",
+		})
+		return true
+	}
+	if !j.ws.allows(j.Accelerators, 1) {
+		return false
+	}
+	if !d.find(j) {
+		return d.reclaim(now, j, false, out)
+	}
+	if !j.ws.allows(j.Accelerators, len(j.spots)) {
+		j.spots = nil
+		return false
+	}
+	d.dequeue(j)
+	d.take(now, j)
+	*out = append(*out, d.placed(j))
+	return true
+}
+
+func (d *Domain) placed(j *job) Action {
+	return Action{
+		Type: ActionPlace, Job: j.ID, Workspace: j.Workspace, Attempt: j.Attempt,
+		Placements: d.placements(j), Reason: "capacity is free",
+	}
+}
+
+// allows reports whether the workspace's quota has room.
+func (ws *workspace) allows(accelerators, slots int) bool {
+	q := ws.quota
+	return (q.Accelerators == 0 || ws.accelerators+accelerators <= q.Accelerators) &&
+		(q.Slots == 0 || ws.slots+slots <= q.Slots)
+}
+
+// wakeAt asks for a call of Decide at t.
+func (d *Domain) wakeAt(t time.Time) {
+	if d.wake.IsZero() || t.Before(d.wake) {
+		d.wake = t
+	}
+}
+
+// NextWake returns when Decide has to be called again without a new event; zero
+// means only after an event.
+func (d *Domain) NextWake(_ time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wake
+}
+
+// Confirm carries out a held proposal if it is still valid and returns the
+// actions; otherwise it returns plan_outdated and changes nothing.
+func (d *Domain) Confirm(now time.Time, a Action) ([]Action, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settlePins()
+	victim, j := d.jobs[a.Job], d.waiting(a.For)
+	if a.Type != ActionPreempt || victim == nil || victim.Attempt != a.Attempt || victim.phase != phasePlaced || j == nil {
+		return nil, errkind.New(errkind.PlanOutdated, "the proposed action no longer applies")
+	}
+	p := d.planReclaim(now, j)
+	if p == nil || !contains(p.victims, victim) {
+		return nil, errkind.New(errkind.PlanOutdated, "preempting job %s no longer makes room for %s", a.Job, a.For)
+	}
+	var out []Action
+	d.reclaim(now, j, true, &out)
+	return out, nil
+}
--- /dev/null
+++ b/pkg/sched/domain.go
@@ -0,0 +1,362 @@
+package sched
+
+import (
+	"math/bits"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+)
+
+// Domain is the scheduler of one failure domain. Its methods may be called from
+// several goroutines.
+type Domain struct {
+	mu    sync.Mutex
+	name  string
+	opts  Options
+	rules Rules
+
+	doc        *policy.Document
+	workspaces map[string]*workspace
+	sorted     []*workspace // by name
+	pinsStale  bool
+
+	workers []*worker // in order of arrival
+	byID    map[string]*worker
+	racks   []*rack
+	byRack  map[string]*rack
+	idx     [viewCount]index
+
+	jobs     map[api.JobID]*job
+	groups   map[groupKey]*group
+	active   []*group // with waiting jobs
+	claims   []*claim
+	queued   int
+	queuedBy map[string]int
+	seq      uint64
+	freed    bool // capacity may have become free since the last Decide
+	tokens   bucket
+	wake     time.Time
+	chunk    []Placement
+}
+
+// workspace is a workspace's use of the domain.
+type workspace struct {
+	name         string
+	quota        policy.Quota
+	weight       float64
+	cells        []*cell
+	parts        []*part
+	unmet        bool
+	accelerators int // in use or claimed
+	slots        int
+	queued       int
+}
+
+// NewDomain returns the scheduler of one failure domain without workers.
+func NewDomain(name string, opts Options) *Domain {
+	opts = opts.withDefaults()
+	d := &Domain{
+		name: name, opts: opts, rules: opts.Rules, doc: &policy.Document{},
+		workspaces: map[string]*workspace{}, byID: map[string]*worker{}, byRack: map[string]*rack{},
+		jobs: map[api.JobID]*job{}, groups: map[groupKey]*group{}, queuedBy: map[string]int{},
+	}
+	d.tokens = newBucket(opts.ReclaimPerSecond, opts.ReclaimPerSecond)
+	return d
+}
+
+// SetPolicy puts a new configuration document in force.
+func (d *Domain) SetPolicy(_ time.Time, doc *policy.Document) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setPolicy(doc)
+}
+
+func (d *Domain) setPolicy(doc *policy.Document) {
+	d.doc = doc
+	for name := range doc.Workspaces {
+		d.workspace(name)
+	}
+	for _, ws := range d.sorted {
+		p := doc.Workspaces[ws.name]
+		ws.quota, ws.weight = p.Quota, p.Weight
+		if ws.weight <= 0 {
+			ws.weight = 1
+		}
+		d.setGuarantees(ws, p.Guarantees)
+	}
+	for _, w := range d.workers {
+		d.applyDrain(w)
+	}
+	d.reclassify()
+	d.pinsStale, d.freed = true, true
+}
+
+// reclassify applies changed classes to the jobs that wait.
+func (d *Domain) reclassify() {
+	for _, j := range d.sortedJobs() {
+		c := d.class(j.Class)
+		if j.phase == phaseQueued && c.Rank != j.class.Rank {
+			d.dequeue(j)
+			j.class = c
+			d.enqueue(j)
+		}
+		j.class = c
+	}
+}
+
+// sortedJobs returns all jobs in order of arrival.
+func (d *Domain) sortedJobs() []*job {
+	out := make([]*job, 0, len(d.jobs))
+	for _, j := range d.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		if a.seq < b.seq {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// workspace returns the workspace's record and makes it when it is new.
+func (d *Domain) workspace(name string) *workspace {
+	ws := d.workspaces[name]
+	if ws == nil {
+		ws = &workspace{name: name, weight: 1}
+		d.workspaces[name] = ws
+		i, _ := slices.BinarySearchFunc(d.sorted, name, func(o *workspace, n string) int {
+			if o.name < n {
+				return -1
+			}
+			return 1
+		})
+		d.sorted = slices.Insert(d.sorted, i, ws)
+	}
+	return ws
+}
+
+// builtin holds the classes that apply when the document names none.
+var builtin = map[string]policy.Class{
+	api.ClassUrgent:  {Rank: 0, Short: true, StartWithin: urgentBound},
+	api.ClassShort:   {Rank: 1, Short: true},
+	api.ClassLong:    {Rank: 2},
+	api.ClassArchive: {Rank: 3, Sheddable: true},
+}
+
+func (d *Domain) class(name string) policy.Class {
+	if c, ok := d.doc.Classes[name]; ok {
+		return c
+	}
+	if c, ok := builtin[name]; ok {
+		return c
+	}
+	return builtin[api.ClassLong]
+}
+
+// UpsertWorker adds a worker or replaces its description.
+func (d *Domain) UpsertWorker(_ time.Time, in Worker) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.upsertWorker(in)
+}
+
+func (d *Domain) upsertWorker(in Worker) {
+	in.Accelerators = min(max(in.Accelerators, 0), 64)
+	w := d.byID[in.ID]
+	if w == nil {
+		w = &worker{bucket: [viewCount]int{unlinked, unlinked, unlinked, unlinked}}
+		d.byID[in.ID] = w
+		d.workers = append(d.workers, w)
+	} else if w.Worker == in {
+		return
+	} else if w.rack != nil {
+		d.leaveRack(w)
+	}
+	w.Worker = in
+	w.capacity = lowMask(in.Accelerators)
+	w.free = w.capacity
+	w.eachSpot(func(_ *job, s *spot) { w.free &^= s.mask })
+	d.joinRack(w)
+	d.applyDrain(w)
+	d.resettle(w)
+	d.pinsStale, d.freed = true, true
+}
+
+func (d *Domain) joinRack(w *worker) {
+	r := d.byRack[w.Rack]
+	if r == nil {
+		r = &rack{name: w.Rack}
+		d.byRack[w.Rack] = r
+		d.racks = append(d.racks, r)
+	}
+	w.rack = r
+	r.workers = append(r.workers, w)
+	r.capacity += w.Accelerators
+}
+
+func (d *Domain) leaveRack(w *worker) {
+	r := w.rack
+	r.workers = slices.DeleteFunc(r.workers, func(o *worker) bool { return o == w })
+	r.capacity -= w.Accelerators
+	for v := range r.free {
+		r.free[v] -= w.counted[v]
+		w.counted[v] = 0
+	}
+	for v := range d.idx {
+		d.idx[v].unlink(w, view(v))
+	}
+}
+
+// applyDrain follows the document's list of drained workers and racks.
+func (d *Domain) applyDrain(w *worker) {
+	_, one := d.doc.Drained[w.ID]
+	_, all := d.doc.Drained["rack:"+w.Rack]
+	if w.drained != (one || all) {
+		w.drained = one || all
+		d.refresh(w)
+	}
+}
+
+// SetWorkerState changes whether a worker gets new work. Its running jobs stay
+// until Ended is called for them.
+func (d *Domain) SetWorkerState(_ time.Time, id string, s WorkerState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.byID[id]
+	if w == nil || w.State == s {
+		return
+	}
+	w.State = s
+	d.refresh(w)
+	d.pinsStale, d.freed = true, true
+}
+
+// Enqueue adds a job to the queue. It refuses with impossible, overloaded or
+// quota_exceeded, and the job has then not run.
+func (d *Domain) Enqueue(now time.Time, in Job) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old := d.jobs[in.ID]; old != nil {
+		if old.Attempt >= in.Attempt {
+			return nil
+		}
+		return errkind.New(errkind.Conflict, "attempt %d of job %s has not ended", old.Attempt, in.ID)
+	}
+	ws := d.workspace(in.Workspace)
+	if err := d.admit(now, ws, in); err != nil {
+		return err
+	}
+	j := d.newJob(now, ws, in)
+	d.jobs[in.ID] = j
+	d.enqueue(j)
+	return nil
+}
+
+func (d *Domain) newJob(now time.Time, ws *workspace, in Job) *job {
+	d.seq++
+	j := &job{Job: in, ws: ws, class: d.class(in.Class), queuedAt: now, seq: d.seq, pos: -1}
+	if j.SubmittedAt.IsZero() {
+		j.SubmittedAt = now
+	}
+	return j
+}
+
+// Adopt takes over a job that was found running at the targets.
+func (d *Domain) Adopt(now time.Time, in Job, places []Placement, startedAt time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old := d.jobs[in.ID]; old != nil {
+		if old.phase == phasePlaced || old.phase == phaseStopping {
+			return nil
+		}
+		d.withdraw(old)
+	}
+	spots := make([]spot, 0, len(places))
+	for _, p := range places {
+		w := d.byID[p.Worker]
+		if w == nil {
+			return errkind.New(errkind.NotFound, "job %s runs on worker %s, which is not in the failure domain", in.ID, p.Worker)
+		}
+		m := maskOf(p.Accelerators)
+		if m&^w.free != 0 {
+			return errkind.New(errkind.Conflict, "job %s runs on accelerators of worker %s that are in use", in.ID, p.Worker)
+		}
+		spots = append(spots, spot{w: w, mask: m})
+	}
+	j := d.newJob(now, d.workspace(in.Workspace), in)
+	d.jobs[in.ID] = j
+	j.spots = spots
+	j.Accelerators = 0
+	for _, s := range spots {
+		j.Accelerators += bits.OnesCount64(s.mask)
+	}
+	d.take(now, j)
+	j.startedAt, j.savedAt = startedAt, startedAt
+	d.pinsStale = true
+	return nil
+}
+
+// Started records that all tasks of the job run.
+func (d *Domain) Started(now time.Time, id api.JobID, attempt int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j := d.jobs[id]; j != nil && j.Attempt == attempt && len(j.spots) > 0 && j.startedAt.IsZero() {
+		j.startedAt, j.savedAt = now, now
+	}
+}
+
+// Checkpointed records that the job's work up to now is saved.
+func (d *Domain) Checkpointed(now time.Time, id api.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j := d.jobs[id]; j != nil {
+		j.savedAt = now
+	}
+}
+
+// Ended frees the places of the job and forgets it. Blame names the worker that
+// refused or failed it and may be empty.
+func (d *Domain) Ended(now time.Time, id api.JobID, attempt int, why EndReason, blame string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.jobs[id]
+	if j == nil || j.Attempt != attempt {
+		return
+	}
+	if len(j.spots) == 0 {
+		d.withdraw(j)
+		return
+	}
+	d.release(j)
+	delete(d.jobs, id)
+	d.freed = true
+	_, _, _ = now, why, blame
+}
+
+// Cancel removes a queued job and reports true. For an unknown or running job
+// it reports false; the caller stops that one and calls Ended.
+func (d *Domain) Cancel(_ time.Time, id api.JobID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.jobs[id]
+	if j == nil || len(j.spots) > 0 {
+		return false
+	}
+	d.withdraw(j)
+	return true
+}
+
+// withdraw forgets a job that has no place yet.
+func (d *Domain) withdraw(j *job) {
+	if j.claim != nil {
+		d.dropClaim(j.claim)
+	} else {
+		d.dequeue(j)
+	}
+	delete(d.jobs, j.ID)
+}
--- /dev/null
+++ b/pkg/sched/domain_test.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet returns a domain of racks of 8 workers with 8 accelerators and 8 slots.
+func fleet(workers int, doc *policy.Document, rules ...Rules) *Domain {
+	var o Options
+	if len(rules) > 0 {
+		o.Rules = rules[0]
+	}
+	d := NewDomain("r/a", o)
+	for i := range workers {
+		d.UpsertWorker(t0, Worker{ID: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("k%d", i/8), Accelerators: 8, Slots: 8})
+	}
+	if doc != nil {
+		d.SetPolicy(t0, doc)
+	}
+	return d
+}
+
+// guarantee returns a document that guarantees cells of n accelerators to "own".
+func guarantee(cells, n int, a api.Adjacency) *policy.Document {
+	return &policy.Document{Workspaces: map[string]policy.Workspace{
+		"own": {Guarantees: []policy.Guarantee{{Cells: cells, Accelerators: n, Adjacency: a, FailureDomain: "r/a"}}},
+	}}
+}
+
+func count(actions []Action, t ActionType) (n int) {
+	for _, a := range actions {
+		if a.Type == t {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a guarantee that borrowers keep: the owner's gang must preempt
+// them within the bound and start once they have ended.
+func TestOwnerReclaimsBorrowedCells(t *testing.T) {
+	d := fleet(8, guarantee(4, 8, api.AdjacencyWorker))
+	for i := range 8 {
+		mustEnqueue(t, d, Job{ID: api.JobID(fmt.Sprint("b", i)), Workspace: "other", Class: "long", Accelerators: 8})
+	}
+	if n := count(d.Decide(t0), ActionPlace); n != 8 {
+		t.Fatalf("%d borrowers placed, want 8", n)
+	}
+	mustEnqueue(t, d, Job{ID: "u", Workspace: "own", Class: "urgent", Accelerators: 8})
+	acts := d.Decide(t0)
+	if len(acts) != 1 || acts[0].Type != ActionPreempt || acts[0].StopBy.Sub(t0) > urgentBound {
+		t.Fatalf("actions %+v, want one preemption within the bound", acts)
+	}
+	d.Ended(t0, acts[0].Job, 0, EndPreempted, "")
+	if acts = d.Decide(t0); len(acts) != 1 || acts[0].Job != "u" || acts[0].Type != ActionPlace {
+		t.Fatalf("actions %+v, want the owner placed", acts)
+	}
+}
+
+// Guards against automatic actions during a hold, and against a hold that makes
+// the guarantee unreachable: one Confirm must carry the reclaim out.
+func TestHeldReclaimIsProposedAndConfirmed(t *testing.T) {
+	doc := guarantee(1, 8, api.AdjacencyWorker)
+	doc.Holds = map[string]policy.Hold{policy.HoldAll: {Reason: "weekend"}}
+	d := fleet(1, doc)
+	mustEnqueue(t, d, Job{ID: "b", Workspace: "other", Class: "long", Accelerators: 8})
+	d.Decide(t0)
+	mustEnqueue(t, d, Job{ID: "u", Workspace: "own", Class: "urgent", Accelerators: 4})
+	acts := d.Decide(t0)
+	if len(acts) != 1 || !acts[0].Proposal {
+		t.Fatalf("actions %+v, want one proposal", acts)
+	}
+	done, err := d.Confirm(t0, acts[0])
+	if err != nil || len(done) != 1 || done[0].Proposal || done[0].Job != "b" {
+		t.Fatalf("confirm gave %+v, %v", done, err)
+	}
+	if _, err = d.Confirm(t0, acts[0]); !errkind.Is(err, errkind.PlanOutdated) {
+		t.Errorf("second confirm: %v, want plan_outdated", err)
+	}
+}
+
+// Guards against accepting guarantees that no state of the fleet can meet.
+func TestUnmeetableGuaranteesAreRefused(t *testing.T) {
+	workers := map[string][]Worker{"r/a": {{ID: "a", Rack: "k", Accelerators: 8, Slots: 8}, {ID: "b", Rack: "k", Accelerators: 8, Slots: 8}}}
+	if err := CheckGuarantees(guarantee(1, 16, api.AdjacencyRack), workers); err != nil {
+		t.Error(err)
+	}
+	for _, doc := range []*policy.Document{guarantee(3, 8, api.AdjacencyWorker), guarantee(1, 16, api.AdjacencyWorker)} {
+		if err := CheckGuarantees(doc, workers); !errkind.Is(err, errkind.GuaranteeUnmeetable) {
+			t.Errorf("%+v: %v", doc.Workspaces, err)
+		}
+	}
+}
+
+func mustEnqueue(t *testing.T, d *Domain, j Job) {
+	t.Helper()
+	if err := d.Enqueue(t0, j); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/pkg/sched/options.go
@@ -0,0 +1,57 @@
+package sched
+
+import "time"
+
+// Rules switches the rules of the scheduler one by one, so that measurements
+// can show what each is worth.
+type Rules struct {
+	// Lend lets other workspaces use idle guaranteed cells.
+	Lend bool
+	// Reclaim preempts borrowers when the owner of a guarantee needs its cells.
+	Reclaim bool
+	// OwnReclaim lets work with a start bound take back cells that its own
+	// workspace fills with work of a later class.
+	OwnReclaim bool
+}
+
+// DefaultRules returns the rules in use.
+func DefaultRules() Rules { return Rules{Lend: true, Reclaim: true, OwnReclaim: true} }
+
+// Options configures a Domain. The zero value of each field selects its default.
+type Options struct {
+	Rules Rules
+	// Grace is the longest time between a preemption and the stop of its victim.
+	Grace time.Duration
+	// MaxQueued bounds the jobs that wait in the domain.
+	MaxQueued int
+	// ReclaimPerSecond bounds the preemptions a second; the burst is as large.
+	ReclaimPerSecond float64
+}
+
+// Defaults of Options.
+const (
+	// DefaultGrace leaves two seconds of the urgent bound of 6.1 s for the
+	// decision, the stop itself and the start of the urgent work.
+	DefaultGrace            = 4 * time.Second
+	DefaultMaxQueued        = 100_000
+	DefaultReclaimPerSecond = 512
+)
+
+// urgentBound is the start bound that applies when a class names none.
+const urgentBound = 6100 * time.Millisecond
+
+func (o Options) withDefaults() Options {
+	if o.Rules == (Rules{}) {
+		o.Rules = DefaultRules()
+	}
+	if o.Grace <= 0 {
+		o.Grace = DefaultGrace
+	}
+	if o.MaxQueued <= 0 {
+		o.MaxQueued = DefaultMaxQueued
+	}
+	if o.ReclaimPerSecond <= 0 {
+		o.ReclaimPerSecond = DefaultReclaimPerSecond
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/sched/report.go
@@ -0,0 +1,213 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+)
+
+func contains(list []*job, j *job) bool { return slices.Contains(list, j) }
+
+// waiting returns the queued job with the ID.
+func (d *Domain) waiting(id string) *job {
+	if j := d.jobs[api.JobID(id)]; j != nil && j.phase == phaseQueued {
+		return j
+	}
+	return nil
+}
+
+// Explain says in one sentence why the job waits.
+func (d *Domain) Explain(now time.Time, id api.JobID) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.jobs[id]
+	switch {
+	case j == nil:
+		return "The job is not known in failure domain " + d.name + "."
+	case j.phase == phaseClaiming:
+		return "Borrowed guaranteed cells are being taken back for the job."
+	case j.phase == phaseStopping:
+		return "The job is being stopped to give its place back."
+	case j.phase == phasePlaced:
+		return "The job has its place."
+	case !j.ws.allows(j.Accelerators, 1):
+		return "The quota of workspace " + j.Workspace + " is used up."
+	}
+	if h, held := d.doc.Held(j.Workspace, now); held && d.rules.Reclaim && len(j.ws.parts) > 0 {
+		return "No capacity is free, and automation is held (" + h.Reason + "), so a reclaim needs an operator's confirmation."
+	}
+	if j.Accelerators == 0 {
+		return "No slot is free that the job may use."
+	}
+	return fmt.Sprintf("No %d adjacent accelerators are free that the job may use.", j.Accelerators)
+}
+
+// Summary returns what other VMs need to know of the domain.
+func (d *Domain) Summary(_ time.Time) Summary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settlePins()
+	size := d.largest()
+	s := Summary{
+		Domain: d.name, Workers: len(d.workers), Accelerators: size[levelDomain],
+		LargestRack: size[levelRack], LargestWorker: size[levelWorker],
+		Queued: map[string]int{}, UsedBy: map[string]int{}, GuaranteeFree: map[string]int{},
+	}
+	for c, n := range d.queuedBy {
+		if n > 0 {
+			s.Queued[c] = n
+		}
+	}
+	for _, r := range d.racks {
+		s.Free.Rack = max(s.Free.Rack, r.free[accAny])
+		s.Free.Domain += r.free[accAny]
+	}
+	for _, w := range d.workers {
+		if w.usable() {
+			s.FreeSlots += w.slots(slotAny)
+		}
+		if l := largestLevel(w.avail(accAny), w.capacity); l >= 0 {
+			s.Free.Worker = max(s.Free.Worker, min(1<<l, w.Accelerators))
+		}
+	}
+	for _, ws := range d.sorted {
+		d.summarize(ws, &s)
+	}
+	return s
+}
+
+func (d *Domain) summarize(ws *workspace, s *Summary) {
+	if ws.accelerators > 0 {
+		s.UsedBy[ws.name] = ws.accelerators
+	}
+	if ws.unmet {
+		s.Unmeetable = append(s.Unmeetable, ws.name)
+	}
+	for _, p := range ws.parts {
+		own, others := uint64(0), uint64(0)
+		p.w.eachSpot(func(j *job, sp *spot) {
+			if j.ws == ws {
+				own |= sp.mask & p.mask
+			} else {
+				others |= sp.mask & p.mask
+			}
+		})
+		s.GuaranteeFree[ws.name] += bits.OnesCount64(p.mask &^ own)
+		s.BorrowedByOthers += bits.OnesCount64(others)
+	}
+}
+
+// Preview is what a new configuration document would cause at once.
+type Preview struct {
+	Preempt    []Action // jobs that would be stopped, with the work lost
+	Refuse     []Action // queued jobs that would be refused
+	Unmeetable []string // workspaces whose guarantee could not be met
+	LostWork   time.Duration
+}
+
+// Preview shows on a copy what a new document would preempt, refuse and make
+// unmeetable. A hold in the document does not hide the preemptions.
+func (d *Domain) Preview(now time.Time, doc *policy.Document) Preview {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.clone(now)
+	open := *doc
+	open.Holds = nil
+	c.SetPolicy(now, &open)
+	var out Preview
+	for _, j := range c.sortedJobs() {
+		if err := c.possible(j.ws, j.Job); err != nil && j.phase == phaseQueued {
+			c.withdraw(j)
+			e := errkind.As(err)
+			out.Refuse = append(out.Refuse, Action{Type: ActionRefuse, Job: j.ID, Workspace: j.Workspace, Attempt: j.Attempt, Kind: e.Kind, Reason: e.Message})
+		}
+	}
+	for _, a := range c.Decide(now) {
+		switch a.Type {
+		case ActionPreempt, ActionMove:
+			out.Preempt = append(out.Preempt, a)
+			out.LostWork += a.LostWork
+		case ActionRefuse:
+			out.Refuse = append(out.Refuse, a)
+		}
+	}
+	out.Unmeetable = c.Summary(now).Unmeetable
+	return out
+}
+
+// clone copies the domain's workers, policy and jobs.
+func (d *Domain) clone(now time.Time) *Domain {
+	c := NewDomain(d.name, d.opts)
+	for _, w := range d.workers {
+		c.upsertWorker(w.Worker)
+		c.byID[w.ID].bad = w.bad
+	}
+	c.setPolicy(d.doc)
+	for _, j := range d.sortedJobs() {
+		if len(j.spots) > 0 {
+			// The places are free in the copy, because they are taken only once here.
+			_ = c.Adopt(now, j.Job, d.placements(j), j.startedAt)
+			c.jobs[j.ID].phase = j.phase
+			c.jobs[j.ID].savedAt = j.savedAt
+			continue
+		}
+		k := c.newJob(j.queuedAt, c.workspace(j.Workspace), j.Job)
+		c.jobs[k.ID] = k
+		c.enqueue(k)
+	}
+	return c
+}
+
+// CheckGuarantees reports whether the workers, by failure domain, can meet all
+// guarantees of the document at once when no job runs.
+func CheckGuarantees(doc *policy.Document, workers map[string][]Worker) error {
+	for _, ws := range slices.Sorted(maps.Keys(doc.Workspaces)) {
+		for _, g := range doc.Workspaces[ws].Guarantees {
+			if _, ok := workers[g.FailureDomain]; !ok {
+				return errkind.New(errkind.GuaranteeUnmeetable, "workspace %s: failure domain %q has no workers", ws, g.FailureDomain)
+			}
+		}
+	}
+	// Draining is a temporary state of the fleet, not one of the guarantees.
+	whole := *doc
+	whole.Drained = nil
+	for _, name := range slices.Sorted(maps.Keys(workers)) {
+		d := NewDomain(name, Options{})
+		for _, w := range workers[name] {
+			w.State = WorkerReady
+			d.upsertWorker(w)
+		}
+		d.setPolicy(&whole)
+		d.repin()
+		if err := d.unmetError(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// unmetError names the first guarantee that has no place, with the sum of all.
+func (d *Domain) unmetError() error {
+	sum := 0
+	for _, ws := range d.sorted {
+		for _, c := range ws.cells {
+			sum += c.shape.accelerators
+		}
+	}
+	for _, ws := range d.sorted {
+		for _, c := range ws.cells {
+			if len(c.parts) == 0 {
+				return errkind.New(errkind.GuaranteeUnmeetable,
+					"workspace %s: no place in failure domain %s for a cell of %d accelerators adjacent in one %s; all guarantees sum to %d of %d accelerators",
+					ws.name, d.name, c.shape.accelerators, levelName(c.shape.adjacency), sum, d.largest()[levelDomain])
+			}
+		}
+	}
+	return nil
+}
