--- /dev/null
+++ b/pkg/domain/domain.go
@@ -0,0 +1,289 @@
+package domain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/gate"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+// Gate permits or holds automatic actions.
+type Gate interface {
+	Allow(kind gate.Kind, workspace string, p gate.Proposal) bool
+}
+
+// Options configure a Domain.
+type Options struct {
+	Name  string
+	Epoch int64
+	// Sched is the pure scheduler of this failure domain.
+	Sched    *sched.Domain
+	Dialer   target.Dialer
+	Reporter Reporter
+	Gate     Gate
+	Recorder timeline.Recorder
+	Log      logr.Logger
+	// VMs returns the newest platform list and the targets that any member saw leaving.
+	VMs            func() []platform.VM
+	LeavingTargets func() map[string]bool
+	// ReportLeaving tells the other members that a target is leaving.
+	ReportLeaving func(worker string)
+	// LeaseTTL is the lease of tasks at their target; other timings derive from it.
+	LeaseTTL time.Duration
+	// CallTimeout bounds one call to a target other than Sync.
+	CallTimeout time.Duration
+}
+
+// Timings derived from the task lease: a renewal may fail twice before the
+// lease lapses, and a lost worker's tasks are given up only once the target
+// itself has stopped them.
+func (o Options) syncWait() time.Duration  { return o.LeaseTTL / 3 }
+func (o Options) lostAfter() time.Duration { return o.LeaseTTL + o.LeaseTTL/10 }
+
+// tickInterval bounds how late a time-driven decision and a change of the VM
+// list are noticed.
+const tickInterval = 100 * time.Millisecond
+
+// Domain owns one failure domain under one epoch.
+type Domain struct {
+	opts Options
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	wake   chan struct{}
+
+	mu        sync.Mutex
+	workers   map[string]*worker
+	attempts  map[api.JobID]*attempt
+	byTask    map[api.TaskID]*task
+	round     int // numbers the placements of this epoch
+	drained   map[string]bool
+	proposals map[string]sched.Action
+	stopped   bool
+	started   time.Time
+}
+
+// New returns a domain that is not yet running.
+func New(opts Options) *Domain {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Domain{
+		opts: opts, ctx: ctx, cancel: cancel,
+		wake:      make(chan struct{}, 1),
+		workers:   map[string]*worker{},
+		attempts:  map[api.JobID]*attempt{},
+		byTask:    map[api.TaskID]*task{},
+		drained:   map[string]bool{},
+		proposals: map[string]sched.Action{},
+	}
+}
+
+// Start begins to sync the workers and to decide.
+func (d *Domain) Start() {
+	d.mu.Lock()
+	d.started = time.Now()
+	d.mu.Unlock()
+	d.goRun(d.loop)
+}
+
+// Stop ends the service. Running tasks go on; their leases at the targets give
+// the next owner the time to adopt them. Reports that are due are still sent
+// until ctx ends.
+func (d *Domain) Stop(ctx context.Context, flush bool) {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	if flush {
+		d.awaitSettled(ctx)
+	}
+	d.cancel()
+	d.wg.Wait()
+}
+
+// awaitSettled waits until no placement and no report is in progress.
+func (d *Domain) awaitSettled(ctx context.Context) {
+	for ctx.Err() == nil && d.unsettled() > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (d *Domain) unsettled() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, a := range d.attempts {
+		if a.placing || a.reporting {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Domain) goRun(fn func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		fn()
+	}()
+}
+
+// notify asks for a round of decisions soon.
+func (d *Domain) notify() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loop is the domain's single decision thread.
+func (d *Domain) loop() {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-tick.C:
+			d.refreshWorkers()
+			d.checkLost(time.Now())
+		case <-d.wake:
+		}
+		d.decide()
+	}
+}
+
+// decide carries out one round of decisions.
+func (d *Domain) decide() {
+	if d.isStopped() {
+		return
+	}
+	for _, a := range d.opts.Sched.Decide(time.Now()) {
+		d.act(a)
+	}
+}
+
+func (d *Domain) isStopped() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopped
+}
+
+// act carries out one action, or keeps it as a proposal while automation is held.
+func (d *Domain) act(a sched.Action) {
+	if a.Proposal {
+		d.propose(a)
+		return
+	}
+	switch a.Type {
+	case sched.ActionPlace:
+		d.place(a)
+	case sched.ActionHedge:
+		d.hedge(a)
+	case sched.ActionPreempt, sched.ActionMove:
+		d.preempt(a)
+	case sched.ActionRefuse:
+		d.refuse(a)
+	case sched.ActionQuarantine:
+		d.record(timeline.Quarantined, a, "quarantined: "+a.Reason)
+	case sched.ActionUnquarantine:
+		d.record(timeline.Quarantined, a, "released on probation: "+a.Reason)
+	case sched.ActionThrottle:
+		d.throttle(a)
+	}
+}
+
+func (d *Domain) record(t timeline.Type, a sched.Action, reason string) {
+	d.opts.Recorder.Record(timeline.Event{
+		Type: t, Job: a.Job, Workspace: a.Workspace, Worker: a.Worker,
+		Domain: d.opts.Name, Reason: reason, By: a.For,
+	})
+}
+
+var gateKinds = map[sched.ActionType]gate.Kind{
+	sched.ActionPreempt:    gate.Preempt,
+	sched.ActionMove:       gate.Move,
+	sched.ActionHedge:      gate.Hedge,
+	sched.ActionQuarantine: gate.Quarantine,
+	sched.ActionThrottle:   gate.Throttle,
+}
+
+// propose hands a held action to the gate, which lists it for the operators.
+func (d *Domain) propose(a sched.Action) {
+	kind := gateKinds[a.Type]
+	if a.Reclaim {
+		kind = gate.Reclaim
+	}
+	id := d.opts.Name + "/" + string(kind) + "/" + string(a.Job) + a.Worker
+	d.mu.Lock()
+	_, known := d.proposals[id]
+	d.proposals[id] = a
+	d.mu.Unlock()
+	d.opts.Gate.Allow(kind, a.Workspace, gate.Proposal{
+		ID: id, Kind: kind, Workspace: a.Workspace, Job: a.Job, Worker: a.Worker,
+		Domain: d.opts.Name, Reason: a.Reason, LostWork: a.LostWork, At: time.Now(),
+	})
+	if !known {
+		d.record(timeline.Proposed, a, string(kind)+": "+a.Reason)
+	}
+}
+
+// Confirm carries out a held action that an operator confirmed, if it is still valid.
+func (d *Domain) Confirm(id string) error {
+	d.mu.Lock()
+	a, ok := d.proposals[id]
+	delete(d.proposals, id)
+	d.mu.Unlock()
+	if !ok {
+		return errkind.New(errkind.NotFound, "no proposal %s", id)
+	}
+	actions, err := d.opts.Sched.Confirm(time.Now(), a)
+	if err != nil {
+		return err
+	}
+	for _, next := range actions {
+		next.Proposal = false
+		d.act(next)
+	}
+	return nil
+}
+
+// SetPolicy puts a new configuration document in force.
+func (d *Domain) SetPolicy(doc *policy.Document) {
+	now := time.Now()
+	d.mu.Lock()
+	clear(d.drained)
+	for name := range doc.Drained {
+		d.drained[name] = true
+	}
+	if _, held := doc.Held("", now); !held {
+		clear(d.proposals)
+	}
+	d.mu.Unlock()
+	d.opts.Sched.SetPolicy(now, doc)
+	d.refreshWorkers()
+	d.notify()
+}
+
+// Preview says what doc would change in this domain.
+func (d *Domain) Preview(doc *policy.Document) sched.Preview {
+	return d.opts.Sched.Preview(time.Now(), doc)
+}
+
+// Summary returns the domain's present summary.
+func (d *Domain) Summary() sched.Summary { return d.opts.Sched.Summary(time.Now()) }
+
+// Explain says in one sentence why a queued job waits.
+func (d *Domain) Explain(job api.JobID) string { return d.opts.Sched.Explain(time.Now(), job) }
--- /dev/null
+++ b/pkg/domain/offer.go
@@ -0,0 +1,181 @@
+package domain
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+)
+
+// Offer queues the attempt, or is harmless if it is already known. Kinds:
+// impossible, overloaded, quota_exceeded, stale_epoch; each says not run.
+func (d *Domain) Offer(ctx context.Context, o Offer) error {
+	now := time.Now()
+	d.mu.Lock()
+	if d.stopped {
+		d.mu.Unlock()
+		return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
+	}
+	if a, ok := d.attempts[o.Job]; ok {
+		err := d.reoffer(a, o)
+		d.mu.Unlock()
+		return err
+	}
+	a := &attempt{offer: o, state: api.StateQueued}
+	a.report = a.newReport(d.opts.Name)
+	d.attempts[o.Job] = a
+	d.mu.Unlock()
+	if len(o.Claimed) > 0 {
+		d.goRun(func() { d.resolveClaim(a) })
+		return nil
+	}
+	if err := d.opts.Sched.Enqueue(now, schedJob(o)); err != nil {
+		d.mu.Lock()
+		delete(d.attempts, o.Job)
+		d.mu.Unlock()
+		return err
+	}
+	d.notify()
+	return nil
+}
+
+// reoffer handles an attempt that is already here; the caller holds the lock.
+func (d *Domain) reoffer(a *attempt, o Offer) error {
+	if o.Attempt < a.offer.Attempt {
+		return errkind.New(errkind.Conflict, "attempt %d of job %s is here already", a.offer.Attempt, o.Job)
+	}
+	if o.Attempt > a.offer.Attempt {
+		if !a.ended {
+			d.withdraw(a, "replaced by a later attempt")
+		}
+		// Once the old attempt is over and reported, the offer is accepted.
+		return errkind.New(errkind.Unavailable, "attempt %d of job %s is not over yet", a.offer.Attempt, o.Job)
+	}
+	a.offer.Partition, a.offer.PartitionEpoch = o.Partition, o.PartitionEpoch
+	a.orphan = false
+	d.deliver(a)
+	return nil
+}
+
+// Withdraw takes an attempt back. A queued attempt is reported as not run, a
+// running one as stopped. An attempt that is not here is not an error for the
+// caller to act on: not_found says that it does not run here.
+func (d *Domain) Withdraw(_ context.Context, job api.JobID, number int, reason string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
+	}
+	a, ok := d.attempts[job]
+	if !ok || a.offer.Attempt != number {
+		return errkind.New(errkind.NotFound, "attempt %d of job %s is not here", number, job)
+	}
+	d.withdraw(a, reason)
+	return nil
+}
+
+// withdraw stops what the attempt has; the caller holds the lock.
+func (d *Domain) withdraw(a *attempt, reason string) {
+	if a.ended || a.withdrawn != "" {
+		return
+	}
+	a.withdrawn = reason
+	switch {
+	case a.placing: // placeCopy sees it
+	case len(a.copies) == 0:
+		d.opts.Sched.Cancel(time.Now(), a.offer.Job)
+		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", reason)
+	default:
+		d.stopCopies(a)
+	}
+}
+
+// Held returns the attempts that belong to the partition.
+func (d *Domain) Held(_ context.Context, partition int) []Held {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Held
+	for _, a := range d.attempts {
+		if a.offer.Partition == partition {
+			a.orphan = false // the partition's owner learns of it here
+			out = append(out, Held{Offer: a.offer, Report: a.report})
+		}
+	}
+	return out
+}
+
+// resolveClaim finds out what became of an attempt that its partition had
+// permitted to start: a worker that never saw a start now refuses it for good,
+// one that ran it tells the outcome, one that is gone leaves it unknown.
+func (d *Domain) resolveClaim(a *attempt) {
+	deadline := time.Now().Add(d.opts.lostAfter())
+	for {
+		done, wait := d.tryResolve(a)
+		if done {
+			return
+		}
+		if wait && time.Now().After(deadline) {
+			d.mu.Lock()
+			d.finishAttempt(a, api.OutcomeLost, sched.EndWorkerLost, "", "a worker of the claimed attempt cannot be asked")
+			d.mu.Unlock()
+			return
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-time.After(syncRetry):
+		}
+	}
+}
+
+// tryResolve asks the claimed workers once. It returns done when the attempt is
+// decided or was adopted from the targets.
+func (d *Domain) tryResolve(a *attempt) (done, wait bool) {
+	d.mu.Lock()
+	if a.ended || len(a.copies) > 0 || d.attempts[a.offer.Job] != a {
+		d.mu.Unlock()
+		return true, false
+	}
+	claimed := a.offer.Claimed
+	var workers []*worker
+	for _, p := range claimed {
+		w := d.workers[p.Worker]
+		if w == nil || !w.synced {
+			d.mu.Unlock()
+			return false, true // the list lags or the worker has not answered yet
+		}
+		workers = append(workers, w)
+	}
+	changed := false
+	for i, w := range workers {
+		changed = changed || w.incarnation != claimed[i].Incarnation
+	}
+	d.mu.Unlock()
+	// Every claimed worker has answered a full sync under this epoch. Had one of
+	// them held a task of the attempt, adoptTasks would have found it there.
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(a.copies) > 0 {
+		return true, false
+	}
+	if changed {
+		d.finishAttempt(a, api.OutcomeLost, sched.EndWorkerLost, "", "a worker of the claimed attempt restarted")
+		return true, false
+	}
+	d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, "", "no worker of the claimed attempt had started it")
+	return true, false
+}
+
+// adoptTasks takes over tasks that the former owner of the domain placed; the
+// caller holds the lock.
+func (d *Domain) adoptTasks(w *worker, statuses []target.TaskStatus) {
+	for _, st := range statuses {
+		if _, known := d.byTask[st.Task]; known || len(st.Meta) == 0 || st.State == target.TaskFenced {
+			continue
+		}
+		d.adoptTask(w, st)
+	}
+}
--- /dev/null
+++ b/pkg/domain/place.go
@@ -0,0 +1,434 @@
+package domain
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+// Limits of placing.
+const (
+	// gangConcurrency bounds the calls in progress for one gang.
+	gangConcurrency = 64
+	// startRetry is the pause before a start without an answer is repeated.
+	startRetry = 100 * time.Millisecond
+	// startTries bounds the repetitions; after them the start is resolved by Fence.
+	startTries = 5
+)
+
+// place reserves and starts an attempt on the places that the scheduler chose.
+func (d *Domain) place(act sched.Action) {
+	d.mu.Lock()
+	a, ok := d.attempts[act.Job]
+	if !ok || a.ended || a.placing || a.withdrawn != "" || len(a.copies) > 0 {
+		d.mu.Unlock()
+		d.opts.Sched.Ended(time.Now(), act.Job, act.Attempt, sched.EndCancelled, "")
+		return
+	}
+	c, blame := d.newCopy(a, act.Placements, false)
+	if c == nil {
+		d.requeue(a, blame)
+		d.mu.Unlock()
+		return
+	}
+	a.placing = true
+	a.copies = []*placedCopy{c}
+	a.state = api.StateReserved
+	d.mu.Unlock()
+	d.goRun(func() { d.placeCopy(a, c) })
+}
+
+// newCopy makes the tasks of a placement; the caller holds the lock. It returns
+// nil and the worker's ID when a worker is no longer there.
+func (d *Domain) newCopy(a *attempt, places []sched.Placement, hedge bool) (*placedCopy, string) {
+	d.round++
+	c := &placedCopy{hedge: hedge}
+	for i, p := range places {
+		w, ok := d.workers[p.Worker]
+		if !ok || !w.synced {
+			return nil, p.Worker
+		}
+		t := &task{id: taskID(a.offer, d.opts.Epoch, d.round, i), job: a.offer.Job, copy: c, worker: w}
+		t.status = target.TaskStatus{Task: t.id, State: target.TaskReserved, Accelerators: p.Accelerators}
+		c.tasks = append(c.tasks, t)
+		c.places = append(c.places, api.Allocation{Worker: w.id, Incarnation: w.incarnation, Accelerators: p.Accelerators})
+	}
+	for _, t := range c.tasks {
+		d.byTask[t.id] = t
+	}
+	return c, ""
+}
+
+// placeCopy takes a copy through its steps: reserve on all workers, claim for
+// an at-most-once job, start on all workers.
+func (d *Domain) placeCopy(a *attempt, c *placedCopy) {
+	single := len(c.tasks) == 1 && !a.offer.Spec.AtMostOnce
+	blame, err := d.reserveAll(a, c, single)
+	if err != nil {
+		d.placeFailed(a, c, blame, err)
+		return
+	}
+	d.event(timeline.Reserved, a, "")
+	if a.offer.Spec.AtMostOnce {
+		if err := d.claim(a, c); err != nil {
+			d.claimFailed(a, c, err)
+			return
+		}
+	}
+	if !single {
+		d.startAll(a, c)
+	}
+	d.startedCopy(a, c)
+}
+
+// reserveAll reserves every task, or none: after a failure the others are given
+// back by the caller. It returns the worker to blame.
+func (d *Domain) reserveAll(a *attempt, c *placedCopy, start bool) (string, error) {
+	g, ctx := errgroup.WithContext(d.ctx)
+	g.SetLimit(gangConcurrency)
+	blamed := make([]string, len(c.tasks))
+	for i, t := range c.tasks {
+		g.Go(func() error {
+			if err := d.reserve(ctx, a, c, t, i, start); err != nil {
+				blamed[i] = t.worker.id
+				return err
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	for _, id := range blamed {
+		if id != "" && err != nil {
+			return id, err
+		}
+	}
+	return "", err
+}
+
+func (d *Domain) reserve(ctx context.Context, a *attempt, c *placedCopy, t *task, index int, start bool) error {
+	meta, err := json.Marshal(taskMeta{Offer: metaOffer(a.offer), Index: index, Places: c.places, Hedge: c.hedge})
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "encode task of job %s", a.offer.Job)
+	}
+	req := target.ReserveRequest{
+		Task: t.id, Epoch: d.opts.Epoch, Accelerators: t.status.Accelerators,
+		TTL: d.opts.LeaseTTL, Meta: meta,
+	}
+	if start {
+		s := d.startRequest(a, c, t, index)
+		req.Start = &s
+	}
+	callCtx, cancel := context.WithTimeout(ctx, d.opts.CallTimeout)
+	defer cancel()
+	res, err := t.worker.conn.Reserve(callCtx, req)
+	if err != nil {
+		d.noteRefusal(t.worker, err)
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.places[index].Incarnation = res.Incarnation
+	return nil
+}
+
+// metaOffer leaves out what the next owner does not need from the target.
+func metaOffer(o Offer) Offer {
+	o.Claimed = nil
+	return o
+}
+
+func (d *Domain) startRequest(a *attempt, c *placedCopy, t *task, index int) target.StartRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return target.StartRequest{
+		Task: t.id, Epoch: d.opts.Epoch, Incarnation: c.places[index].Incarnation,
+		Class: a.offer.Spec.Class, Payload: a.offer.Spec.Payload, Checkpoint: a.offer.Checkpoint,
+	}
+}
+
+// noteRefusal stops new work to a worker that says it is leaving or refuses connections.
+func (d *Domain) noteRefusal(w *worker, err error) {
+	kind := errkind.Of(err)
+	d.mu.Lock()
+	switch kind {
+	case errkind.TargetLeaving:
+		w.leaving = true
+		d.updateState(w)
+	case errkind.Unavailable:
+		w.failing = true // the sync loop finds out whether it is back
+		d.updateState(w)
+	}
+	d.mu.Unlock()
+	if kind == errkind.TargetLeaving {
+		d.opts.ReportLeaving(w.id)
+	}
+}
+
+// claim journals the places of an at-most-once attempt at its partition.
+func (d *Domain) claim(a *attempt, c *placedCopy) error {
+	d.mu.Lock()
+	places := append([]api.Allocation(nil), c.places...)
+	withdrawn := a.withdrawn != ""
+	d.mu.Unlock()
+	if withdrawn {
+		return errkind.New(errkind.Cancelled, "withdrawn before the start")
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, d.opts.LeaseTTL/2)
+	defer cancel()
+	return d.opts.Reporter.Claim(ctx, a.offer.Partition, Claim{
+		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: d.opts.Name, Places: places,
+	})
+}
+
+// claimFailed gives all reservations back. No start was sent, so the attempt
+// certainly did not run, whether or not the claim was written.
+func (d *Domain) claimFailed(a *attempt, c *placedCopy, err error) {
+	d.releaseAll(c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgetCopy(c)
+	a.placing = false
+	d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, "", "the claim was refused: "+err.Error())
+}
+
+// startAll starts every task. A start without an answer is repeated; what stays
+// unclear shows in the next sync or is resolved as lost.
+func (d *Domain) startAll(a *attempt, c *placedCopy) {
+	var g errgroup.Group
+	g.SetLimit(gangConcurrency)
+	for i, t := range c.tasks {
+		g.Go(func() error {
+			d.startTask(a, c, t, i)
+			return nil
+		})
+	}
+	_ = g.Wait() // the functions return no error
+}
+
+func (d *Domain) startTask(a *attempt, c *placedCopy, t *task, index int) {
+	req := d.startRequest(a, c, t, index)
+	for try := 0; try < startTries; try++ {
+		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
+		err := t.worker.conn.Start(ctx, req)
+		cancel()
+		if err == nil {
+			return
+		}
+		d.noteRefusal(t.worker, err)
+		if !errkind.Is(err, errkind.Unavailable) {
+			d.startRefused(a, t, err)
+			return
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-time.After(startRetry):
+		}
+	}
+	d.goRun(func() { d.resolveTask(a, t) })
+}
+
+// resolveTask finds out whether a start without an answer took effect. Fence
+// makes sure that one that did not never will.
+func (d *Domain) resolveTask(a *attempt, t *task) {
+	for {
+		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
+		st, err := t.worker.conn.Fence(ctx, t.id, d.opts.Epoch)
+		cancel()
+		d.mu.Lock()
+		if t.over() {
+			d.mu.Unlock()
+			return
+		}
+		if err == nil {
+			st.Accelerators = t.status.Accelerators
+			t.status = st
+			d.advance(a)
+			d.mu.Unlock()
+			return
+		}
+		d.mu.Unlock()
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-time.After(syncRetry):
+		}
+	}
+}
+
+// startRefused marks a task that the target will certainly not run, for example
+// because its reservation lapsed before the start arrived.
+func (d *Domain) startRefused(a *attempt, t *task, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t.over() || t.status.Started {
+		return
+	}
+	t.status.State = target.TaskFenced
+	t.status.Error = err.Error()
+	d.advance(a)
+}
+
+// startedCopy makes the start known, unless the attempt was withdrawn meanwhile.
+func (d *Domain) startedCopy(a *attempt, c *placedCopy) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a.placing = false
+	c.started = true
+	if c.hedge {
+		d.advance(a)
+		return
+	}
+	d.opts.Sched.Started(now, a.offer.Job, a.offer.Attempt)
+	a.state, a.startedAt = api.StateRunning, now
+	d.event(timeline.Started, a, "")
+	d.sendState(a)
+	if a.withdrawn != "" {
+		d.stopCopies(a)
+	}
+	d.advance(a)
+}
+
+// placeFailed gives back what was reserved and queues the attempt again.
+func (d *Domain) placeFailed(a *attempt, c *placedCopy, blame string, err error) {
+	unresolved := d.releaseAll(c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a.placing = false
+	if unresolved && len(c.tasks) == 1 && !a.offer.Spec.AtMostOnce {
+		// The combined reserve and start got no answer and neither did the fence:
+		// the task may run. Its worker's next sync or the lapsed lease decides.
+		c.started = true
+		a.state, a.startedAt = api.StateRunning, time.Now()
+		d.opts.Sched.Started(time.Now(), a.offer.Job, a.offer.Attempt)
+		d.goRun(func() { d.resolveTask(a, c.tasks[0]) })
+		return
+	}
+	d.forgetCopy(c)
+	if c.hedge {
+		return
+	}
+	a.copies = nil
+	if a.withdrawn != "" {
+		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", a.withdrawn)
+		return
+	}
+	d.event(timeline.Queued, a, "placement refused by "+blame+": "+err.Error())
+	d.requeue(a, blame)
+}
+
+// releaseAll fences every task of a copy; it reports whether one did not answer.
+func (d *Domain) releaseAll(c *placedCopy) bool {
+	var g errgroup.Group
+	g.SetLimit(gangConcurrency)
+	for _, t := range c.tasks {
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
+			defer cancel()
+			st, err := t.worker.conn.Fence(ctx, t.id, d.opts.Epoch)
+			if err == nil && st.Started && !st.State.Ended() {
+				// The start took effect although its answer was lost.
+				return errkind.New(errkind.Conflict, "task %s runs", t.id)
+			}
+			return err
+		})
+	}
+	return g.Wait() != nil
+}
+
+// requeue puts the attempt back into the scheduler's queue; the caller holds the lock.
+func (d *Domain) requeue(a *attempt, blame string) {
+	now := time.Now()
+	a.state = api.StateQueued
+	a.copies = nil
+	d.opts.Sched.Ended(now, a.offer.Job, a.offer.Attempt, sched.EndPlaceFailed, blame)
+	d.enqueue(a, now)
+	d.notify()
+}
+
+// enqueue hands the attempt to the scheduler; a refusal ends the attempt.
+func (d *Domain) enqueue(a *attempt, now time.Time) {
+	if err := d.opts.Sched.Enqueue(now, schedJob(a.offer)); err != nil {
+		e := errkind.As(err)
+		a.report.Kind = string(e.Kind)
+		d.finishAttempt(a, api.OutcomeRefused, sched.EndCancelled, "", e.Message)
+	}
+}
+
+// forgetCopy drops the tasks of a copy from the index; the caller holds the lock.
+func (d *Domain) forgetCopy(c *placedCopy) {
+	for _, t := range c.tasks {
+		delete(d.byTask, t.id)
+	}
+}
+
+// hedge starts a second copy of a straggling repeatable job.
+func (d *Domain) hedge(act sched.Action) {
+	d.mu.Lock()
+	a, ok := d.attempts[act.Job]
+	if !ok || a.ended || a.placing || a.withdrawn != "" || len(a.copies) != 1 || a.offer.Spec.AtMostOnce {
+		d.mu.Unlock()
+		return
+	}
+	c, _ := d.newCopy(a, act.Placements, true)
+	if c == nil {
+		d.mu.Unlock()
+		return
+	}
+	a.placing = true
+	a.copies = append(a.copies, c)
+	d.mu.Unlock()
+	d.event(timeline.Hedged, a, act.Reason)
+	d.goRun(func() { d.placeCopy(a, c) })
+}
+
+func (d *Domain) throttle(act sched.Action) {
+	d.mu.Lock()
+	var tasks []*task
+	for _, t := range d.byTask {
+		if t.job == act.Job && !t.over() {
+			tasks = append(tasks, t)
+		}
+	}
+	d.mu.Unlock()
+	for _, t := range tasks {
+		d.goRun(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
+			defer cancel()
+			if err := t.worker.conn.Throttle(ctx, t.id, d.opts.Epoch, act.Share); err != nil {
+				d.opts.Log.V(1).Info("throttle failed", "task", t.id, "error", err.Error())
+			}
+		})
+	}
+}
+
+func (d *Domain) refuse(act sched.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a, ok := d.attempts[act.Job]
+	if !ok || a.ended {
+		return
+	}
+	a.report.Kind = string(act.Kind)
+	d.event(timeline.Refused, a, act.Reason)
+	d.finishAttempt(a, api.OutcomeRefused, sched.EndCancelled, "", act.Reason)
+}
+
+func (d *Domain) event(t timeline.Type, a *attempt, reason string) {
+	e := timeline.Event{
+		Type: t, Job: a.offer.Job, Workspace: a.offer.Spec.Workspace, Domain: d.opts.Name, Reason: reason,
+	}
+	if len(a.copies) > 0 && len(a.copies[0].places) > 0 {
+		e.Worker = a.copies[0].places[0].Worker
+	}
+	d.opts.Recorder.Record(e)
+}
--- /dev/null
+++ b/pkg/domain/progress.go
@@ -0,0 +1,272 @@
+package domain
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+// applyStatuses takes the task states that a target reports; the caller holds the lock.
+func (d *Domain) applyStatuses(w *worker, statuses []target.TaskStatus) {
+	for _, st := range statuses {
+		t, ok := d.byTask[st.Task]
+		if !ok || t.worker != w || t.over() {
+			continue
+		}
+		madeCheckpoint := st.Checkpoint != t.status.Checkpoint
+		if st.Accelerators == nil {
+			st.Accelerators = t.status.Accelerators
+		}
+		t.status = st
+		a := d.attempts[t.job]
+		if a == nil {
+			continue
+		}
+		if madeCheckpoint && st.Checkpoint != "" {
+			d.opts.Sched.Checkpointed(time.Now(), t.job)
+			d.event(timeline.Checkpointed, a, "checkpoint "+st.Checkpoint)
+		}
+		d.advance(a)
+	}
+}
+
+// advance ends the attempt when its tasks allow it; the caller holds the lock.
+func (d *Domain) advance(a *attempt) {
+	if a.ended || a.placing {
+		return
+	}
+	for _, c := range a.copies {
+		if c.succeeded() {
+			d.succeed(a, c)
+			return
+		}
+	}
+	d.dropFailedHedge(a)
+	if len(a.copies) == 0 {
+		return
+	}
+	c := a.copies[0]
+	if !c.broken() {
+		return
+	}
+	if !c.allOver() {
+		d.stopCopies(a) // one task failed: the rest of the gang must not run on
+		return
+	}
+	d.endBroken(a, c)
+}
+
+func (c *placedCopy) succeeded() bool {
+	for _, t := range c.tasks {
+		if t.status.State != target.TaskSucceeded {
+			return false
+		}
+	}
+	return len(c.tasks) > 0
+}
+
+// broken reports whether a task of the copy ended without success.
+func (c *placedCopy) broken() bool {
+	for _, t := range c.tasks {
+		if t.over() && t.status.State != target.TaskSucceeded {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *placedCopy) allOver() bool {
+	for _, t := range c.tasks {
+		if !t.over() {
+			return false
+		}
+	}
+	return true
+}
+
+// dropFailedHedge forgets one copy of two that failed while the other runs on.
+func (d *Domain) dropFailedHedge(a *attempt) {
+	if len(a.copies) < 2 {
+		return
+	}
+	for i, c := range a.copies {
+		if c.broken() && c.allOver() {
+			d.forgetCopy(c)
+			a.copies = append(a.copies[:i:i], a.copies[i+1:]...)
+			return
+		}
+	}
+}
+
+func (d *Domain) succeed(a *attempt, winner *placedCopy) {
+	for _, c := range a.copies {
+		if c != winner {
+			d.stopTasks(c)
+		}
+	}
+	a.report.Result = winner.result()
+	a.report.Allocations = winner.places
+	d.finishAttempt(a, api.OutcomeSucceeded, sched.EndSucceeded, "", "")
+}
+
+// endBroken decides the outcome of a copy whose tasks are all over.
+func (d *Domain) endBroken(a *attempt, c *placedCopy) {
+	ran, lost, failed := false, false, (*task)(nil)
+	for _, t := range c.tasks {
+		ran = ran || t.status.Started || t.lost && c.started
+		lost = lost || t.lost || t.status.State == target.TaskLapsed
+		if t.status.State == target.TaskFailed && failed == nil {
+			failed = t
+		}
+	}
+	a.report.Checkpoint = c.checkpoint()
+	if !a.startedAt.IsZero() {
+		a.report.Attained = time.Since(a.startedAt) + a.offer.Attained
+	}
+	switch {
+	case !ran && !lost:
+		d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, d.firstWorker(c), "the task was not started")
+	case failed != nil:
+		a.report.Result = failed.status.Result
+		d.finishAttempt(a, api.OutcomeFailed, sched.EndFailed, failed.worker.id, failed.status.Error)
+	case lost:
+		reason := a.report.Reason
+		if reason == "" {
+			reason = "a worker was lost"
+		}
+		d.finishAttempt(a, api.OutcomeLost, sched.EndWorkerLost, d.lostWorker(c), reason)
+	case a.preempt != nil && a.withdrawn == "":
+		d.finishAttempt(a, api.OutcomePreempted, sched.EndPreempted, "", a.preempt.reason)
+	default:
+		d.finishAttempt(a, api.OutcomeStopped, sched.EndCancelled, "", a.withdrawn)
+	}
+}
+
+func (d *Domain) firstWorker(c *placedCopy) string { return c.tasks[0].worker.id }
+
+func (d *Domain) lostWorker(c *placedCopy) string {
+	for _, t := range c.tasks {
+		if t.lost || t.status.State == target.TaskLapsed {
+			return t.worker.id
+		}
+	}
+	return ""
+}
+
+// finishAttempt frees the places and reports the outcome; the caller holds the lock.
+func (d *Domain) finishAttempt(a *attempt, o api.Outcome, why sched.EndReason, blame, reason string) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r := a.newReport(d.opts.Name)
+	r.State, r.Outcome, r.Reason = "", o, reason
+	r.Result, r.Checkpoint, r.Attained, r.Kind = a.report.Result, a.report.Checkpoint, a.report.Attained, a.report.Kind
+	if a.report.Allocations != nil {
+		r.Allocations = a.report.Allocations
+	}
+	r.EndedAt = time.Now()
+	a.report = r
+	d.opts.Sched.Ended(r.EndedAt, a.offer.Job, a.offer.Attempt, why, blame)
+	d.deliver(a)
+	d.notify()
+}
+
+// stopCopies asks every running task of the attempt to stop; the caller holds the lock.
+func (d *Domain) stopCopies(a *attempt) {
+	for _, c := range a.copies {
+		d.stopTasks(c)
+	}
+}
+
+func (d *Domain) stopTasks(c *placedCopy) {
+	for _, t := range c.tasks {
+		if t.over() || t.stopping {
+			continue
+		}
+		t.stopping = true
+		d.goRun(func() { d.stopTask(t) })
+	}
+}
+
+// stopTask stops one task; without an answer it tries again until the task is over.
+func (d *Domain) stopTask(t *task) {
+	for {
+		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
+		err := t.worker.conn.Stop(ctx, t.id, d.opts.Epoch)
+		cancel()
+		if err == nil || errkind.Is(err, errkind.NotFound) || errkind.Is(err, errkind.StaleEpoch) {
+			return
+		}
+		d.mu.Lock()
+		over := t.over()
+		d.mu.Unlock()
+		if over {
+			return
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-time.After(syncRetry):
+		}
+	}
+}
+
+// preempt takes the places of a running attempt back: with a checkpoint if the
+// job can make one in time.
+func (d *Domain) preempt(act sched.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a, ok := d.attempts[act.Job]
+	if !ok || a.ended || a.preempt != nil || a.withdrawn != "" {
+		return
+	}
+	a.preempt = &preemption{stopBy: act.StopBy, reason: act.Reason, before: map[api.TaskID]string{}}
+	d.event(timeline.Preempted, a, act.Reason+" (for "+act.For+")")
+	if !a.offer.Spec.Checkpointable || len(a.copies) == 0 {
+		a.preempt.stopping = true
+		d.stopCopies(a)
+		return
+	}
+	a.state = api.StateCheckpointing
+	d.sendState(a)
+	for _, t := range a.copies[0].tasks {
+		a.preempt.before[t.id] = t.status.Checkpoint
+		d.goRun(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
+			defer cancel()
+			if err := t.worker.conn.Checkpoint(ctx, t.id, d.opts.Epoch); err != nil {
+				d.opts.Log.V(1).Info("checkpoint request failed", "task", t.id, "error", err.Error())
+			}
+		})
+	}
+}
+
+// checkPreemptions stops preempted attempts whose checkpoints are complete or late.
+func (d *Domain) checkPreemptions(now time.Time) {
+	for _, a := range d.attempts {
+		p := a.preempt
+		if p == nil || p.stopping || a.ended || len(a.copies) == 0 {
+			continue
+		}
+		if now.Before(p.stopBy) && !a.copies[0].checkpointedSince(p.before) {
+			continue
+		}
+		p.stopping = true
+		d.stopCopies(a)
+	}
+}
+
+func (c *placedCopy) checkpointedSince(before map[api.TaskID]string) bool {
+	for _, t := range c.tasks {
+		if !t.over() && t.status.Checkpoint == before[t.id] {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/domain/service.go
+++ b/pkg/domain/service.go
@@ -47,6 +47,12 @@
 	Attained    time.Duration    `cbor:"13,keyasint,omitempty"`
 }
 
+// Held is an attempt that a domain knows, with its latest report.
+type Held struct {
+	Offer  Offer  `cbor:"1,keyasint"`
+	Report Report `cbor:"2,keyasint"`
+}
+
 // Service is one failure domain's owner as the partitions see it.
 type Service interface {
 	// Offer queues the attempt, or is harmless if it is already known. A refusal
@@ -55,12 +61,23 @@
 	// Withdraw takes an attempt back: a queued one is dropped, a running one
 	// stopped. The outcome follows as a Report.
 	Withdraw(ctx context.Context, domain string, job api.JobID, attempt int, reason string) error
+	// Held returns the attempts of a partition's jobs that the domain knows, so
+	// that a new owner of the partition learns what its predecessor offered.
+	Held(ctx context.Context, domain string, partition int) ([]Held, error)
 	// Explain says in one sentence why a queued job waits.
 	Explain(ctx context.Context, domain string, job api.JobID) (string, error)
 	// Summary returns the domain's present summary.
 	Summary(ctx context.Context, domain string) (sched.Summary, error)
 }
 
+// Claim names the reserved places of an at-most-once attempt.
+type Claim struct {
+	Job     api.JobID        `cbor:"1,keyasint"`
+	Attempt int              `cbor:"2,keyasint"`
+	Domain  string           `cbor:"3,keyasint"`
+	Places  []api.Allocation `cbor:"4,keyasint"`
+}
+
 // Reporter is the partitions' side.
 type Reporter interface {
 	// Report delivers r to the owner of the partition; a nil error means that it
@@ -68,5 +85,5 @@
 	Report(ctx context.Context, partition int, r Report) error
 	// Claim journals the places of an at-most-once attempt before its start. Nil
 	// permits the start; any error forbids it.
-	Claim(ctx context.Context, partition int, job api.JobID, attempt int, places []api.Allocation) error
+	Claim(ctx context.Context, partition int, c Claim) error
 }
--- /dev/null
+++ b/pkg/domain/worker.go
@@ -0,0 +1,263 @@
+package domain
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+// syncRetry is the pause after a failed sync; a worker that does not answer is
+// asked again until the VM list drops it and its tasks are over.
+const syncRetry = 250 * time.Millisecond
+
+// worker is a target as the domain's owner sees it; the domain's lock guards it.
+type worker struct {
+	id, rack, address string
+	conn              target.Target
+	accelerators      int
+	slots             int
+	// synced is set by the first successful sync under this epoch: from then on
+	// the target refuses the former owner.
+	synced      bool
+	incarnation int64
+	seq         int64
+	usage       target.Usage
+	// lastRenewal is when the newest successful sync was sent; the target's lease
+	// lasts at least LeaseTTL from there.
+	lastRenewal time.Time
+	failing     bool // the newest sync failed
+	leaving     bool // by the target's own word, the list or another member
+	listed      bool
+	state       sched.WorkerState
+	reported    bool // state has been told to the scheduler
+	cancel      context.CancelFunc
+}
+
+// refreshWorkers follows the platform's list and the members' reports.
+func (d *Domain) refreshWorkers() {
+	vms := d.opts.VMs()
+	leaving := d.opts.LeavingTargets()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		if vm.Role != platform.RoleTarget || vm.FailureDomain != d.opts.Name {
+			continue
+		}
+		listed[vm.ID] = true
+		w := d.ensureWorker(vm)
+		w.leaving = w.leaving || vm.State == platform.VMLeaving || leaving[vm.ID]
+	}
+	for id, w := range d.workers {
+		w.listed = listed[id]
+		d.updateState(w)
+		if !w.listed && w.failing && !d.hasTasks(w) {
+			w.cancel()
+			delete(d.workers, id)
+		}
+	}
+}
+
+// ensureWorker adds a worker that the list shows for the first time, or at a new address.
+func (d *Domain) ensureWorker(vm platform.VM) *worker {
+	w, ok := d.workers[vm.ID]
+	if ok && w.address == vm.Address {
+		return w
+	}
+	if ok {
+		w.cancel()
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	w = &worker{
+		id: vm.ID, rack: vm.Rack, address: vm.Address, conn: d.opts.Dialer.Dial(vm.Address),
+		accelerators: vm.Accelerators, slots: vm.Slots, listed: true,
+		lastRenewal: time.Now(), state: sched.WorkerDown, cancel: cancel,
+	}
+	d.workers[vm.ID] = w
+	d.opts.Sched.UpsertWorker(time.Now(), sched.Worker{
+		ID: w.id, Rack: w.rack, Accelerators: w.accelerators, Slots: w.slots, State: sched.WorkerDown,
+	})
+	d.goRun(func() { d.syncLoop(ctx, w) })
+	return w
+}
+
+func (d *Domain) hasTasks(w *worker) bool {
+	for _, t := range d.byTask {
+		if t.worker == w && !t.over() {
+			return true
+		}
+	}
+	return false
+}
+
+// updateState tells the scheduler whether the worker may get new work.
+func (d *Domain) updateState(w *worker) {
+	state := sched.WorkerReady
+	switch {
+	case !w.synced || w.failing:
+		state = sched.WorkerDown
+	case w.leaving || !w.listed:
+		state = sched.WorkerLeaving
+	case d.drained[w.id] || d.drained["rack:"+w.rack]:
+		state = sched.WorkerDrained
+	}
+	if w.reported && state == w.state {
+		return
+	}
+	w.state, w.reported = state, true
+	d.opts.Sched.SetWorkerState(time.Now(), w.id, state)
+	d.opts.Recorder.Record(timeline.Event{
+		Type: timeline.WorkerState, Worker: w.id, Domain: d.opts.Name, Reason: stateNames[state],
+	})
+	d.notify()
+}
+
+var stateNames = map[sched.WorkerState]string{
+	sched.WorkerReady:   "ready",
+	sched.WorkerDrained: "drained",
+	sched.WorkerLeaving: "leaving",
+	sched.WorkerDown:    "down",
+}
+
+// syncLoop renews the leases at one target and follows its tasks.
+func (d *Domain) syncLoop(ctx context.Context, w *worker) {
+	for ctx.Err() == nil {
+		if !d.syncOnce(ctx, w) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(syncRetry):
+			}
+		}
+	}
+}
+
+func (d *Domain) syncOnce(ctx context.Context, w *worker) bool {
+	d.mu.Lock()
+	req := target.SyncRequest{
+		Epoch: d.opts.Epoch, TTL: d.opts.LeaseTTL, Since: w.seq,
+		Incarnation: w.incarnation, Wait: d.opts.syncWait(),
+	}
+	if !w.synced || w.failing {
+		req.Wait = 0 // learn the state at once
+	}
+	d.mu.Unlock()
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+d.opts.CallTimeout)
+	defer cancel()
+	resp, err := w.conn.Sync(callCtx, req)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		d.syncFailed(w, err)
+		return false
+	}
+	d.synced(w, req, resp, sent)
+	return true
+}
+
+func (d *Domain) syncFailed(w *worker, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if errkind.Is(err, errkind.StaleEpoch) {
+		d.opts.Log.Info("target knows a newer owner of the failure domain", "worker", w.id, "epoch", d.opts.Epoch)
+	}
+	w.failing = true
+	d.updateState(w)
+}
+
+func (d *Domain) synced(w *worker, req target.SyncRequest, resp target.SyncResponse, sent time.Time) {
+	d.mu.Lock()
+	restarted := w.incarnation != 0 && resp.Incarnation != w.incarnation
+	if restarted {
+		d.loseTasks(w, "the worker restarted")
+		w.leaving = false
+	}
+	first := !w.synced
+	w.synced, w.failing = true, false
+	w.incarnation, w.seq, w.usage, w.lastRenewal = resp.Incarnation, resp.Seq, resp.Usage, sent
+	newlyLeaving := resp.Leaving && !w.leaving
+	w.leaving = w.leaving || resp.Leaving
+	if first || restarted || req.Since == 0 {
+		d.adoptTasks(w, resp.Tasks)
+	}
+	d.applyStatuses(w, resp.Tasks)
+	d.updateState(w)
+	d.mu.Unlock()
+	if newlyLeaving {
+		d.opts.ReportLeaving(w.id)
+	}
+	d.notify()
+}
+
+// checkLost gives up the tasks of workers whose lease has lapsed.
+func (d *Domain) checkLost(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, w := range d.workers {
+		if w.failing && now.Sub(w.lastRenewal) > d.opts.lostAfter() {
+			d.loseTasks(w, "the worker did not answer until its lease had lapsed")
+		}
+	}
+	d.checkPreemptions(now)
+	d.checkAdopted(now)
+}
+
+func (d *Domain) loseTasks(w *worker, reason string) {
+	for _, t := range d.byTask {
+		if t.worker != w || t.over() {
+			continue
+		}
+		t.lost = true
+		if a := d.attempts[t.job]; a != nil {
+			a.report.Reason = reason
+			d.advance(a)
+		}
+	}
+}
+
+// WorkerInfo describes a worker for people.
+type WorkerInfo struct {
+	ID            string       `cbor:"1,keyasint"`
+	FailureDomain string       `cbor:"2,keyasint"`
+	Rack          string       `cbor:"3,keyasint"`
+	Address       string       `cbor:"4,keyasint"`
+	State         string       `cbor:"5,keyasint"`
+	Accelerators  int          `cbor:"6,keyasint"`
+	Slots         int          `cbor:"7,keyasint"`
+	Tasks         int          `cbor:"8,keyasint"`
+	Busy          int          `cbor:"9,keyasint"` // accelerators in use
+	Usage         target.Usage `cbor:"10,keyasint"`
+}
+
+// Workers lists the domain's workers, ordered by ID.
+func (d *Domain) Workers() []WorkerInfo {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]WorkerInfo, 0, len(d.workers))
+	index := map[string]int{}
+	for _, w := range d.workers {
+		out = append(out, WorkerInfo{
+			ID: w.id, FailureDomain: d.opts.Name, Rack: w.rack, Address: w.address,
+			State: stateNames[w.state], Accelerators: w.accelerators, Slots: w.slots, Usage: w.usage,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	for i := range out {
+		index[out[i].ID] = i
+	}
+	for _, t := range d.byTask {
+		i, ok := index[t.worker.id]
+		if ok && !t.over() {
+			out[i].Tasks++
+			out[i].Busy += len(t.status.Accelerators)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/router/domain.go
@@ -0,0 +1,178 @@
+package router
+
+import (
+	"context"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/domain"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/ownership"
+	"github.com/carawayusher/carawayusher/pkg/peer"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+)
+
+// Methods between VMs for failure domains.
+const (
+	methodOffer    = "domain.offer"
+	methodWithdraw = "domain.withdraw"
+	methodHeld     = "domain.lookup"
+	methodExplain  = "domain.explain"
+	methodSummary  = "domain.summary"
+	methodWorkers  = "domain.workers"
+	methodPreview  = "domain.preview"
+	methodConfirm  = "domain.confirm"
+)
+
+type offerRequest struct {
+	Domain string       `cbor:"1,keyasint"`
+	Offer  domain.Offer `cbor:"2,keyasint"`
+}
+
+type attemptRequest struct {
+	Domain  string    `cbor:"1,keyasint"`
+	Job     api.JobID `cbor:"2,keyasint,omitempty"`
+	Attempt int       `cbor:"3,keyasint,omitempty"`
+	Reason  string    `cbor:"4,keyasint,omitempty"`
+	// Partition selects attempts in a lookup.
+	Partition int `cbor:"5,keyasint,omitempty"`
+}
+
+type previewRequest struct {
+	Domain   string           `cbor:"1,keyasint"`
+	Document *policy.Document `cbor:"2,keyasint"`
+}
+
+type confirmRequest struct {
+	Domain   string `cbor:"1,keyasint"`
+	Proposal string `cbor:"2,keyasint"`
+}
+
+func (r *Router) localDomain(name string) (*domain.Domain, error) {
+	d, ok := r.local.Domain(name)
+	if !ok {
+		return nil, errkind.New(errkind.StaleEpoch, "this VM does not own failure domain %s", name)
+	}
+	return d, nil
+}
+
+// Offer hands an attempt to the owner of the failure domain.
+func (r *Router) Offer(ctx context.Context, name string, o domain.Offer) error {
+	_, err := call(ctx, r, ownership.DomainShard(name), methodOffer, offerRequest{Domain: name, Offer: o}, r.offerLocal)
+	return err
+}
+
+func (r *Router) offerLocal(ctx context.Context, req offerRequest) (empty, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return empty{}, err
+	}
+	return empty{}, d.Offer(ctx, req.Offer)
+}
+
+// Withdraw takes an attempt back from the failure domain.
+func (r *Router) Withdraw(ctx context.Context, name string, job api.JobID, attempt int, reason string) error {
+	req := attemptRequest{Domain: name, Job: job, Attempt: attempt, Reason: reason}
+	_, err := call(ctx, r, ownership.DomainShard(name), methodWithdraw, req, r.withdrawLocal)
+	return err
+}
+
+func (r *Router) withdrawLocal(ctx context.Context, req attemptRequest) (empty, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return empty{}, err
+	}
+	return empty{}, d.Withdraw(ctx, req.Job, req.Attempt, req.Reason)
+}
+
+// Held returns the attempts of a partition's jobs that the domain knows.
+func (r *Router) Held(ctx context.Context, name string, partition int) ([]domain.Held, error) {
+	return call(ctx, r, ownership.DomainShard(name), methodHeld, attemptRequest{Domain: name, Partition: partition}, r.heldLocal)
+}
+
+func (r *Router) heldLocal(ctx context.Context, req attemptRequest) ([]domain.Held, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return nil, err
+	}
+	return d.Held(ctx, req.Partition), nil
+}
+
+// Explain says in one sentence why a queued job waits.
+func (r *Router) Explain(ctx context.Context, name string, job api.JobID) (string, error) {
+	return call(ctx, r, ownership.DomainShard(name), methodExplain, attemptRequest{Domain: name, Job: job}, r.explainLocal)
+}
+
+func (r *Router) explainLocal(_ context.Context, req attemptRequest) (string, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return "", err
+	}
+	return d.Explain(req.Job), nil
+}
+
+// Summary returns the domain's present summary from its owner.
+func (r *Router) Summary(ctx context.Context, name string) (sched.Summary, error) {
+	return call(ctx, r, ownership.DomainShard(name), methodSummary, attemptRequest{Domain: name}, r.summaryLocal)
+}
+
+func (r *Router) summaryLocal(_ context.Context, req attemptRequest) (sched.Summary, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return sched.Summary{}, err
+	}
+	return d.Summary(), nil
+}
+
+// Workers lists the workers of a failure domain.
+func (r *Router) Workers(ctx context.Context, name string) ([]domain.WorkerInfo, error) {
+	return call(ctx, r, ownership.DomainShard(name), methodWorkers, attemptRequest{Domain: name}, r.workersLocal)
+}
+
+func (r *Router) workersLocal(_ context.Context, req attemptRequest) ([]domain.WorkerInfo, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return nil, err
+	}
+	return d.Workers(), nil
+}
+
+// Preview says what a configuration document would change in the domain.
+func (r *Router) Preview(ctx context.Context, name string, doc *policy.Document) (sched.Preview, error) {
+	req := previewRequest{Domain: name, Document: doc}
+	return call(ctx, r, ownership.DomainShard(name), methodPreview, req, r.previewLocal)
+}
+
+func (r *Router) previewLocal(_ context.Context, req previewRequest) (sched.Preview, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return sched.Preview{}, err
+	}
+	return d.Preview(req.Document), nil
+}
+
+// Confirm carries out a held action that an operator confirmed.
+func (r *Router) Confirm(ctx context.Context, name, proposal string) error {
+	req := confirmRequest{Domain: name, Proposal: proposal}
+	_, err := call(ctx, r, ownership.DomainShard(name), methodConfirm, req, r.confirmLocal)
+	return err
+}
+
+func (r *Router) confirmLocal(_ context.Context, req confirmRequest) (empty, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return empty{}, err
+	}
+	return empty{}, d.Confirm(req.Proposal)
+}
+
+func (r *Router) registerDomain(reg peer.Registry) {
+	handle(reg, methodOffer, r.offerLocal)
+	handle(reg, methodWithdraw, r.withdrawLocal)
+	handle(reg, methodHeld, r.heldLocal)
+	handle(reg, methodExplain, r.explainLocal)
+	handle(reg, methodSummary, r.summaryLocal)
+	handle(reg, methodWorkers, r.workersLocal)
+	handle(reg, methodPreview, r.previewLocal)
+	handle(reg, methodConfirm, r.confirmLocal)
+}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -42,6 +42,9 @@
 	Epoch        int64         `json:"epoch"`
 	Accelerators []int         `json:"accelerators,omitempty"`
 	TTL          time.Duration `json:"ttl"`
+	// Meta is kept with the task and returned in its status, so that a new owner
+	// of the failure domain can adopt the task.
+	Meta json.RawMessage `json:"meta,omitempty"`
 	// Start begins the task in the same call; for single repeatable tasks.
 	Start *StartRequest `json:"start,omitempty"`
 }
@@ -74,6 +77,8 @@
 	Result       json.RawMessage `json:"result,omitempty"`
 	Error        string          `json:"error,omitempty"`
 	Throttled    bool            `json:"throttled,omitempty"`
+	// Meta is that of the reserve request; present when the request's Since was 0.
+	Meta json.RawMessage `json:"meta,omitempty"`
 }
 
 // SyncRequest renews the leases of all tasks on the worker that the failure
