--- /dev/null
+++ b/pkg/partition/partition_test.go
@@ -0,0 +1,403 @@
+package partition
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/domain"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/gate"
+	"github.com/carawayusher/carawayusher/pkg/journal"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+// fakeLog is a journal that keeps its records in a slice shared by all owners.
+type fakeLog struct {
+	mu      sync.Mutex
+	records [][]byte
+	epoch   int64 // newest owner
+	fail    error // returned by Append without writing
+	lost    error // returned by Append after writing
+}
+
+type fakeOwnerLog struct {
+	shared *fakeLog
+	epoch  int64
+}
+
+func (l *fakeLog) open(epoch int64) OpenJournal {
+	return func(context.Context, func() [][]byte) (journal.Log, journal.Recovered, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.epoch = epoch
+		return &fakeOwnerLog{l, epoch}, journal.Recovered{Records: append([][]byte(nil), l.records...)}, nil
+	}
+}
+
+func (o *fakeOwnerLog) Append(_ context.Context, _ journal.Priority, b []byte) error {
+	o.shared.mu.Lock()
+	defer o.shared.mu.Unlock()
+	if o.shared.epoch != o.epoch {
+		return errkind.New(errkind.StaleEpoch, "fenced")
+	}
+	if o.shared.fail != nil {
+		return o.shared.fail
+	}
+	o.shared.records = append(o.shared.records, b)
+	return o.shared.lost
+}
+
+func (o *fakeOwnerLog) Close(context.Context) error { return nil }
+
+// fakeDomains records what it is offered.
+type fakeDomains struct {
+	mu        sync.Mutex
+	offers    []domain.Offer
+	withdrawn []api.JobID
+	err       error
+	held      []domain.Held
+}
+
+func (f *fakeDomains) Offer(_ context.Context, _ string, o domain.Offer) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return f.err
+	}
+	f.offers = append(f.offers, o)
+	return nil
+}
+
+func (f *fakeDomains) Withdraw(_ context.Context, _ string, job api.JobID, _ int, _ string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.withdrawn = append(f.withdrawn, job)
+	return nil
+}
+
+func (f *fakeDomains) Held(context.Context, string, int) ([]domain.Held, error) { return f.held, nil }
+
+func (f *fakeDomains) Explain(context.Context, string, api.JobID) (string, error) { return "", nil }
+
+func (f *fakeDomains) Summary(context.Context, string) (sched.Summary, error) {
+	return sched.Summary{}, nil
+}
+
+func (f *fakeDomains) last(t *testing.T) domain.Offer {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.offers) == 0 {
+		t.Fatal("no offer was made")
+	}
+	return f.offers[len(f.offers)-1]
+}
+
+func (f *fakeDomains) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.offers)
+}
+
+type fakeGate struct{ held atomic.Bool }
+
+func (g *fakeGate) Allow(gate.Kind, string, gate.Proposal) bool { return !g.held.Load() }
+
+type noConfig struct{}
+
+func (noConfig) Current() *policy.Document        { return nil }
+func (noConfig) Subscribe(func(*policy.Document)) {}
+func (noConfig) Change(context.Context, int64, *policy.Document) (*policy.Document, error) {
+	return nil, nil
+}
+
+const testDomain = "r1/a"
+
+type fixture struct {
+	log     *fakeLog
+	domains *fakeDomains
+	gate    *fakeGate
+	storeUp atomic.Bool
+	epoch   atomic.Int64 // of the domain's owner
+}
+
+func newFixture() *fixture {
+	f := &fixture{log: &fakeLog{}, domains: &fakeDomains{}, gate: &fakeGate{}}
+	f.storeUp.Store(true)
+	f.epoch.Store(7)
+	return f
+}
+
+func (f *fixture) start(t *testing.T, epoch int64) *Partition {
+	t.Helper()
+	p := New(Options{
+		Number: 3, Epoch: epoch, OpenJournal: f.log.open(epoch),
+		StoreReachable: f.storeUp.Load, Domains: f.domains,
+		Summaries: func() []sched.Summary {
+			return []sched.Summary{{Domain: testDomain, Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8, FreeSlots: 64}}
+		},
+		DomainEpoch: func(string) (int64, bool) { return f.epoch.Load(), true },
+		Config:      noConfig{}, Gate: f.gate, Retries: NewBudgetedRetries(),
+		Recorder: timeline.Discard{}, Log: logr.Discard(), Retention: time.Hour,
+	})
+	p.Start()
+	t.Cleanup(func() { p.Stop(context.Background(), false) })
+	return p
+}
+
+func submit(t *testing.T, p *Partition, spec api.JobSpec, key string) api.JobStatus {
+	t.Helper()
+	spec.Workspace = "postbud"
+	st, err := p.Submit(t.Context(), SubmitRequest{
+		ID: api.JobID("j3-" + key), Spec: spec, IdempotencyKey: key, SpecHash: "h", Durable: spec.Class == api.ClassLong,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Wait()
+	return st
+}
+
+func get(t *testing.T, p *Partition, id api.JobID) api.JobStatus {
+	t.Helper()
+	st, err := p.Get(t.Context(), "postbud", id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return st
+}
+
+var order = api.JobSpec{Class: api.ClassShort, AtMostOnce: true}
+
+// Guards against a second run of an at-most-once job: a claim is given once, and
+// only to the attempt and domain that hold the offer.
+func TestClaimIsGivenOnce(t *testing.T) {
+	cases := map[string]struct {
+		change func(c *domain.Claim)
+		before func(p *Partition, id api.JobID)
+		want   errkind.Kind
+	}{
+		"first":          {},
+		"other attempt":  {change: func(c *domain.Claim) { c.Attempt = 2 }, want: errkind.Conflict},
+		"other domain":   {change: func(c *domain.Claim) { c.Domain = "r1/b" }, want: errkind.Conflict},
+		"unknown job":    {change: func(c *domain.Claim) { c.Job = "j3-x" }, want: errkind.NotFound},
+		"claimed before": {before: func(p *Partition, id api.JobID) { _ = p.Claim(context.Background(), domain.Claim{Job: id, Attempt: 1, Domain: testDomain}) }, want: errkind.Conflict},
+		"cancelled":      {before: func(p *Partition, id api.JobID) { _, _ = p.Cancel(context.Background(), "postbud", id) }, want: errkind.Conflict},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFixture().start(t, 1)
+				st := submit(t, p, order, "k")
+				if tc.before != nil {
+					tc.before(p, st.ID)
+				}
+				c := domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain}
+				if tc.change != nil {
+					tc.change(&c)
+				}
+				if got := errkind.Of(p.Claim(t.Context(), c)); got != tc.want {
+					t.Errorf("kind = %q, want %q", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a claim that is lost with its owner: the successor offers the
+// attempt with its claimed places, so that it is resolved and not run anew.
+func TestSuccessorKeepsClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		old := f.start(t, 1)
+		st := submit(t, old, order, "k")
+		places := []api.Allocation{{Worker: "w1", Incarnation: 5}}
+		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Places: places}); err != nil {
+			t.Fatal(err)
+		}
+		successor := f.start(t, 2)
+		synctest.Wait()
+		time.Sleep(time.Second)
+		o := f.domains.last(t)
+		if o.Attempt != 1 || len(o.Claimed) != 1 || o.Claimed[0].Worker != "w1" {
+			t.Fatalf("offer of the successor = %+v", o)
+		}
+		if err := successor.Report(t.Context(), domain.Report{Job: st.ID, Attempt: 1, Domain: testDomain, Outcome: api.OutcomeLost}); err != nil {
+			t.Fatal(err)
+		}
+		if got := get(t, successor, st.ID); got.State != api.StateUnknown || got.Ran != "unknown" {
+			t.Errorf("state = %s, ran = %s; want unknown", got.State, got.Ran)
+		}
+		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain}); err == nil {
+			t.Error("the fenced owner gave a claim")
+		}
+	})
+}
+
+// Guards against a job that is answered with 202 and then forgotten: a durable
+// job survives its owner, and its result too.
+func TestDurableJobSurvivesOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		st := submit(t, f.start(t, 1), api.JobSpec{Class: api.ClassLong}, "k")
+		second := f.start(t, 2)
+		time.Sleep(time.Second)
+		if got := get(t, second, st.ID); got.State != api.StateQueued || !got.Durable {
+			t.Fatalf("after takeover: %+v", got)
+		}
+		o := f.domains.last(t)
+		if err := second.Report(t.Context(), domain.Report{
+			Job: st.ID, Attempt: o.Attempt, Domain: testDomain, Outcome: api.OutcomeSucceeded, Result: []byte(`1`),
+		}); err != nil {
+			t.Fatal(err)
+		}
+		third := f.start(t, 3)
+		time.Sleep(time.Second)
+		if got := get(t, third, st.ID); got.State != api.StateSucceeded || string(got.Result) != "1" {
+			t.Errorf("after second takeover: %+v", got)
+		}
+	})
+}
+
+// Guards against duplicates: the same key is the same job, and another request
+// under the same key is refused.
+func TestIdempotencyKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFixture().start(t, 1)
+		first := submit(t, p, order, "k")
+		again, err := p.Submit(t.Context(), SubmitRequest{
+			ID: "j3-other", Spec: api.JobSpec{Workspace: "postbud", Class: api.ClassShort, AtMostOnce: true}, IdempotencyKey: "k", SpecHash: "h",
+		})
+		if err != nil || again.ID != first.ID {
+			t.Errorf("repeated key: job %s, error %v", again.ID, err)
+		}
+		_, err = p.Submit(t.Context(), SubmitRequest{
+			ID: "j3-third", Spec: api.JobSpec{Workspace: "postbud"}, IdempotencyKey: "k", SpecHash: "different",
+		})
+		if !errkind.Is(err, errkind.Conflict) {
+			t.Errorf("different request: %v", err)
+		}
+	})
+}
+
+// Guards against "not run" being said of a job that may run later: during a
+// known outage durable work is refused, and an unclear acceptance is a timeout.
+func TestRefusalSaysTheTruth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		p := f.start(t, 1)
+		f.storeUp.Store(false)
+		_, err := p.Submit(t.Context(), SubmitRequest{ID: "j3-a", Spec: order, IdempotencyKey: "a"})
+		if !errkind.Is(err, errkind.StoreUnavailable) || f.domains.count() != 0 {
+			t.Errorf("outage: %v, offers %d", err, f.domains.count())
+		}
+		f.storeUp.Store(true)
+		f.log.lost = errkind.New(errkind.StoreUnavailable, "answer lost")
+		_, err = p.Submit(t.Context(), SubmitRequest{ID: "j3-b", Spec: order, IdempotencyKey: "b"})
+		if !errkind.Is(err, errkind.Timeout) || errkind.Lookup(errkind.Of(err)).Ran != errkind.Unknown {
+			t.Errorf("lost answer: %v", err)
+		}
+	})
+}
+
+// Guards against answers that cross: reports of another attempt or domain do
+// not change the present attempt, but a late success of a repeatable job counts.
+func TestReportsOfOtherAttempts(t *testing.T) {
+	cases := map[string]struct {
+		spec    api.JobSpec
+		outcome api.Outcome
+		want    api.State
+	}{
+		"late success, repeatable":   {api.JobSpec{Class: api.ClassLong}, api.OutcomeSucceeded, api.StateSucceeded},
+		"late failure, repeatable":   {api.JobSpec{Class: api.ClassLong}, api.OutcomeFailed, api.StateQueued},
+		"late success, at most once": {order, api.OutcomeSucceeded, api.StateQueued},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFixture().start(t, 1)
+				st := submit(t, p, tc.spec, "k")
+				if err := p.Report(t.Context(), domain.Report{Job: st.ID, Attempt: 9, Domain: "r1/b", Outcome: tc.outcome}); err != nil {
+					t.Fatal(err)
+				}
+				if got := get(t, p, st.ID); got.State != tc.want {
+					t.Errorf("state = %s, want %s", got.State, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against retries of what may not be repeated, retries without end and
+// retries while automation is held.
+func TestRetries(t *testing.T) {
+	fail := func(t *testing.T, p *Partition, f *fixture) {
+		t.Helper()
+		o := f.domains.last(t)
+		if err := p.Report(t.Context(), domain.Report{Job: o.Job, Attempt: o.Attempt, Domain: testDomain, Outcome: api.OutcomeFailed}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		p := f.start(t, 1)
+		st := submit(t, p, api.JobSpec{Class: api.ClassLong}, "k")
+		f.gate.held.Store(true)
+		fail(t, p, f)
+		if f.domains.count() != 1 {
+			t.Fatalf("%d offers while automation is held", f.domains.count())
+		}
+		f.gate.held.Store(false)
+		time.Sleep(time.Second)
+		fail(t, p, f)
+		fail(t, p, f)
+		if got := get(t, p, st.ID); got.State != api.StateFailed || f.domains.count() != defaultMaxAttempts {
+			t.Errorf("state %s after %d offers", got.State, f.domains.count())
+		}
+		f.domains.offers = nil
+		st = submit(t, p, order, "o")
+		fail(t, p, f)
+		if got := get(t, p, st.ID); got.State != api.StateFailed || f.domains.count() != 1 {
+			t.Errorf("at most once: state %s after %d offers", got.State, f.domains.count())
+		}
+	})
+}
+
+// Guards against an offer that is lost with the domain's owner: the successor
+// of the owner gets it again, under the same attempt.
+func TestOfferRepeatedToNewDomainOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		p := f.start(t, 1)
+		submit(t, p, api.JobSpec{Class: api.ClassLong}, "k")
+		f.epoch.Store(8)
+		time.Sleep(time.Second)
+		if f.domains.count() != 2 || f.domains.last(t).Attempt != 1 {
+			t.Errorf("%d offers, last %+v", f.domains.count(), f.domains.last(t))
+		}
+	})
+}
+
+// Guards against callers that see another workspace's job.
+func TestOtherWorkspaceIsNotFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFixture().start(t, 1)
+		st := submit(t, p, order, "k")
+		if _, err := p.Get(t.Context(), "lautoka", st.ID); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("Get: %v", err)
+		}
+		if _, err := p.Cancel(t.Context(), "lautoka", st.ID); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("Cancel: %v", err)
+		}
+	})
+}
