--- /dev/null
+++ b/pkg/plan/actions.go
@@ -0,0 +1,129 @@
+package plan
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/gate"
+	"github.com/carawayusher/carawayusher/pkg/partition"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+)
+
+// listPage is the number of jobs asked for at once.
+const listPage = 500
+
+// fillAction computes the effects of an intent that changes no configuration.
+func (p *Planner) fillAction(ctx context.Context, made *Plan, doc *policy.Document) error {
+	switch spec := made.Intent.Spec.(type) {
+	case *Cancel:
+		return p.fillCancel(ctx, made, spec)
+	case *Proposals:
+		return p.fillProposals(ctx, made, spec)
+	case *Reclaim:
+		return p.preview(ctx, made, PreviewRequest{Next: doc, Action: KindReclaim, Workspace: spec.Workspace, Domain: spec.FailureDomain})
+	case *Defragment:
+		return p.preview(ctx, made, PreviewRequest{Next: doc, Action: KindDefragment, Domain: spec.FailureDomain})
+	default:
+		return errkind.New(errkind.Internal, "no planning for the intent kind %q", made.Intent.Kind)
+	}
+}
+
+func (p *Planner) fillCancel(ctx context.Context, made *Plan, spec *Cancel) error {
+	req := partition.ListRequest{Workspace: spec.Workspace, Class: spec.Class, State: spec.State, Limit: listPage}
+	for {
+		jobs, err := p.opts.Jobs.List(ctx, req)
+		if err != nil {
+			return err
+		}
+		for _, j := range jobs {
+			if spec.matches(j, made.MadeAt) {
+				made.Effects = append(made.Effects, cancelEffect(j, made.MadeAt))
+			}
+		}
+		if len(jobs) < listPage || len(made.Effects) > MaxEffects {
+			return nil
+		}
+		req.After = jobs[len(jobs)-1].ID
+	}
+}
+
+func (s *Cancel) matches(j api.JobStatus, now time.Time) bool {
+	return !j.State.Terminal() &&
+		(s.Workspace == "" || s.Workspace == j.Spec.Workspace) &&
+		(s.Class == "" || s.Class == j.Spec.Class) &&
+		(s.State == "" || s.State == j.State) &&
+		now.Sub(j.SubmittedAt) >= time.Duration(s.OlderThan)
+}
+
+// cancelEffect estimates the lost work as the time since the start, times the
+// accelerators of the job.
+func cancelEffect(j api.JobStatus, now time.Time) Effect {
+	e := Effect{Kind: EffectCancel, Job: j.ID, Workspace: j.Spec.Workspace, Domain: j.FailureDomain, Reason: string(j.State)}
+	if !j.StartedAt.IsZero() && now.After(j.StartedAt) {
+		e.LostWork = now.Sub(j.StartedAt) * time.Duration(max(1, j.Spec.Accelerators))
+	}
+	return e
+}
+
+func (p *Planner) fillProposals(ctx context.Context, made *Plan, spec *Proposals) error {
+	held, err := p.opts.Proposals.Proposals(ctx)
+	if err != nil {
+		return err
+	}
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(spec.IDs))) {
+		i := slices.IndexFunc(held, func(h gate.Proposal) bool { return h.ID == id })
+		if i < 0 {
+			return errkind.New(errkind.NotFound, "there is no proposal %q; list the proposals again, they change with the state", id)
+		}
+		made.Effects = append(made.Effects, proposalEffect(held[i]))
+	}
+	return nil
+}
+
+func proposalEffect(h gate.Proposal) Effect {
+	kind := EffectOther
+	switch h.Kind {
+	case gate.Preempt, gate.Reclaim:
+		kind = EffectPreempt
+	case gate.Move:
+		kind = EffectMove
+	}
+	return Effect{
+		Kind: kind, Job: h.Job, Workspace: h.Workspace, Domain: h.Domain, LostWork: h.LostWork,
+		Reason: string(h.Kind) + ": " + h.Reason, Proposal: h.ID,
+	}
+}
+
+// execute carries a confirmed action plan out and returns what failed. The
+// kind not_found counts as done: the job has ended or the proposal was taken.
+func (p *Planner) execute(ctx context.Context, made *Plan) []string {
+	switch spec := made.Intent.Spec.(type) {
+	case *Reclaim:
+		return failures(p.opts.Executor.Reclaim(ctx, made.ID, spec.Workspace, spec.FailureDomain))
+	case *Defragment:
+		return failures(p.opts.Executor.Defragment(ctx, made.ID, spec.FailureDomain))
+	}
+	var failed []string
+	for _, e := range made.Effects {
+		var err error
+		if e.Proposal != "" {
+			err = p.opts.Executor.ConfirmProposal(ctx, e.Proposal)
+		} else {
+			err = p.opts.Executor.CancelJob(ctx, e.Job, "cancelled by plan "+made.ID)
+		}
+		if err != nil && !errkind.Is(err, errkind.NotFound) {
+			failed = append(failed, string(e.Job)+e.Proposal+": "+err.Error())
+		}
+	}
+	return failed
+}
+
+func failures(err error) []string {
+	if err == nil {
+		return nil
+	}
+	return []string{err.Error()}
+}
--- /dev/null
+++ b/pkg/policy/load.go
@@ -0,0 +1,33 @@
+package policy
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+)
+
+// LoadYAML reads a document. Unknown fields are refused, classes that the
+// document does not mention are the built-in ones, and the result is
+// validated. Errors have the kind invalid_config; those of the syntax name
+// the line.
+func LoadYAML(r io.Reader) (*Document, error) {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the configuration document")
+	}
+	doc := Default()
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	if err := dec.Decode(doc); err != nil && !errors.Is(err, io.EOF) {
+		return nil, errkind.Wrap(err, errkind.InvalidConfig, "the configuration document is not valid YAML for this version")
+	}
+	doc = doc.Clone()
+	if problems := Validate(doc); len(problems) > 0 {
+		return nil, ProblemsError(problems)
+	}
+	return doc, nil
+}
