--- a/pkg/admin/state.go
+++ b/pkg/admin/state.go
@@ -13,18 +13,7 @@
 
 // WorkerLister returns the workers of all failure domains.
 type WorkerLister interface {
-	Workers(ctx context.Context) ([]Worker, error)
-}
-
-// Worker is one target as operators see it.
-type Worker struct {
-	ID            string `json:"id"`
-	FailureDomain string `json:"failureDomain"`
-	Rack          string `json:"rack,omitempty"`
-	State         string `json:"state"` // ready, drained, quarantined, leaving or down
-	Reason        string `json:"reason,omitempty"`
-	Accelerators  int    `json:"accelerators"`
-	Slots         int    `json:"slots"`
+	Workers(ctx context.Context) ([]api.WorkerStatus, error)
 }
 
 func (a *API) config(r *request) (any, error) { return r.doc.Redacted(), nil }
@@ -75,8 +64,8 @@
 		j.Spec.Payload, j.Result = nil, nil // content belongs to the workspace
 		page.Items = append(page.Items, j)
 	}
-	if len(jobs) == limit {
-		page.Next = string(jobs[limit-1].ID)
+	if len(jobs) > 0 { // a page may be shorter than asked for; an empty one is the last
+		page.Next = string(jobs[len(jobs)-1].ID)
 	}
 	return page, nil
 }
@@ -114,8 +103,8 @@
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(list, func(x, y Worker) int { return strings.Compare(x.ID, y.ID) })
-	return paged(r, list, func(w Worker) string { return w.ID })
+	slices.SortFunc(list, func(x, y api.WorkerStatus) int { return strings.Compare(x.ID, y.ID) })
+	return paged(r, list, func(w api.WorkerStatus) string { return w.ID })
 }
 
 func (a *API) domains(r *request) (any, error) {
--- a/pkg/gate/service.go
+++ b/pkg/gate/service.go
@@ -221,3 +221,18 @@
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:6])
 }
+
+// PutBack returns a proposal that was taken and could not be carried out. It
+// is dropped if automation is no longer held.
+func (g *Gate) PutBack(p Proposal) {
+	doc := g.opts.Source.Current()
+	if doc == nil {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, held := doc.Held(p.Workspace, now); held {
+		g.propose(p, now)
+	}
+}
--- a/pkg/plan/actions.go
+++ b/pkg/plan/actions.go
@@ -43,7 +43,8 @@
 				made.Effects = append(made.Effects, cancelEffect(j, made.MadeAt))
 			}
 		}
-		if len(jobs) < listPage || len(made.Effects) > MaxEffects {
+		// A page may be shorter than asked for, so only an empty one is the last.
+		if len(jobs) == 0 || len(made.Effects) > MaxEffects {
 			return nil
 		}
 		req.After = jobs[len(jobs)-1].ID
