Resolve claims by the identity of each claimed task

Cause: a full sync lists only the newest ended tasks of a worker, so a missing task did not prove that the claimed attempt had not run. The metadata of a task is returned by the in-memory worker. Result: go test -race ./pkg/partition passes; not yet run with processes.

--- a/pkg/api/job.go
+++ b/pkg/api/job.go
@@ -99,6 +99,8 @@
 	// Incarnation is that of the worker process when the task was reserved.
 	Incarnation  int64 `json:"incarnation" cbor:"2,keyasint"`
 	Accelerators []int `json:"accelerators,omitempty" cbor:"3,keyasint,omitempty"`
+	// Task is the task's identity at the worker.
+	Task TaskID `json:"task,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // JobStatus is what callers see of a job.
--- a/pkg/domain/offer.go
+++ b/pkg/domain/offer.go
@@ -107,68 +107,6 @@
 	return out
 }
 
-// resolveClaim finds out what became of an attempt that its partition had
-// permitted to start: a worker that never saw a start now refuses it for good,
-// one that ran it tells the outcome, one that is gone leaves it unknown.
-func (d *Domain) resolveClaim(a *attempt) {
-	deadline := time.Now().Add(d.opts.lostAfter())
-	for {
-		done, wait := d.tryResolve(a)
-		if done {
-			return
-		}
-		if wait && time.Now().After(deadline) {
-			d.mu.Lock()
-			d.finishAttempt(a, api.OutcomeLost, sched.EndWorkerLost, "", "a worker of the claimed attempt cannot be asked")
-			d.mu.Unlock()
-			return
-		}
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-time.After(syncRetry):
-		}
-	}
-}
-
-// tryResolve asks the claimed workers once. It returns done when the attempt is
-// decided or was adopted from the targets.
-func (d *Domain) tryResolve(a *attempt) (done, wait bool) {
-	d.mu.Lock()
-	if a.ended || len(a.copies) > 0 || d.attempts[a.offer.Job] != a {
-		d.mu.Unlock()
-		return true, false
-	}
-	claimed := a.offer.Claimed
-	var workers []*worker
-	for _, p := range claimed {
-		w := d.workers[p.Worker]
-		if w == nil || !w.synced {
-			d.mu.Unlock()
-			return false, true // the list lags or the worker has not answered yet
-		}
-		workers = append(workers, w)
-	}
-	changed := false
-	for i, w := range workers {
-		changed = changed || w.incarnation != claimed[i].Incarnation
-	}
-	d.mu.Unlock()
-	// Every claimed worker has answered a full sync under this epoch. Had one of
-	// them held a task of the attempt, adoptTasks would have found it there.
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(a.copies) > 0 {
-		return true, false
-	}
-	if changed {
-		d.finishAttempt(a, api.OutcomeLost, sched.EndWorkerLost, "", "a worker of the claimed attempt restarted")
-		return true, false
-	}
-	d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, "", "no worker of the claimed attempt had started it")
-	return true, false
-}
-
 // adoptTasks takes over tasks that the former owner of the domain placed; the
 // caller holds the lock.
 func (d *Domain) adoptTasks(w *worker, statuses []target.TaskStatus) {
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -59,7 +59,7 @@
 		t := &task{id: taskID(a.offer, d.opts.Epoch, d.round, i), job: a.offer.Job, copy: c, worker: w}
 		t.status = target.TaskStatus{Task: t.id, State: target.TaskReserved, Accelerators: p.Accelerators}
 		c.tasks = append(c.tasks, t)
-		c.places = append(c.places, api.Allocation{Worker: w.id, Incarnation: w.incarnation, Accelerators: p.Accelerators})
+		c.places = append(c.places, api.Allocation{Worker: w.id, Incarnation: w.incarnation, Accelerators: p.Accelerators, Task: t.id})
 	}
 	for _, t := range c.tasks {
 		d.byTask[t.id] = t
--- a/pkg/domain/service.go
+++ b/pkg/domain/service.go
@@ -27,7 +27,8 @@
 	Avoid []string `cbor:"9,keyasint,omitempty"`
 	// Claimed holds the places of a journaled claim. Such an attempt may already
 	// have run: the domain finds out by Fence and never starts it anew.
-	Claimed []api.Allocation `cbor:"10,keyasint,omitempty"`
+	Claimed   []api.Allocation `cbor:"10,keyasint,omitempty"`
+	ClaimedAt time.Time        `cbor:"11,keyasint,omitzero"`
 }
 
 // Report tells the partition's owner what became of an attempt.
--- a/pkg/partition/dispatch.go
+++ b/pkg/partition/dispatch.go
@@ -51,11 +51,15 @@
 		return domain.Offer{}, "", false
 	}
 	j.offering = true
-	return domain.Offer{
+	o := domain.Offer{
 		Job: j.status.ID, Attempt: j.status.Attempt, Spec: j.status.Spec,
 		SubmittedAt: j.status.SubmittedAt, Partition: p.opts.Number, PartitionEpoch: p.opts.Epoch,
-		Checkpoint: j.checkpoint, Attained: j.attained, Avoid: j.avoid, Claimed: j.claimedPlaces(),
-	}, j.status.FailureDomain, true
+		Checkpoint: j.checkpoint, Attained: j.attained, Avoid: j.avoid,
+	}
+	if j.claim != nil {
+		o.Claimed, o.ClaimedAt = j.claim.places, j.claim.at
+	}
+	return o, j.status.FailureDomain, true
 }
 
 // assignDomain sets the job's failure domain if it has none. A claimed attempt
@@ -126,14 +130,14 @@
 	if err := p.ready(ctx); err != nil {
 		return err
 	}
-	j, err := p.prepareClaim(c)
+	j, at, err := p.prepareClaim(c)
 	if err != nil {
 		return err
 	}
 	// The record may be written after ctx has ended; the claim then stays
 	// unresolved until the domain reports that the attempt did not run.
 	if err := p.append(ctx, priorityClaim, record{
-		Type: recordClaimed, Job: c.Job, Attempt: c.Attempt, Domain: c.Domain, Places: c.Places,
+		Type: recordClaimed, Job: c.Job, Attempt: c.Attempt, Domain: c.Domain, Places: c.Places, At: at,
 	}); err != nil {
 		return err
 	}
@@ -141,22 +145,23 @@
 	return p.confirmClaim(j, c.Attempt)
 }
 
-func (p *Partition) prepareClaim(c domain.Claim) (*job, error) {
+func (p *Partition) prepareClaim(c domain.Claim) (*job, time.Time, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	j, ok := p.jobs[c.Job]
 	switch {
 	case !ok:
-		return nil, errkind.New(errkind.NotFound, "no job %s", c.Job)
+		return nil, time.Time{}, errkind.New(errkind.NotFound, "no job %s", c.Job)
 	case j.terminal() || j.cancelRequested:
-		return nil, errkind.New(errkind.Conflict, "job %s has ended or is cancelled", c.Job)
+		return nil, time.Time{}, errkind.New(errkind.Conflict, "job %s has ended or is cancelled", c.Job)
 	case j.status.Attempt != c.Attempt || j.status.FailureDomain != c.Domain:
-		return nil, errkind.New(errkind.Conflict, "job %s is at attempt %d in %s", c.Job, j.status.Attempt, j.status.FailureDomain)
+		return nil, time.Time{}, errkind.New(errkind.Conflict, "job %s is at attempt %d in %s", c.Job, j.status.Attempt, j.status.FailureDomain)
 	case j.claim != nil:
-		return nil, errkind.New(errkind.Conflict, "job %s already has a claim for attempt %d", c.Job, j.claim.attempt)
+		return nil, time.Time{}, errkind.New(errkind.Conflict, "job %s already has a claim for attempt %d", c.Job, j.claim.attempt)
 	}
-	j.claim = &claim{attempt: c.Attempt, domain: c.Domain, places: c.Places}
-	return j, nil
+	at := time.Now()
+	j.claim = &claim{attempt: c.Attempt, domain: c.Domain, places: c.Places, at: at}
+	return j, at, nil
 }
 
 // confirmClaim refuses a start that was cancelled while the claim was written.
--- a/pkg/partition/job.go
+++ b/pkg/partition/job.go
@@ -12,6 +12,7 @@
 	attempt int
 	domain  string
 	places  []api.Allocation
+	at      time.Time
 }
 
 // job is a job as its partition's owner keeps it; the partition's lock guards it.
--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -186,12 +186,14 @@
 		before func(p *Partition, id api.JobID)
 		want   errkind.Kind
 	}{
-		"first":          {},
-		"other attempt":  {change: func(c *domain.Claim) { c.Attempt = 2 }, want: errkind.Conflict},
-		"other domain":   {change: func(c *domain.Claim) { c.Domain = "r1/b" }, want: errkind.Conflict},
-		"unknown job":    {change: func(c *domain.Claim) { c.Job = "j3-x" }, want: errkind.NotFound},
-		"claimed before": {before: func(p *Partition, id api.JobID) { _ = p.Claim(context.Background(), domain.Claim{Job: id, Attempt: 1, Domain: testDomain}) }, want: errkind.Conflict},
-		"cancelled":      {before: func(p *Partition, id api.JobID) { _, _ = p.Cancel(context.Background(), "postbud", id) }, want: errkind.Conflict},
+		"first":         {},
+		"other attempt": {change: func(c *domain.Claim) { c.Attempt = 2 }, want: errkind.Conflict},
+		"other domain":  {change: func(c *domain.Claim) { c.Domain = "r1/b" }, want: errkind.Conflict},
+		"unknown job":   {change: func(c *domain.Claim) { c.Job = "j3-x" }, want: errkind.NotFound},
+		"claimed before": {before: func(p *Partition, id api.JobID) {
+			_ = p.Claim(context.Background(), domain.Claim{Job: id, Attempt: 1, Domain: testDomain})
+		}, want: errkind.Conflict},
+		"cancelled": {before: func(p *Partition, id api.JobID) { _, _ = p.Cancel(context.Background(), "postbud", id) }, want: errkind.Conflict},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/partition/records.go
+++ b/pkg/partition/records.go
@@ -33,6 +33,7 @@
 	Attempt int              `cbor:"7,keyasint,omitempty"`
 	Domain  string           `cbor:"8,keyasint,omitempty"`
 	Places  []api.Allocation `cbor:"9,keyasint,omitempty"`
+	At      time.Time        `cbor:"11,keyasint,omitzero"`
 	// Ended.
 	Status *api.JobStatus `cbor:"10,keyasint,omitempty"`
 }
@@ -70,7 +71,7 @@
 	if j.claim != nil {
 		out = append(out, record{
 			Type: recordClaimed, Job: j.status.ID,
-			Attempt: j.claim.attempt, Domain: j.claim.domain, Places: j.claim.places,
+			Attempt: j.claim.attempt, Domain: j.claim.domain, Places: j.claim.places, At: j.claim.at,
 		})
 	}
 	if j.cancelRequested {
@@ -94,7 +95,7 @@
 	}
 	switch r.Type {
 	case recordClaimed:
-		j.claim = &claim{attempt: r.Attempt, domain: r.Domain, places: r.Places}
+		j.claim = &claim{attempt: r.Attempt, domain: r.Domain, places: r.Places, at: r.At}
 		j.status.Attempt = max(j.status.Attempt, r.Attempt)
 	case recordClaimReleased:
 		if j.claim != nil && j.claim.attempt == r.Attempt {
--- a/pkg/partition/recover.go
+++ b/pkg/partition/recover.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/domain"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 )
@@ -129,11 +128,3 @@
 		j.nextAttempt(time.Time{})
 	}
 }
-
-// claimedPlaces returns the places of an unresolved claim.
-func (j *job) claimedPlaces() []api.Allocation {
-	if j.claim == nil {
-		return nil
-	}
-	return j.claim.places
-}
--- a/pkg/target/memory/calls.go
+++ b/pkg/target/memory/calls.go
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	t := &task{TaskStatus: target.TaskStatus{
-		Task: req.Task, State: target.TaskReserved, Accelerators: slices.Clone(req.Accelerators),
+		Task: req.Task, State: target.TaskReserved, Accelerators: slices.Clone(req.Accelerators), Meta: req.Meta,
 	}}
 	for _, a := range req.Accelerators {
 		w.busy[a] = req.Task
--- a/pkg/target/memory/sync.go
+++ b/pkg/target/memory/sync.go
@@ -99,7 +99,11 @@
 				continue
 			}
 		}
-		resp.Tasks = append(resp.Tasks, t.TaskStatus)
+		status := t.TaskStatus
+		if since > 0 {
+			status.Meta = nil
+		}
+		resp.Tasks = append(resp.Tasks, status)
 	}
 	slices.Reverse(resp.Tasks)
 	return resp
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -17,6 +17,10 @@
 	DefaultConnections = 64
 )
 
+// IdentityRetention is how long a target remembers the identity of a task that
+// was started, at least. After that time a tombstone of Fence proves nothing.
+const IdentityRetention = 10 * time.Minute
+
 // TaskState is the state of a task at a target.
 type TaskState string
 
@@ -77,7 +81,8 @@
 	Result       json.RawMessage `json:"result,omitempty"`
 	Error        string          `json:"error,omitempty"`
 	Throttled    bool            `json:"throttled,omitempty"`
-	// Meta is that of the reserve request; present when the request's Since was 0.
+	// Meta is that of the reserve request; present in answers of Fence and of a
+	// Sync with Since 0.
 	Meta json.RawMessage `json:"meta,omitempty"`
 }
 
