--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -11,6 +11,10 @@
 // Key is the store key of the configuration document.
 const Key = "control/config"
 
+// Method is the name of the request by which a VM asks a peer for a newer
+// document.
+const Method = "config.get"
+
 // Source gives access to the configuration in force on this VM.
 type Source interface {
 	// Current returns the document in force; it must not be modified. It is nil
@@ -21,6 +25,8 @@
 	Subscribe(fn func(*policy.Document))
 	// Change writes next as the successor of revision base. It returns kind
 	// conflict when the store holds another revision, and store_unavailable when
-	// the store cannot be reached; a lost answer is resolved before it returns.
+	// the store cannot be reached and nothing was changed; a lost answer is
+	// resolved before it returns. If ctx ends before it is resolved, the kind is
+	// outcome_unknown: the change may still come into force.
 	Change(ctx context.Context, base int64, next *policy.Document) (*policy.Document, error)
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -34,6 +34,16 @@
 	Domains []sched.Summary `json:"domains,omitempty" cbor:"9,keyasint,omitempty"`
 	// Leaving names targets that this member saw leaving or refusing.
 	Leaving []string `json:"leaving,omitempty" cbor:"10,keyasint,omitempty"`
+	// Shards maps the shards that the member owns to their epochs.
+	Shards map[string]int64 `json:"shards,omitempty" cbor:"11,keyasint,omitempty"`
+	// NoLease says that the member holds no valid lease of the store, so that it
+	// can become the owner of nothing.
+	NoLease bool `json:"noLease,omitempty" cbor:"12,keyasint,omitempty"`
+	// DetailsVersion is the counter at which Domains, Leaving or Shards last
+	// changed. Heartbeats carry these only to peers that have an older version.
+	DetailsVersion uint64 `json:"detailsVersion" cbor:"13,keyasint,omitempty"`
+	// HasDetails says that the entry carries them.
+	HasDetails bool `json:"-" cbor:"14,keyasint,omitempty"`
 }
 
 // View is what the other packages read of the membership.
--- /dev/null
+++ b/pkg/ownership/desired.go
@@ -0,0 +1,88 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawayusher/carawayusher/pkg/membership"
+)
+
+// desired returns the VM that should own each shard: by rendezvous hashing over
+// the members that can own, each with at most an equal share of the partitions
+// and of the failure domains. For a failure domain its own VMs come first.
+func desired(shards []Shard, members []membership.Member) map[Shard]string {
+	members = slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return !canOwn(m) })
+	out := make(map[Shard]string, len(shards))
+	if len(members) == 0 {
+		return out
+	}
+	var partitions, domains []Shard
+	for _, s := range slices.Sorted(slices.Values(shards)) {
+		if _, ok := s.Domain(); ok {
+			domains = append(domains, s)
+		} else {
+			partitions = append(partitions, s)
+		}
+	}
+	assign(out, partitions, members)
+	assign(out, domains, members)
+	return out
+}
+
+// canOwn reports whether the member may become the owner of a shard.
+func canOwn(m membership.Member) bool {
+	return m.State == membership.Alive && m.Ready && !m.NoLease
+}
+
+// assign gives each shard to its first member, by preference, that has room.
+func assign(out map[Shard]string, shards []Shard, members []membership.Member) {
+	limit := (len(shards) + len(members) - 1) / len(members)
+	load := make(map[string]int, len(members))
+	for _, s := range shards {
+		for _, id := range preference(s, members) {
+			if load[id] < limit {
+				load[id]++
+				out[s] = id
+				break
+			}
+		}
+	}
+}
+
+// preference orders the members' IDs for a shard.
+func preference(s Shard, members []membership.Member) []string {
+	type ranked struct {
+		id    string
+		local bool
+		score uint64
+	}
+	domain, isDomain := s.Domain()
+	list := make([]ranked, len(members))
+	for i, m := range members {
+		list[i] = ranked{m.ID, isDomain && m.FailureDomain == domain, score(s, m.ID)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.local != b.local {
+			if a.local {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]string, len(list))
+	for i, r := range list {
+		ids[i] = r.id
+	}
+	return ids
+}
+
+func score(s Shard, id string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(s))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
--- /dev/null
+++ b/pkg/peer/node.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+)
+
+// Path is the URL path of the WebSocket endpoint.
+const Path = "/peer"
+
+// Node is this VM's end of all connections to other VMs. It implements Caller
+// and Registry.
+type Node struct {
+	opts    Options
+	metrics *metrics
+	client  *http.Client
+
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.RWMutex
+	closed   bool
+	address  string
+	handlers map[string]HandlerFunc
+	links    map[string]*link
+	conns    map[*conn]struct{}
+}
+
+// NewNode returns a Node; Close ends it.
+func NewNode(opts Options) *Node {
+	opts = opts.withDefaults()
+	transport := &http.Transport{DisableKeepAlives: true}
+	if opts.TLS != nil {
+		transport.TLSClientConfig = opts.TLS.Clone()
+	}
+	n := &Node{
+		opts:     opts,
+		metrics:  newMetrics(opts.Registerer),
+		client:   &http.Client{Transport: transport},
+		address:  opts.Address,
+		handlers: map[string]HandlerFunc{},
+		links:    map[string]*link{},
+		conns:    map[*conn]struct{}{},
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+// SetAddress replaces the own peer address, for a port chosen by the kernel. It
+// must be called before the first call.
+func (n *Node) SetAddress(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.address = address
+}
+
+// Handle registers the handler of a method; the last registration counts.
+func (n *Node) Handle(method string, h HandlerFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[method] = h
+}
+
+// Handler returns the WebSocket endpoint. A peer without a valid token or
+// client certificate gets status 401.
+func (n *Node) Handler() http.Handler {
+	return http.HandlerFunc(n.accept)
+}
+
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) {
+	if !n.authenticated(r) {
+		n.opts.Log.Info("peer refused: no valid token or client certificate", "remote", r.RemoteAddr)
+		http.Error(w, string(errkind.Unauthenticated), http.StatusUnauthorized)
+		return
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		n.opts.Log.V(1).Info("WebSocket handshake failed", "remote", r.RemoteAddr, "error", err.Error())
+		return
+	}
+	address := r.Header.Get(addressHeader)
+	c := n.start(ws, address)
+	if c == nil {
+		return
+	}
+	if address != "" {
+		n.link(address).adopt(c)
+	}
+	<-c.done
+}
+
+// start runs a connection; it returns nil after Close.
+func (n *Node) start(ws *websocket.Conn, peer string) *conn {
+	c := newConn(n, ws, peer)
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		_ = ws.CloseNow()
+		return nil
+	}
+	n.conns[c] = struct{}{}
+	n.wg.Add(1)
+	n.mu.Unlock()
+	n.metrics.connections.Inc()
+	go func() {
+		defer n.wg.Done()
+		c.run()
+		n.metrics.connections.Dec()
+		n.mu.Lock()
+		delete(n.conns, c)
+		n.mu.Unlock()
+	}()
+	return c
+}
+
+// Call implements Caller. A call to the own address runs the handler directly.
+func (n *Node) Call(ctx context.Context, address, method string, req, resp any) error {
+	body, err := encode(req)
+	if err != nil {
+		return err
+	}
+	n.mu.RLock()
+	self, closed := address == n.address, n.closed
+	n.mu.RUnlock()
+	if closed {
+		return errkind.New(errkind.Unavailable, "this VM is shutting down")
+	}
+	var answer []byte
+	if self {
+		answer, err = n.serve(ctx, method, body)
+	} else {
+		answer, err = n.callRemote(ctx, address, method, body)
+	}
+	if err != nil {
+		return err
+	}
+	return decode(answer, resp)
+}
+
+func (n *Node) callRemote(ctx context.Context, address, method string, body []byte) ([]byte, error) {
+	c, err := n.link(address).get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return c.call(ctx, method, body)
+}
+
+// serve runs the handler of a method.
+func (n *Node) serve(ctx context.Context, method string, body []byte) (answer []byte, err error) {
+	n.mu.RLock()
+	h := n.handlers[method]
+	n.mu.RUnlock()
+	if h == nil {
+		return nil, errkind.New(errkind.NotFound, "method %q is not known", method)
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			n.opts.Log.Error(errkind.New(errkind.Internal, "%v", r), "handler panicked", "method", method)
+			err = errkind.New(errkind.Internal, "handler of %q failed", method)
+		}
+	}()
+	out, err := h(ctx, func(v any) error { return decode(body, v) })
+	if err != nil {
+		return nil, err
+	}
+	return encode(out)
+}
+
+// Close ends all connections and waits for their goroutines and handlers. Open
+// calls return kind unavailable.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil
+	}
+	n.closed = true
+	conns := make([]*conn, 0, len(n.conns))
+	for c := range n.conns {
+		conns = append(conns, c)
+	}
+	n.mu.Unlock()
+	n.cancel()
+	for _, c := range conns {
+		c.close(errNodeClosed)
+	}
+	n.wg.Wait()
+	n.client.CloseIdleConnections()
+	return nil
+}
+
+var errNodeClosed = errors.New("node closed")
