--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -287,3 +287,41 @@
 
 // Explain says in one sentence why a queued job waits.
 func (d *Domain) Explain(job api.JobID) string { return d.opts.Sched.Explain(time.Now(), job) }
+
+// Name returns the failure domain's name.
+func (d *Domain) Name() string { return d.opts.Name }
+
+// Equipment returns the domain's workers as if all were ready.
+func (d *Domain) Equipment() []sched.Worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]sched.Worker, 0, len(d.workers))
+	for _, w := range d.workers {
+		out = append(out, sched.Worker{ID: w.id, Rack: w.rack, Accelerators: w.accelerators, Slots: w.slots})
+	}
+	return out
+}
+
+// PreviewReclaim says what taking the workspace's guaranteed cells back would preempt.
+func (d *Domain) PreviewReclaim(workspace string) []sched.Action {
+	return d.opts.Sched.PreviewReclaim(time.Now(), workspace)
+}
+
+// PreviewDefragment says which jobs defragmentation would move.
+func (d *Domain) PreviewDefragment() []sched.Action {
+	return d.opts.Sched.PreviewDefragment(time.Now())
+}
+
+// Reclaim takes the workspace's guaranteed cells back from borrowers now.
+func (d *Domain) Reclaim(workspace string) {
+	for _, a := range d.opts.Sched.Reclaim(time.Now(), workspace) {
+		d.act(a)
+	}
+}
+
+// Defragment moves jobs so that larger blocks become free.
+func (d *Domain) Defragment() {
+	for _, a := range d.opts.Sched.Defragment(time.Now()) {
+		d.act(a)
+	}
+}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -52,7 +52,7 @@
 	if v == nil {
 		return nil, nil
 	}
-	b, err := cbor.Marshal(v)
+	b, err := encMode.Marshal(v)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "message cannot be encoded")
 	}
@@ -68,3 +68,12 @@
 	}
 	return nil
 }
+
+// encMode keeps sub-second times; the default of CBOR is whole seconds.
+var encMode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // constant options
+	}
+	return m
+}()
