--- a/pkg/platform/httpapi/client.go
+++ b/pkg/platform/httpapi/client.go
@@ -39,6 +39,8 @@
 	// each request counts as one call.
 	WatchWait   time.Duration
 	Connections int // at most, waiting watches included
+	// DialContext opens connections; nil uses TCP with DialTimeout.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client implements platform.Store and platform.VMLister. Transport errors and
@@ -56,7 +58,7 @@
 		base: strings.TrimRight(baseURL, "/"),
 		opts: opts,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
+			DialContext:         opts.DialContext,
 			MaxConnsPerHost:     opts.Connections,
 			MaxIdleConnsPerHost: opts.Connections,
 			IdleConnTimeout:     90 * time.Second,
@@ -78,6 +80,9 @@
 	if o.Connections <= 0 {
 		o.Connections = DefaultConnections
 	}
+	if o.DialContext == nil {
+		o.DialContext = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	return o
 }
 
--- a/pkg/platform/memory/lease.go
+++ b/pkg/platform/memory/lease.go
@@ -36,11 +36,14 @@
 	return time.Since(t.origin) - t.skipped
 }
 
-// GrantLease creates a lease; a TTL that is not positive is invalid_request.
+// maxLeaseTTL keeps deadlines far from overflow.
+const maxLeaseTTL = 24 * time.Hour
+
+// GrantLease creates a lease; a TTL outside (0, 24 h] is invalid_request.
 func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
 	return do(ctx, s, OpGrantLease, "", func() (platform.LeaseID, error) {
-		if ttl <= 0 {
-			return 0, errkind.New(errkind.InvalidRequest, "time to live %v is not positive", ttl)
+		if ttl <= 0 || ttl > maxLeaseTTL {
+			return 0, errkind.New(errkind.InvalidRequest, "time to live %v is not within 0..%v", ttl, maxLeaseTTL)
 		}
 		s.leases.next++
 		l := &lease{id: s.leases.next, ttl: ttl, deadline: s.leases.now() + ttl, keys: map[string]struct{}{}}
--- a/pkg/target/httpapi/dialer.go
+++ b/pkg/target/httpapi/dialer.go
@@ -35,6 +35,8 @@
 	// long poll of Sync comes on top.
 	CallTimeout time.Duration
 	DialTimeout time.Duration
+	// DialContext opens connections; nil uses TCP with DialTimeout.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Dialer implements target.Dialer over one shared transport.
@@ -54,8 +56,11 @@
 	if opts.DialTimeout <= 0 {
 		opts.DialTimeout = DefaultDialTimeout
 	}
+	if opts.DialContext == nil {
+		opts.DialContext = (&net.Dialer{Timeout: opts.DialTimeout}).DialContext
+	}
 	return &Dialer{timeout: opts.CallTimeout, http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
+		DialContext:         opts.DialContext,
 		MaxConnsPerHost:     opts.MaxConnsPerHost,
 		MaxIdleConnsPerHost: opts.MaxConnsPerHost,
 		IdleConnTimeout:     90 * time.Second,
