--- a/pkg/platform/httpapi/client.go
+++ b/pkg/platform/httpapi/client.go
@@ -86,6 +86,9 @@
 	return o
 }
 
+// BaseURL returns the address that the client calls.
+func (c *Client) BaseURL() string { return c.base }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- /dev/null
+++ b/pkg/target/httpapi/connections_test.go
@@ -0,0 +1,116 @@
+package httpapi
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/target/memory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serveTCP serves a paused worker on loopback; peak returns the largest number
+// of connections that were open at a time.
+func serveTCP(t *testing.T, limit int) (w *memory.Worker, address string, peak func() int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	most := 0
+	w = memory.NewWorker(memory.Config{ID: "w", Slots: 64})
+	w.SetFaults(memory.Faults{Pause: true})
+	server := &http.Server{Handler: NewHandler(w)}
+	var served sync.WaitGroup
+	served.Go(func() {
+		_ = server.Serve(LimitListener(l, limit, func(open int) {
+			mu.Lock()
+			defer mu.Unlock()
+			most = max(most, open)
+		}))
+	})
+	t.Cleanup(func() {
+		w.Close()
+		_ = server.Close()
+		served.Wait()
+	})
+	return w, l.Addr().String(), func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return most
+	}
+}
+
+// Guards against a VM that opens more than its part of a worker's connections
+// under a burst, or loses calls that wait for one.
+func TestBurstStaysWithinConnections(t *testing.T) {
+	w, address, peak := serveTCP(t, target.DefaultConnections)
+	d := NewDialer(DialerOptions{})
+	defer d.Close()
+	admin := NewDialer(DialerOptions{MaxConnsPerHost: 1})
+	defer admin.Close()
+	var burst sync.WaitGroup
+	for i := range 40 {
+		burst.Go(func() {
+			task := api.TaskID(string(rune('a' + i)))
+			if _, err := d.Dial(address).Reserve(t.Context(), target.ReserveRequest{Task: task, TTL: ttlForTest}); err != nil {
+				t.Errorf("call %d: %v", i, err)
+			}
+		})
+	}
+	// The admin route resumes the worker although all calls hang.
+	if err := admin.DialClient(address).SetFaults(t.Context(), memory.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	burst.Wait()
+	if got := w.RunningTasks(); got != 40 {
+		t.Errorf("%d reservations, want 40", got)
+	}
+	if got := peak(); got > DefaultMaxConnsPerHost+1 {
+		t.Errorf("%d connections at a time, want at most %d and one of the admin route", got, DefaultMaxConnsPerHost)
+	}
+}
+
+// Guards against a worker that serves connections without bound.
+func TestConnectionsBeyondTheLimitAreRefused(t *testing.T) {
+	_, address, peak := serveTCP(t, 1)
+	held, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	d := NewDialer(DialerOptions{})
+	defer d.Close()
+	if _, err := d.Dial(address).Fence(t.Context(), "a", 1); !errkind.Is(err, errkind.Unavailable) {
+		t.Errorf("second connection: error %v", err)
+	}
+	if peak() != 1 {
+		t.Errorf("%d connections at a time, want 1", peak())
+	}
+}
+
+// Guards against losing the cause by which a caller recognizes a worker that
+// is gone.
+func TestRefusedConnectionKeepsItsCause(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	err = NewDialer(DialerOptions{}).Dial(l.Addr().String()).Stop(t.Context(), "a", 1)
+	if !errkind.Is(err, errkind.Unavailable) || !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// ttlForTest outlives the test.
+const ttlForTest = 1e12
--- a/pkg/target/memory/calls.go
+++ b/pkg/target/memory/calls.go
@@ -61,8 +61,7 @@
 	for _, a := range req.Accelerators {
 		w.busy[a] = req.Task
 	}
-	w.slotsUsed++
-	w.tasks[req.Task] = t
+	w.tasks[req.Task], w.live[req.Task] = t, t
 	w.renew(t, req.TTL)
 	w.touch(t)
 	w.recordUsage()
@@ -70,7 +69,7 @@
 }
 
 func (w *Worker) checkRoom(accelerators []int) error {
-	if w.slotsUsed >= w.config.Slots {
+	if len(w.live) >= w.config.Slots {
 		return errkind.New(errkind.CapacityExceeded, "all %d slots of worker %s are taken", w.config.Slots, w.config.ID)
 	}
 	for _, a := range accelerators {
--- a/pkg/target/memory/log.go
+++ b/pkg/target/memory/log.go
@@ -90,7 +90,7 @@
 			busy++
 		}
 	}
-	u := target.Usage{At: time.Now(), SlotsUsed: w.slotsUsed, MemoryMiB: w.slotsUsed * memoryPerTaskMiB}
+	u := target.Usage{At: time.Now(), SlotsUsed: len(w.live), MemoryMiB: len(w.live) * memoryPerTaskMiB}
 	if len(w.busy) > 0 {
 		u.BusyShare = float64(busy) / float64(len(w.busy))
 	}
--- a/pkg/target/memory/program.go
+++ b/pkg/target/memory/program.go
@@ -84,8 +84,7 @@
 	if name == "" {
 		return 0, nil
 	}
-	_, digits, _ := strings.Cut(name, "@")
-	done, err := strconv.ParseInt(digits, 10, 64)
+	done, err := strconv.ParseInt(name[strings.LastIndex(name, "@")+1:], 10, 64)
 	if err != nil || done < 0 {
 		return 0, fmt.Errorf("checkpoint %q does not exist", name)
 	}
--- a/pkg/target/memory/sync.go
+++ b/pkg/target/memory/sync.go
@@ -76,10 +76,8 @@
 	if ttl <= 0 {
 		return
 	}
-	for _, t := range w.tasks {
-		if !t.State.Ended() {
-			w.renew(t, ttl)
-		}
+	for _, t := range w.live {
+		w.renew(t, ttl)
 	}
 }
 
--- a/pkg/target/memory/task.go
+++ b/pkg/target/memory/task.go
@@ -83,11 +83,12 @@
 // end frees the place of a live task and remembers its identity.
 func (w *Worker) end(t *task, state target.TaskState, result json.RawMessage, message string) {
 	t.stopTimers()
+	t.lease, t.finish, t.checkpoint, t.program = nil, nil, nil, program{}
 	t.State, t.Result, t.Error = state, result, message
 	for _, a := range t.Accelerators {
 		w.busy[a] = ""
 	}
-	w.slotsUsed--
+	delete(w.live, t.Task)
 	w.remember(t)
 	w.touch(t)
 	w.recordUsage()
--- a/pkg/target/memory/worker.go
+++ b/pkg/target/memory/worker.go
@@ -20,7 +20,9 @@
 	DefaultCheckpointDelay = 100 * time.Millisecond
 	DefaultUsageLag        = 2 * time.Second
 	DefaultStartLog        = 65536
-	DefaultEndedTasks      = 65536
+	// DefaultEndedTasks covers 20 s of the shortest tasks on 8 slots, longer
+	// than a task lease, at about 8 MB a worker.
+	DefaultEndedTasks = 16384
 )
 
 // Config configures a Worker; a zero field takes its default.
@@ -72,11 +74,11 @@
 	leaving     bool
 	closed      bool
 	tasks       map[api.TaskID]*task
-	order       *list.List // tasks by their newest change, oldest first
+	live        map[api.TaskID]*task // those of tasks that hold a place
+	order       *list.List           // tasks by their newest change, oldest first
 	ended       []api.TaskID
 	results     resultBudget
-	busy        []api.TaskID // task that holds each accelerator
-	slotsUsed   int
+	busy        []api.TaskID  // task that holds each accelerator
 	changed     chan struct{} // closed and replaced at each change
 	faults      Faults
 	starts      startLog
@@ -95,17 +97,17 @@
 
 // clear forgets all tasks, epochs and changes.
 func (w *Worker) clear() {
-	for _, t := range w.tasks {
+	for _, t := range w.live {
 		t.stopTimers()
 	}
-	w.tasks = map[api.TaskID]*task{}
+	w.tasks, w.live = map[api.TaskID]*task{}, map[api.TaskID]*task{}
 	w.order = list.New()
 	w.ended = nil
 	w.results = resultBudget{}
 	w.busy = make([]api.TaskID, w.config.Accelerators)
 	// Changes are numbered from 1: a caller that passed back a sequence number
 	// of 0 would ask for all tasks again and not wait.
-	w.epoch, w.seq, w.slotsUsed = 0, 1, 0
+	w.epoch, w.seq = 0, 1
 	w.recordUsage()
 }
 
@@ -156,7 +158,7 @@
 func (w *Worker) RunningTasks() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.slotsUsed
+	return len(w.live)
 }
 
 // bump numbers a change and wakes the waiting calls.
--- a/pkg/target/targettest/worker_test.go
+++ b/pkg/target/targettest/worker_test.go
@@ -113,6 +113,16 @@
 				}
 			}
 		}},
+		{name: "results without bound are kept, or identities go with them", run: func(t *testing.T, w worker) {
+			for i := range 9 { // results of 1 MiB each against a budget of 8 MiB
+				w.mustRun(t, api.TaskID(fmt.Sprintf("j1-%d/1/0", i)), `{"size":1048576}`)
+				time.Sleep(time.Second)
+			}
+			oldest, newest := w.status(t, "j1-0/1/0"), w.status(t, "j1-8/1/0")
+			wantEqual(t, "oldest state", oldest.State, target.TaskSucceeded)
+			wantEqual(t, "oldest result dropped", len(oldest.Result) == 0 && oldest.Error != "", true)
+			wantEqual(t, "newest result kept", len(newest.Result) > 1<<20, true)
+		}},
 		{name: "a checkpoint loses or invents progress", run: func(t *testing.T, w worker) {
 			ctx := t.Context()
 			wantKind(t, w.Checkpoint(ctx, first, epoch), errkind.NotFound)
