adapters: check when a long poll ends, not only how

Cause: of 35 faults put into a scratch copy, two survived the tests: a stale owner's long poll that is not ended by a newer epoch, and a Sync that waits although the worker restarted. Change: both cases check the time in the bubble as well. Result: both faults are found now; one survivor is left on purpose, the check of a lease whose timer is late, which the bubble's clock cannot produce.

--- a/pkg/target/targettest/fencing_test.go
+++ b/pkg/target/targettest/fencing_test.go
@@ -44,7 +44,7 @@
 			},
 		},
 		{name: "a stale owner's long poll goes on", run: func(t *testing.T, w worker) {
-			seq := w.sync(t, 0, 0).Seq
+			seq, begun := w.sync(t, 0, 0).Seq, time.Now()
 			var successor sync.WaitGroup
 			successor.Go(func() {
 				time.Sleep(time.Second)
@@ -55,6 +55,7 @@
 			})
 			successor.Wait()
 			wantKind(t, err, errkind.StaleEpoch)
+			wantEqual(t, "ended by the successor", time.Since(begun), time.Second)
 		}},
 		{name: "a caretaker takes over or lets leases lapse", run: func(t *testing.T, w worker) {
 			w.mustRun(t, first, `{"run":"60s"}`)
@@ -75,10 +76,12 @@
 			old := target.StartRequest{Task: first, Epoch: epoch, Incarnation: w.backend.Incarnation()}
 			w.backend.Restart()
 			wantKind(t, w.Start(t.Context(), old), errkind.Conflict)
+			begun := time.Now()
 			resp, err := w.Sync(t.Context(), target.SyncRequest{
 				Epoch: epoch, Since: seen.Seq, Incarnation: seen.Incarnation, Wait: ttl,
 			})
 			wantKind(t, err, "")
+			wantEqual(t, "wait for the news of the restart", time.Since(begun), 0)
 			wantEqual(t, "new incarnation", resp.Incarnation > seen.Incarnation, true)
 			wantEqual(t, "tasks left", len(resp.Tasks), 0)
 			wantKind(t, w.start(t, first, ""), errkind.NotFound)
