--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -125,6 +125,9 @@
 	if err != nil {
 		return api.JobStatus{}, err
 	}
+	if x.call.isForeign(status) {
+		return api.JobStatus{}, errkind.New(errkind.NotFound, "no job has this ID")
+	}
 	if !x.call.owns(status) {
 		x.in.metrics.mismatches.Inc()
 		x.in.Log.Error(errMismatch, "answer dropped", "requestId", x.call.requestID, "job", x.call.job, "answered", status.ID)
--- a/pkg/ingress/owns.go
+++ b/pkg/ingress/owns.go
@@ -21,3 +21,9 @@
 	spec := call.submit.Spec
 	return ok && partition == call.partition && status.Spec.Class == spec.Class && status.Spec.Name == spec.Name
 }
+
+// isForeign reports whether the caller asked for a job of another workspace,
+// which must look like a job that does not exist.
+func (call *call) isForeign(status api.JobStatus) bool {
+	return call.submit.ID == "" && status.ID == call.job && status.Spec.Workspace != call.workspace
+}
--- a/pkg/ingress/route_list.go
+++ b/pkg/ingress/route_list.go
@@ -18,18 +18,6 @@
 	maxPage     = 500
 )
 
-// JobList is one page of jobs, ordered by ID, without payloads and results.
-type JobList struct {
-	Jobs []api.JobStatus `json:"jobs"`
-	// Next is the parameter after of the next page; empty on the last page.
-	Next api.JobID `json:"next,omitempty"`
-}
-
-// WorkerList is the answer of GET /v1/workers.
-type WorkerList struct {
-	Workers []api.WorkerStatus `json:"workers"`
-}
-
 // list answers GET /v1/jobs.
 func (in *Ingress) list(c *gin.Context) {
 	req, err := listRequest(c)
@@ -61,8 +49,8 @@
 	return true
 }
 
-func page(jobs []api.JobStatus, limit int) JobList {
-	out := JobList{Jobs: []api.JobStatus{}}
+func page(jobs []api.JobStatus, limit int) api.JobList {
+	out := api.JobList{Jobs: []api.JobStatus{}}
 	for _, j := range jobs[:min(len(jobs), limit)] {
 		j.Result, j.Spec.Payload = nil, nil
 		out.Jobs = append(out.Jobs, j)
@@ -115,7 +103,7 @@
 	if workers == nil {
 		workers = []api.WorkerStatus{}
 	}
-	in.writeJSON(c, statusOK, WorkerList{Workers: workers})
+	in.writeJSON(c, statusOK, api.WorkerList{Workers: workers})
 }
 
 // repeat makes a reading call again after transient failures, until the time
