--- a/pkg/ctl/result.go
+++ b/pkg/ctl/result.go
@@ -34,10 +34,10 @@
 // that goes on is an error of kind timeout, so that scripts can tell.
 func (c *connection) printResult(w io.Writer, status api.JobStatus, err error) error {
 	if err != nil || !status.State.Terminal() {
-		if err == nil {
-			err = errkind.New(errkind.Timeout, "the job is %s", status.State)
+		if err := c.printOutcome(w, status, err); err != nil {
+			return err
 		}
-		return c.printOutcome(w, status, err)
+		return errkind.New(errkind.Timeout, "the job is %s", status.State)
 	}
 	if c.output == outputJSON {
 		return printJSON(w, status)
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -11,6 +11,7 @@
 func (p *parser) checkTogether() {
 	p.checkAdvertise()
 	p.checkConnections()
+	p.checkKeepAlive()
 	p.checkToken()
 	p.checkTLS()
 	p.checkFiles()
@@ -50,6 +51,20 @@
 	}
 }
 
+// checkKeepAlive lets one keep-alive time out without loss of the lease: it is
+// sent after a third of the TTL, and the holder gives up after three quarters.
+func (p *parser) checkKeepAlive() {
+	if p.anyInvalid("platform.timeout", "platform.lease_ttl") {
+		return
+	}
+	timeout, limit := p.settings.Platform.Timeout, p.settings.Platform.LeaseTTL*5/12
+	if timeout > limit {
+		line := max(p.lines["platform.timeout"], p.lines["platform.lease_ttl"], p.lineOf(p.keys["platform.timeout"]))
+		p.fault(line, "platform.timeout", "at most 5/12 of platform.lease_ttl, that is "+formatDuration(limit),
+			"%s leaves no time to repeat a lost keep-alive", formatDuration(timeout))
+	}
+}
+
 // checkToken takes the peer token from its file and requires that peers
 // authenticate each other in one way at least.
 func (p *parser) checkToken() {
@@ -60,7 +75,7 @@
 	case file != "":
 		p.readToken(file)
 	case !inline && p.settings.TLS.ClientCA == "":
-		p.fault(p.lines["peers.token"], "peers.token", "peers.token, peers.token_file or tls.client_ca", "peers have no way to authenticate each other")
+		p.fault(p.lineOf(p.keys["peers.token"]), "peers.token", "peers.token, peers.token_file or tls.client_ca", "peers have no way to authenticate each other")
 	}
 }
 
--- a/pkg/settings/fault.go
+++ b/pkg/settings/fault.go
@@ -10,7 +10,7 @@
 // Fault is one mistake in a settings file.
 type Fault struct {
 	File    string
-	Line    int    // 1-based; 0 when the fault belongs to no line
+	Line    int    // 1-based; 0 when the file cannot be read
 	Key     string // section.key; empty when the fault belongs to no key
 	Message string
 	Allowed string // the allowed values in words; may be empty
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -21,7 +21,7 @@
 	file     string
 	settings *Settings
 	keys     map[string]Key
-	lines    map[string]int  // line of each key that is present
+	lines    map[string]int  // line of each section and key that is present
 	invalid  map[string]bool // keys whose value was refused
 	faults   []Fault
 	broken   bool // the file is not YAML, so that further checks would mislead
@@ -70,6 +70,7 @@
 			p.fault(key.Line, name, strings.Join(sections, ", "), "unknown section")
 			return
 		}
+		p.lines[name] = key.Line
 		p.parseSection(name, value)
 	})
 }
@@ -146,7 +147,7 @@
 			continue
 		}
 		if k.Required {
-			p.fault(0, k.Name, k.Allowed, "required key is missing")
+			p.fault(p.lineOf(k), k.Name, k.Allowed, "required key is missing")
 			p.invalid[k.Name] = true
 		} else if k.Default != "" {
 			if err := k.set(p.settings, k.Default); err != nil {
@@ -159,6 +160,14 @@
 	}
 }
 
+// lineOf returns the line of a key, or the place where it would stand.
+func (p *parser) lineOf(k Key) int {
+	if line := p.lines[k.Name]; line > 0 {
+		return line
+	}
+	return max(1, p.lines[k.section()])
+}
+
 func (p *parser) sections() []string {
 	set := map[string]bool{}
 	for _, k := range p.keys {
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -48,7 +48,7 @@
 	return []Key{
 		stringKey("platform.url", "URL", "", "http or https URL without credentials", "Base URL of the platform's store and VM list.",
 			parseURL, func(s *Settings) *string { return &s.Platform.URL }).required(),
-		durationKey("platform.timeout", "2s", 10*time.Millisecond, time.Minute, "Time after which a call to the platform counts as failed.",
+		durationKey("platform.timeout", "1s", 10*time.Millisecond, time.Minute, "Time after which a call to the platform counts as failed.",
 			func(s *Settings) *time.Duration { return &s.Platform.Timeout }),
 		durationKey("platform.lease_ttl", "3s", time.Second, time.Minute, "Time to live of this VM's lease in the store; a dead VM's shards are taken over after it.",
 			func(s *Settings) *time.Duration { return &s.Platform.LeaseTTL }),
