--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,11 @@
 
 clean:
 	rm -rf $(BIN)
+
+## measure: compare the scheduler with baselines under load (SEED=n).
+measure:
+	@$(GO) run ./cmd/measure --seed $(SEED)
+
+## bench: decision time and memory of the scheduler by fleet size, with slopes.
+bench:
+	@$(GO) run ./cmd/measure bench
--- a/pkg/sched/cells.go
+++ b/pkg/sched/cells.go
@@ -36,6 +36,7 @@
 	mask      uint64
 	slots     int // slots covered
 	slotsUsed int // of them in use by the owner
+	warm      warmth
 }
 
 // slotShare is the number of slots that n accelerators of the worker cover.
@@ -105,13 +106,16 @@
 func (d *Domain) resettle(w *worker) {
 	w.slotsFirm = 0
 	for _, p := range w.parts {
-		p.slotsUsed = 0
+		p.slotsUsed, p.warm.used = 0, 0
 	}
 	w.eachSpot(func(j *job, s *spot) {
 		s.kind, s.part = slotBorrows, nil
 		if p := w.ownPart(j.ws, s.mask); p != nil {
 			s.kind, s.part = slotOfCell, p
 			p.slotsUsed++
+			if j.class.Short && d.rules.KeepWarm {
+				p.warm.used++
+			}
 		}
 	})
 	for _, fixed := range []bool{true, false} {
--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -16,7 +16,9 @@
 	defer d.mu.Unlock()
 	d.wake = time.Time{}
 	d.settlePins()
+	d.cool(now)
 	d.settleClaims(now, &out)
+	d.shortcut(now, &out)
 	d.pass(now, &out)
 	d.settleClaims(now, &out)
 	return out
--- a/pkg/sched/domain.go
+++ b/pkg/sched/domain.go
@@ -30,17 +30,18 @@
 	byRack  map[string]*rack
 	idx     [viewCount]index
 
-	jobs     map[api.JobID]*job
-	groups   map[groupKey]*group
-	active   []*group // with waiting jobs
-	claims   []*claim
-	queued   int
-	queuedBy map[string]int
-	seq      uint64
-	freed    bool // capacity may have become free since the last Decide
-	tokens   bucket
-	wake     time.Time
-	chunk    []Placement
+	jobs      map[api.JobID]*job
+	groups    map[groupKey]*group
+	active    []*group // with waiting jobs
+	claims    []*claim
+	queued    int
+	queuedBy  map[string]int
+	seq       uint64
+	freed     bool // capacity may have become free since the last Decide
+	tokens    bucket
+	wake      time.Time
+	chunk     []Placement
+	warmQueue []warmEntry
 }
 
 // workspace is a workspace's use of the domain.
--- a/pkg/sched/options.go
+++ b/pkg/sched/options.go
@@ -12,10 +12,17 @@
 	// OwnReclaim lets work with a start bound take back cells that its own
 	// workspace fills with work of a later class.
 	OwnReclaim bool
+	// KeepWarm does not lend the slots that the owner's short work used lately.
+	KeepWarm bool
+	// Shortcut lets a job that waits for its victims start on other capacity that
+	// becomes free before.
+	Shortcut bool
 }
 
 // DefaultRules returns the rules in use.
-func DefaultRules() Rules { return Rules{Lend: true, Reclaim: true, OwnReclaim: true} }
+func DefaultRules() Rules {
+	return Rules{Lend: true, Reclaim: true, OwnReclaim: true, KeepWarm: true, Shortcut: true}
+}
 
 // Options configures a Domain. The zero value of each field selects its default.
 type Options struct {
@@ -55,3 +62,43 @@
 	}
 	return o
 }
+
+// FirstRules returns the rules of the first version, for comparison.
+func FirstRules() Rules { return Rules{Lend: true, Reclaim: true, OwnReclaim: true} }
+
+// ruleFields lists the switches by name.
+func (r *Rules) ruleFields() []struct {
+	name  string
+	field *bool
+} {
+	return []struct {
+		name  string
+		field *bool
+	}{
+		{"lend", &r.Lend},
+		{"reclaim", &r.Reclaim},
+		{"own_reclaim", &r.OwnReclaim},
+		{"keep_warm", &r.KeepWarm},
+		{"shortcut", &r.Shortcut},
+	}
+}
+
+// RuleNames returns the names of all rules.
+func RuleNames() []string {
+	var out []string
+	for _, f := range new(Rules).ruleFields() {
+		out = append(out, f.name)
+	}
+	return out
+}
+
+// SwitchOff switches the named rule off and reports whether it exists.
+func (r *Rules) SwitchOff(name string) bool {
+	for _, f := range r.ruleFields() {
+		if f.name == name {
+			*f.field = false
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/sched/place.go
+++ b/pkg/sched/place.go
@@ -189,6 +189,9 @@
 		w.slotsUsed++
 		w.tasks = append(w.tasks, j)
 		s.settle(j.ws)
+		if s.kind == slotOfCell && j.class.Short && d.rules.KeepWarm {
+			d.warmStart(now, s.part)
+		}
 		d.refresh(w)
 	}
 	j.phase, j.savedAt = phasePlaced, now
@@ -226,6 +229,9 @@
 		switch s.kind {
 		case slotOfCell:
 			s.part.slotsUsed--
+			if j.class.Short && d.rules.KeepWarm {
+				s.part.warmEnd(s.mask)
+			}
 		case slotOfFree:
 			w.slotsFirm--
 			w.promote()
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -56,6 +56,9 @@
 // slots returns the free slots in a slot view.
 func (w *worker) slots(v view) int {
 	n := w.Slots - w.slotsUsed - w.slotsClaimed - w.slotsReserved
+	for _, p := range w.parts {
+		n -= p.kept()
+	}
 	if v == slotFirm {
 		n = min(n, w.Slots-w.slotsPinned-w.slotsFirm)
 	}
@@ -77,6 +80,9 @@
 	if w.slots(slotAny) == 0 {
 		return 0
 	}
+	for _, p := range w.parts {
+		m &^= p.warm.mask
+	}
 	return m
 }
 
