policy, timeline, gate, plan: tests, and the faults that they showed

Change: table, property, datadriven and synctest tests. A selector without an age no longer leaves out jobs whose submission stamp lies ahead of the VM's clock; a cancel plan without a job is refused; durations in a difference are readable; a proposal's effect names the worker.

--- /dev/null
+++ b/pkg/gate/gate_test.go
@@ -0,0 +1,207 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// source is a configsync.Source with one document.
+type source struct {
+	doc  *policy.Document
+	subs []func(*policy.Document)
+}
+
+func (s *source) Current() *policy.Document { return s.doc }
+
+func (s *source) Subscribe(fn func(*policy.Document)) { s.subs = append(s.subs, fn) }
+
+func (s *source) Change(_ context.Context, _ int64, next *policy.Document) (*policy.Document, error) {
+	s.doc = next
+	for _, fn := range s.subs {
+		fn(next)
+	}
+	return next, nil
+}
+
+// hold sets the holds of the document.
+func (s *source) hold(t interface{ Fatal(...any) }, holds map[string]policy.Hold) {
+	next := s.doc.Clone()
+	next.Revision++
+	next.Holds = holds
+	if _, err := s.Change(context.Background(), s.doc.Revision, next); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newSource() *source {
+	d := policy.Default()
+	d.Workspaces["a"], d.Workspaces["b"] = policy.Workspace{}, policy.Workspace{}
+	return &source{doc: d}
+}
+
+// Guards against an automatic action that passes during a hold, for any mix of
+// holds, and against a resume that enables another set than before.
+func TestHoldStopsTheClosedListAndResumeRestoresIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		src := newSource()
+		g := New(Options{Source: src, ResumeRate: 1e9})
+		workspaces := []string{"", "a", "b"}
+		before := map[string]map[Kind]bool{}
+		for _, ws := range workspaces {
+			before[ws] = g.Enabled(ws)
+		}
+		holds := map[string]policy.Hold{}
+		for _, key := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{policy.HoldAll, "a", "b"}), rapid.ID).Draw(t, "holds") {
+			holds[key] = policy.Hold{Reason: "weekend"}
+		}
+		src.hold(t, holds)
+		for _, ws := range workspaces {
+			_, held := holds[ws]
+			_, all := holds[policy.HoldAll]
+			for _, k := range Kinds() {
+				if got := g.Allow(k, ws, Proposal{Job: "j1-x"}); got == (held || all) {
+					t.Fatalf("holds %v: Allow(%s, %q) = %v", holds, k, ws, got)
+				}
+			}
+		}
+		src.hold(t, nil)
+		for _, ws := range workspaces {
+			if !maps.Equal(before[ws], g.Enabled(ws)) || len(g.Enabled(ws)) != len(Kinds()) {
+				t.Fatalf("workspace %q: %v before, %v after", ws, before[ws], g.Enabled(ws))
+			}
+			for _, k := range Kinds() {
+				if !g.Allow(k, ws, Proposal{}) {
+					t.Fatalf("%s stays off for %q after the resume", k, ws)
+				}
+			}
+		}
+		if n := len(g.Proposals()); n != 0 {
+			t.Fatalf("%d proposals remain after the resume", n)
+		}
+	})
+}
+
+// Guards against an action outside the closed list, and one before the hold
+// state is known.
+func TestUnknownStateAndKindAreNotAllowed(t *testing.T) {
+	src := newSource()
+	g := New(Options{Source: src})
+	if g.Allow("reboot", "a", Proposal{}) {
+		t.Error("unknown kind allowed")
+	}
+	src.doc = nil
+	if g.Allow(Retry, "a", Proposal{}) || g.Enabled("a")[Retry] || len(g.Proposals()) != 0 {
+		t.Error("action allowed without a document")
+	}
+}
+
+// Guards against a list that grows without bound or holds the same action
+// twice, and against a proposal that is confirmed twice.
+func TestProposalsAreBoundedAndTakenOnce(t *testing.T) {
+	src := newSource()
+	g := New(Options{Source: src, MaxProposals: 10})
+	src.hold(t, map[string]policy.Hold{policy.HoldAll: {}})
+	for i := range 50 {
+		for range 3 {
+			g.Allow(Preempt, "a", Proposal{Job: api.JobID(fmt.Sprint("j1-", i)), Reason: fmt.Sprint("reason ", i)})
+		}
+	}
+	list := g.Proposals()
+	if len(list) != 10 || list[9].Job != "j1-49" {
+		t.Fatalf("%d proposals, the last %v", len(list), list[len(list)-1])
+	}
+	p, ok := g.Take(list[3].ID)
+	if _, again := g.Take(list[3].ID); !ok || again || p.Job != list[3].Job {
+		t.Errorf("Take: first %v, second %v", ok, again)
+	}
+	g.PutBack(p)
+	if n := len(g.Proposals()); n != 10 {
+		t.Errorf("%d proposals after PutBack", n)
+	}
+	src.hold(t, nil)
+	g.PutBack(p)
+	if n := len(g.Proposals()); n != 0 {
+		t.Errorf("PutBack after the resume leaves %d proposals", n)
+	}
+}
+
+// Guards against a burst of actions right after a resume, and against a rate
+// that never ends.
+func TestResumeIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := newSource()
+		g := New(Options{Source: src, ResumeRate: 2, ResumePeriod: 10 * time.Second})
+		src.hold(t, map[string]policy.Hold{"a": {}})
+		src.hold(t, nil)
+		count := func(ws string) (n int) {
+			for range 100 {
+				if g.Allow(Move, ws, Proposal{}) {
+					n++
+				}
+			}
+			return n
+		}
+		if n := count("b"); n != 100 {
+			t.Errorf("%d actions for a workspace that was not held", n)
+		}
+		if n := count("a"); n != 2 {
+			t.Errorf("%d actions at once after the resume", n)
+		}
+		time.Sleep(time.Second)
+		if n := count("a"); n != 2 {
+			t.Errorf("%d actions in the second after", n)
+		}
+		time.Sleep(10 * time.Second)
+		if n := count("a"); n != 100 {
+			t.Errorf("%d actions after the period", n)
+		}
+	})
+}
+
+// Guards against a hold that outlives its end, and against proposals that
+// outlive the hold.
+func TestHoldEndsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := newSource()
+		g := New(Options{Source: src})
+		src.hold(t, map[string]policy.Hold{policy.HoldAll: {Until: time.Now().Add(time.Hour)}})
+		if g.Allow(Hedge, "a", Proposal{}) || len(g.Proposals()) != 1 {
+			t.Fatal("hold has no effect")
+		}
+		time.Sleep(time.Hour)
+		if len(g.Proposals()) != 0 || !g.Allow(Hedge, "a", Proposal{}) {
+			t.Error("hold outlives its end")
+		}
+	})
+}
+
+// Guards against a hold that a replaced VM does not know of: it is in the
+// document, not in a process.
+func TestHoldSurvivesRestart(t *testing.T) {
+	src := newSource()
+	src.hold(t, map[string]policy.Hold{policy.HoldAll: {Reason: "weekend"}})
+	stored, err := json.Marshal(src.doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted := &source{doc: &policy.Document{}}
+	if err := json.Unmarshal(stored, restarted.doc); err != nil {
+		t.Fatal(err)
+	}
+	if New(Options{Source: restarted}).Allow(Preempt, "a", Proposal{}) {
+		t.Error("the hold is lost with the process")
+	}
+}
--- a/pkg/plan/actions.go
+++ b/pkg/plan/actions.go
@@ -44,6 +44,9 @@
 			}
 		}
 		// A page may be shorter than asked for, so only an empty one is the last.
+		if len(jobs) == 0 && len(made.Effects) == 0 {
+			return nothingToDo("no job matches the selector")
+		}
 		if len(jobs) == 0 || len(made.Effects) > MaxEffects {
 			return nil
 		}
@@ -56,7 +59,7 @@
 		(s.Workspace == "" || s.Workspace == j.Spec.Workspace) &&
 		(s.Class == "" || s.Class == j.Spec.Class) &&
 		(s.State == "" || s.State == j.State) &&
-		now.Sub(j.SubmittedAt) >= time.Duration(s.OlderThan)
+		(s.OlderThan == 0 || now.Sub(j.SubmittedAt) >= time.Duration(s.OlderThan))
 }
 
 // cancelEffect estimates the lost work as the time since the start, times the
@@ -92,9 +95,13 @@
 	case gate.Move:
 		kind = EffectMove
 	}
+	reason := string(h.Kind)
+	if h.Worker != "" {
+		reason += " on " + h.Worker
+	}
 	return Effect{
 		Kind: kind, Job: h.Job, Workspace: h.Workspace, Domain: h.Domain, LostWork: h.LostWork,
-		Reason: string(h.Kind) + ": " + h.Reason, Proposal: h.ID,
+		Reason: reason + ": " + h.Reason, Proposal: h.ID,
 	}
 }
 
--- /dev/null
+++ b/pkg/plan/plan_test.go
@@ -0,0 +1,527 @@
+package plan
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/policy"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+var (
+	ann = Actor{Name: "ann", Role: policy.RoleAdmin}
+	bob = Actor{Name: "bob", Role: policy.RoleOperator}
+	vic = Actor{Name: "vic", Role: policy.RoleViewer}
+)
+
+func ptr[T any](v T) *T { return &v }
+
+// intents holds an intent of every kind that is possible in a new world.
+func intents() map[Kind][]Spec {
+	return map[Kind][]Spec{
+		KindWorkspace: {
+			&Workspace{Action: ActionCreate, Name: "new", TokenHashes: &[]string{policy.HashToken("n")}, Weight: ptr(2.0)},
+			&Workspace{Name: "postbud", Quota: &policy.Quota{Accelerators: 32}},
+			&Workspace{Action: ActionDelete, Name: "lautoka"},
+		},
+		KindGuarantee:  {&Guarantee{Workspace: "postbud"}},
+		KindClass:      {&Class{Action: ActionCreate, Name: "fit", Rank: ptr(15), StartWithin: ptr(Duration(time.Minute))}},
+		KindPriority:   {&Priority{Class: "long", Rank: ptr(5), Workspace: "postbud", Weight: ptr(3.5)}},
+		KindQuota:      {&Quota{Workspace: "lautoka", Quota: policy.Quota{Queued: 10, RequestsPerSecond: 0.5}}},
+		KindOperator:   {&Operator{Action: ActionCreate, Name: "eve", Role: policy.RoleViewer, TokenHash: policy.HashToken("e")}},
+		KindDrain:      {&Drain{Worker: "w1", Reason: "fan"}, &Drain{Rack: "r1", Reason: "move"}},
+		KindUndrain:    {&Undrain{Worker: "w9"}},
+		KindReclaim:    {&Reclaim{Workspace: "postbud", FailureDomain: "r/a"}},
+		KindDefragment: {&Defragment{FailureDomain: "r/a"}},
+		KindCancel:     {&Cancel{Workspace: "postbud"}, &Cancel{State: api.StateQueued, OlderThan: Duration(time.Hour)}},
+		KindHold:       {&Hold{Reason: "weekend"}, &Hold{Workspace: "postbud", Reason: "test", Until: time.Date(2100, 1, 1, 0, 0, 0, 0, time.FixedZone("x", 3600))}},
+		KindResume:     {&Resume{Workspace: "lautoka"}},
+		KindProposals:  {&Proposals{IDs: []string{"p1"}}, &Proposals{IDs: []string{"p2", "p1", "p2"}}},
+	}
+}
+
+func drawIntent(t *rapid.T) Intent {
+	kind := rapid.SampledFrom(Kinds()).Draw(t, "kind")
+	return NewIntent(rapid.SampledFrom(intents()[kind]).Draw(t, "spec"))
+}
+
+// Guards against an intent, of any kind, that takes effect before it is
+// confirmed, that takes effect more than once, or that a plan of another VM
+// cannot carry out.
+func TestNothingTakesEffectBeforeConfirmation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		maker, _ := w.vm(Options{})
+		confirmer, _ := w.vm(Options{})
+		before := w.doc.Clone()
+		for range rapid.IntRange(0, 3).Draw(t, "other plans") {
+			if _, err := maker.Make(t.Context(), ann, drawIntent(t)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		made, err := maker.Make(t.Context(), ann, drawIntent(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rev, done := w.effects(); rev != 7 || done != "" || !cmp.Equal(before, w.doc) {
+			t.Fatalf("the plan alone had an effect: revision %d, %q", rev, done)
+		}
+		if made.Base != 7 || made.MadeBy != "ann" || made.ExpiresAt.Sub(made.MadeAt) != DefaultLifetime {
+			t.Fatalf("plan = %+v", made)
+		}
+		first, err := confirmer.Confirm(t.Context(), ann, made.ID, made.Hash)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rev, done := w.effects()
+		if (rev == 7) == (done == "") {
+			t.Fatalf("the confirmed %s plan had the effects %d, %q", made.Intent.Kind, rev, done)
+		}
+		if rev == 8 && (w.doc.Plan != made.ID || w.doc.ChangedBy != "ann") {
+			t.Fatalf("audit trail: plan %q by %q", w.doc.Plan, w.doc.ChangedBy)
+		}
+		for _, p := range []*Planner{maker, confirmer} {
+			again, err := p.Confirm(t.Context(), bobOr(ann, made.Intent.Kind), made.ID, "")
+			if err != nil || !sameJSON(t, first, again) {
+				t.Fatalf("second confirmation: %+v, %v; first %+v", again, err, first)
+			}
+		}
+		if rev2, done2 := w.effects(); rev2 != rev || done2 != done {
+			t.Fatalf("the second confirmation had an effect: %d, %q", rev2, done2)
+		}
+	})
+}
+
+func bobOr(admin Actor, k Kind) Actor {
+	if bob.Role.Includes(k.Role()) {
+		return bob
+	}
+	return admin
+}
+
+func sameJSON(t interface{ Fatal(...any) }, a, b any) bool {
+	x, err := json.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	y, err := json.Marshal(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.Equal(x, y)
+}
+
+// Guards against a kind of the closed list that the property above leaves out.
+func TestEveryKindHasAnIntent(t *testing.T) {
+	for _, k := range Kinds() {
+		if len(intents()[k]) == 0 || newSpec(k) == nil {
+			t.Errorf("no intent of kind %s", k)
+		}
+		for _, s := range intents()[k] {
+			if s.kind() != k {
+				t.Errorf("%T is listed under %s", s, k)
+			}
+		}
+	}
+}
+
+// Guards against the loser of a race that overwrites the winner, or that is not
+// told what changed.
+func TestTwoOperatorsRacing(t *testing.T) {
+	w := newWorld()
+	p1, _ := w.vm(Options{})
+	p2, _ := w.vm(Options{})
+	a, errA := p1.Make(t.Context(), ann, NewIntent(&Quota{Workspace: "postbud", Quota: policy.Quota{Accelerators: 32}}))
+	b, errB := p2.Make(t.Context(), bob, NewIntent(&Hold{Reason: "weekend"}))
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	var wg sync.WaitGroup
+	var errs [2]error
+	wg.Go(func() { _, errs[0] = p1.Confirm(t.Context(), ann, a.ID, "") })
+	wg.Go(func() { _, errs[1] = p2.Confirm(t.Context(), bob, b.ID, "") })
+	wg.Wait()
+	loser, confirm := errs[1], func(id string) (Record, error) { return p2.Confirm(t.Context(), bob, id, "") }
+	if errs[0] != nil {
+		loser, confirm = errs[0], func(id string) (Record, error) { return p1.Confirm(t.Context(), ann, id, "") }
+	}
+	if (errs[0] == nil) == (errs[1] == nil) || w.doc.Revision != 8 {
+		t.Fatalf("errors %v, revision %d", errs, w.doc.Revision)
+	}
+	var outdated *OutdatedError
+	if !errors.As(loser, &outdated) || !errkind.Is(loser, errkind.PlanOutdated) {
+		t.Fatalf("loser got %v", loser)
+	}
+	if len(outdated.Changed) != 1 || len(outdated.Changed[0].Changes) == 0 || outdated.Changed[0].ChangedBy == "" {
+		t.Errorf("changed = %+v", outdated.Changed)
+	}
+	if outdated.Fresh == nil || outdated.Fresh.Base != 8 {
+		t.Fatalf("fresh plan = %+v (%s)", outdated.Fresh, outdated.FreshError)
+	}
+	if _, err := confirm(outdated.Fresh.ID); err != nil || w.doc.Revision != 9 {
+		t.Errorf("fresh plan: %v, revision %d", err, w.doc.Revision)
+	}
+	if w.doc.Workspaces["postbud"].Quota.Accelerators != 32 || w.doc.Holds[policy.HoldAll].Reason != "weekend" {
+		t.Error("one of the two changes is lost")
+	}
+}
+
+// Guards against an action plan that is carried out on a state other than the
+// one it shows, and one that two VMs carry out twice.
+func TestActionPlanRacesAndOvertaking(t *testing.T) {
+	w := newWorld()
+	p1, _ := w.vm(Options{})
+	p2, _ := w.vm(Options{})
+	made, err := p1.Make(t.Context(), bob, NewIntent(&Cancel{Workspace: "postbud"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var recs [2]Record
+	var errs [2]error
+	for i, p := range []*Planner{p1, p2} {
+		wg.Go(func() { recs[i], errs[i] = p.Confirm(t.Context(), bob, made.ID, made.Hash) })
+	}
+	wg.Wait()
+	if errs[0] != nil || errs[1] != nil || recs[0].State != StateApplied || recs[1].State != StateApplied {
+		t.Fatalf("states %s and %s, errors %v", recs[0].State, recs[1].State, errs)
+	}
+	if _, done := w.effects(); done != "cancel j0-a, cancel j0-b" {
+		t.Errorf("effects = %q", done)
+	}
+	late, err := p1.Make(t.Context(), bob, NewIntent(&Cancel{Class: "short"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hold, err := p1.Make(t.Context(), bob, NewIntent(&Hold{Reason: "x"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p1.Confirm(t.Context(), bob, hold.ID, ""); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p2.Confirm(t.Context(), bob, late.ID, ""); !errkind.Is(err, errkind.PlanOutdated) {
+		t.Errorf("overtaken cancel plan: %v", err)
+	}
+	if _, done := w.effects(); strings.Contains(done, "j1-d") {
+		t.Errorf("the overtaken plan had effects: %q", done)
+	}
+}
+
+// Guards against a confirmation that is lost when an effect fails half-way or
+// the store fails after the change.
+func TestConfirmationResumesAfterFailures(t *testing.T) {
+	w := newWorld()
+	p, _ := w.vm(Options{})
+	made, err := p.Make(t.Context(), bob, NewIntent(&Cancel{Workspace: "postbud"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.failJob = "j0-b"
+	rec, err := p.Confirm(t.Context(), bob, made.ID, "")
+	if err != nil || rec.State != StateConfirmed || len(rec.Failures) != 1 {
+		t.Fatalf("record %+v, %v", rec, err)
+	}
+	w.failJob = ""
+	if rec, err = p.Confirm(t.Context(), bob, made.ID, ""); err != nil || rec.State != StateApplied {
+		t.Fatalf("repeated: %+v, %v", rec, err)
+	}
+	if _, done := w.effects(); done != "cancel j0-a, cancel j0-b" {
+		t.Errorf("effects = %q", done)
+	}
+
+	hold, err := p.Make(t.Context(), bob, NewIntent(&Hold{Reason: "x"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.lostSave = true
+	first, err := p.Confirm(t.Context(), bob, hold.ID, "")
+	if err != nil || first.State != StateApplied {
+		t.Fatalf("change without a note: %+v, %v", first, err)
+	}
+	w.lostSave = false
+	other, err := p.Make(t.Context(), bob, NewIntent(&Drain{Worker: "w1"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Confirm(t.Context(), bob, other.ID, ""); err != nil {
+		t.Fatal(err)
+	}
+	again, err := p.Confirm(t.Context(), bob, hold.ID, "")
+	if err != nil || !sameJSON(t, first, again) || w.doc.Revision != 9 {
+		t.Errorf("after a later change: %+v, %v, revision %d", again, err, w.doc.Revision)
+	}
+}
+
+// Guards against a change during a store outage, and a VM that decides on a
+// configuration older than the plan's.
+func TestOutageAndLaggingVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		p, _ := w.vm(Options{})
+		lagging, src := w.vm(Options{})
+		src.lag = true
+		confirm := func(p *Planner, spec Spec) (string, error) {
+			made, err := p.Make(t.Context(), ann, NewIntent(spec))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = p.Confirm(t.Context(), ann, made.ID, "")
+			return made.ID, err
+		}
+		if _, err := confirm(p, &Drain{Worker: "w1"}); err != nil {
+			t.Fatal(err)
+		}
+		made, err := p.Make(t.Context(), ann, NewIntent(&Drain{Worker: "w2"}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := lagging.Confirm(t.Context(), ann, made.ID, ""); !errkind.Is(err, errkind.Unavailable) {
+			t.Errorf("lagging VM: %v", err)
+		}
+		go func() { time.Sleep(time.Second); src.catchUp() }()
+		if _, err := lagging.Confirm(t.Context(), ann, made.ID, ""); err != nil || w.doc.Revision != 9 {
+			t.Errorf("VM that catches up: %v, revision %d", err, w.doc.Revision)
+		}
+		w.down = true
+		if _, err := p.Make(t.Context(), ann, NewIntent(&Drain{Worker: "w3"})); !errkind.Is(err, errkind.StoreUnavailable) {
+			t.Errorf("plan in an outage: %v", err)
+		}
+		if _, err := p.Confirm(t.Context(), ann, made.ID, ""); !errkind.Is(err, errkind.StoreUnavailable) || w.doc.Revision != 9 {
+			t.Errorf("confirmation in an outage: %v", err)
+		}
+	})
+}
+
+// Guards against a confirmation that must be refused.
+func TestRefusedConfirmations(t *testing.T) {
+	tamper := func(w *world, id, old, with string) {
+		p := w.plans[id]
+		p.Data = bytes.ReplaceAll(p.Data, []byte(old), []byte(with))
+		w.plans[id] = p
+	}
+	for name, c := range map[string]struct {
+		prepare func(w *world, id string)
+		actor   Actor
+		hash    string
+		want    errkind.Kind
+	}{
+		"expired":           {func(*world, string) { time.Sleep(DefaultLifetime) }, bob, "", errkind.PlanExpired},
+		"tampered intent":   {func(w *world, id string) { tamper(w, id, `"worker":"w1"`, `"worker":"w2"`) }, bob, "", errkind.PlanTampered},
+		"tampered expiry":   {func(w *world, id string) { tamper(w, id, `"expiresAt":"2`, `"expiresAt":"3`) }, bob, "", errkind.PlanTampered},
+		"unreadable":        {func(w *world, id string) { tamper(w, id, `"drain"`, `"dance"`) }, bob, "", errkind.PlanTampered},
+		"other than seen":   {func(*world, string) {}, bob, "0123", errkind.PlanTampered},
+		"viewer":            {func(*world, string) {}, vic, "", errkind.Forbidden},
+		"nobody":            {func(*world, string) {}, Actor{Name: "x"}, "", errkind.Forbidden},
+		"removed":           {func(w *world, id string) { delete(w.plans, id) }, bob, "", errkind.NotFound},
+		"store unreachable": {func(w *world, _ string) { w.down = true }, bob, "", errkind.StoreUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				p, _ := w.vm(Options{})
+				made, err := p.Make(t.Context(), bob, NewIntent(&Drain{Worker: "w1", Reason: "fan"}))
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.prepare(w, made.ID)
+				if _, err := p.Confirm(t.Context(), c.actor, made.ID, c.hash); !errkind.Is(err, c.want) {
+					t.Errorf("err = %v, want %s", err, c.want)
+				}
+				if rev, done := w.effects(); rev != 7 || done != "" {
+					t.Errorf("something changed: %d, %q", rev, done)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an intent that cannot be meant and is planned all the same,
+// and against a refusal that does not say what to do.
+func TestRefusedIntents(t *testing.T) {
+	guarantee := func(g policy.Guarantee) Spec {
+		return &Guarantee{Workspace: "postbud", Guarantees: []policy.Guarantee{g}}
+	}
+	for name, c := range map[string]struct {
+		spec   Spec
+		actor  Actor
+		want   errkind.Kind
+		advice string
+	}{
+		"unknown workspace":   {&Quota{Workspace: "nobody"}, ann, errkind.NotFound, "check the name"},
+		"hold on nobody":      {&Hold{Workspace: "nobody", Reason: "x"}, ann, errkind.NotFound, "check the name"},
+		"cancel for nobody":   {&Cancel{Workspace: "nobody"}, ann, errkind.NotFound, "check the name"},
+		"contradiction":       {guarantee(policy.Guarantee{Cells: 9, Accelerators: 8, Adjacency: "worker", FailureDomain: "r/a"}), ann, errkind.InvalidConfig, "raise the quota"},
+		"no power of two":     {guarantee(policy.Guarantee{Cells: 1, Accelerators: 6, Adjacency: "worker", FailureDomain: "r/a"}), ann, errkind.InvalidConfig, "use a power of two"},
+		"impossible":          {guarantee(policy.Guarantee{Cells: 1, Accelerators: 64, Adjacency: "rack", FailureDomain: "r/a"}), ann, errkind.GuaranteeUnmeetable, "add workers"},
+		"hold in the past":    {&Hold{Reason: "x", Until: time.Unix(1, 0)}, ann, errkind.InvalidRequest, "give a later end"},
+		"hold without reason": {&Hold{}, ann, errkind.InvalidRequest, "say why"},
+		"nothing to resume":   {&Resume{}, ann, errkind.InvalidRequest, "nothing to change"},
+		"no change":           {&Quota{Workspace: "lautoka"}, ann, errkind.InvalidRequest, "nothing"},
+		"existing workspace":  {&Workspace{Action: ActionCreate, Name: "postbud"}, ann, errkind.InvalidRequest, "use the action change"},
+		"unknown action":      {&Class{Action: "drop", Name: "long"}, ann, errkind.InvalidRequest, "use create"},
+		"built-in class":      {&Class{Action: ActionDelete, Name: "long"}, ann, errkind.InvalidConfig, "keep it"},
+		"last admin":          {&Operator{Action: ActionDelete, Name: "ann"}, ann, errkind.InvalidConfig, "add another admin"},
+		"unknown role":        {&Operator{Name: "ann", Role: "root"}, ann, errkind.InvalidConfig, "add another admin"},
+		"drain of nothing":    {&Drain{}, ann, errkind.InvalidRequest, "name either"},
+		"drained already":     {&Drain{Worker: "w9"}, ann, errkind.InvalidRequest, "already"},
+		"empty selector":      {&Cancel{}, ann, errkind.InvalidRequest, "set at least one"},
+		"no such job":         {&Cancel{Class: "archive"}, ann, errkind.InvalidRequest, "nothing to change"},
+		"ended jobs":          {&Cancel{State: api.StateFailed}, ann, errkind.InvalidRequest, "use one of"},
+		"no such proposal":    {&Proposals{IDs: []string{"p9"}}, ann, errkind.NotFound, "list the proposals"},
+		"nothing to reclaim":  {&Reclaim{Workspace: "lautoka"}, ann, errkind.InvalidRequest, "plan a guarantee"},
+		"empty priority":      {&Priority{Class: "long"}, ann, errkind.InvalidRequest, "give class and rank"},
+		"operator for admin":  {&Quota{Workspace: "postbud"}, bob, errkind.Forbidden, "needs the role admin"},
+		"viewer":              {&Hold{Reason: "x"}, vic, errkind.Forbidden, "needs the role operator"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			if c.want == errkind.GuaranteeUnmeetable {
+				w.previews = []DomainPreview{{Domain: "r/a", Impossible: []string{"postbud: 64 in one rack"}}}
+			}
+			p, _ := w.vm(Options{})
+			_, err := p.Make(t.Context(), c.actor, NewIntent(c.spec))
+			if !errkind.Is(err, c.want) || !strings.Contains(err.Error(), c.advice) {
+				t.Errorf("err = %v, want %s with %q", err, c.want, c.advice)
+			}
+			if rev, done := w.effects(); rev != 7 || done != "" || len(w.plans) != 0 {
+				t.Errorf("something changed: %d, %q, %d plans", rev, done, len(w.plans))
+			}
+		})
+	}
+}
+
+// Guards against plans that fill the store, and against an open plan that is
+// dropped to make room.
+func TestPlansAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		p, _ := w.vm(Options{MaxPlans: 3})
+		hold := NewIntent(&Hold{Reason: "x"})
+		for range 3 {
+			if _, err := p.Make(t.Context(), bob, hold); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := p.Make(t.Context(), bob, hold); !errkind.Is(err, errkind.Overloaded) {
+			t.Errorf("fourth open plan: %v", err)
+		}
+		time.Sleep(DefaultLifetime)
+		for range 10 {
+			made, err := p.Make(t.Context(), bob, hold)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := p.Confirm(t.Context(), bob, made.ID, ""); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second) // a hold at the same time would be no change
+		}
+		if list, err := p.List(t.Context()); err != nil || len(list) > 3 {
+			t.Errorf("%d plans, %v", len(list), err)
+		}
+	})
+}
+
+// Guards against a plan whose hash changes on its way through the store, which
+// would refuse it as tampered.
+func TestHashSurvivesTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Plan{ID: "x", Intent: drawIntent(t), MadeAt: time.Unix(0, rapid.Int64().Draw(t, "at")).UTC()}
+		var err error
+		if p.Hash, err = p.hash(); err != nil {
+			t.Skip("the time has no JSON form")
+		}
+		data, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Plan
+		if err := json.Unmarshal(data, &back); err != nil {
+			t.Fatal(err)
+		}
+		if err := back.verify(p.Hash); err != nil {
+			t.Fatal(err)
+		}
+		if text, err := json.Marshal(p.Redacted()); err != nil || bytes.Contains(text, []byte(policy.HashToken("n"))) || bytes.Contains(text, []byte(policy.HashToken("e"))) {
+			t.Fatalf("token hash shows: %s, %v", text, err)
+		}
+	})
+}
+
+// Guards against a missing trail of who made and who confirmed a plan.
+func TestAuditEvents(t *testing.T) {
+	w := newWorld()
+	p, _ := w.vm(Options{})
+	made, err := p.Make(t.Context(), ann, NewIntent(&Hold{Reason: "weekend"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Confirm(t.Context(), bob, made.ID, ""); err != nil {
+		t.Fatal(err)
+	}
+	var got []timeline.Event
+	for _, e := range w.events {
+		e.Reason = strings.ReplaceAll(e.Reason, made.ID, "ID")
+		got = append(got, e)
+	}
+	want := []timeline.Event{
+		{Type: timeline.PlanMade, By: "ann", Reason: "hold plan ID made by ann"},
+		{Type: timeline.PlanConfirmed, By: "bob", Reason: "hold plan ID made by ann"},
+		{Type: timeline.HoldChanged, By: "bob", Reason: "hold: weekend"},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a plan that hides what it would change. The cases show what
+// an operator reads for intents in YAML.
+func TestPlanOutput(t *testing.T) {
+	datadriven.RunTest(t, "testdata/plans", func(t *testing.T, d *datadriven.TestData) string {
+		var out string
+		synctest.Test(t, func(t *testing.T) { out = renderIntent(t.Context(), d) })
+		return out
+	})
+}
+
+func renderIntent(ctx context.Context, d *datadriven.TestData) string {
+	w := newWorld()
+	if d.HasArg("preview") {
+		w.previews = []DomainPreview{
+			{Domain: "r/a", Effects: []Effect{{Kind: EffectPreempt, Job: "j0-b", Workspace: "postbud", Domain: "r/a", Reason: "above the guarantee", LostWork: 90 * time.Second}}},
+			{Domain: "r/b", Unmeetable: []string{"lautoka: 1 x 8 in one worker"}, Error: "its owner did not answer"},
+		}
+	}
+	p, _ := w.vm(Options{})
+	intent, err := ParseIntent([]byte(d.Input))
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	made, err := p.Make(ctx, ann, intent)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	rec, err := p.Get(ctx, made.ID)
+	if d.Cmd == "confirm" && err == nil {
+		rec, err = p.Confirm(ctx, ann, made.ID, made.Hash)
+	}
+	var b strings.Builder
+	if err != nil || Render(&b, rec) != nil {
+		return "error\n"
+	}
+	return strings.ReplaceAll(b.String(), made.ID, "ID")
+}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -201,5 +201,5 @@
 }
 
 func (p *Planner) record(t timeline.Type, made *Plan, by string) {
-	p.opts.Recorder.Record(timeline.Event{Type: t, By: by, Reason: string(made.Intent.Kind) + " plan " + made.ID})
+	p.opts.Recorder.Record(timeline.Event{Type: t, By: by, Reason: string(made.Intent.Kind) + " plan " + made.ID + " made by " + made.MadeBy})
 }
--- /dev/null
+++ b/pkg/plan/render.go
@@ -0,0 +1,75 @@
+package plan
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/policy"
+)
+
+// Render writes the record for people, one fact a line.
+func Render(w io.Writer, rec Record) error {
+	var b strings.Builder
+	p := &rec.Plan
+	fmt.Fprintf(&b, "Plan %s: %s, made by %s on revision %d\n", p.ID, p.Intent.Kind, p.MadeBy, p.Base)
+	renderState(&b, rec)
+	renderList(&b, "Configuration", p.Changes, func(c policy.Change) string { return c.String() })
+	renderList(&b, "Jobs", p.Effects, renderEffect)
+	renderList(&b, "Guarantees that could not be met", p.Unmeetable, asIs)
+	if p.LostWork > 0 {
+		fmt.Fprintf(&b, "Lost work: %s accelerator time (estimate)\n", p.LostWork.Round(time.Second))
+	}
+	renderList(&b, "Warnings", p.Warnings, asIs)
+	renderList(&b, "Failures", rec.Failures, asIs)
+	if rec.State == StateOpen {
+		fmt.Fprintf(&b, "Nothing has changed yet. To carry it out: carawayctl confirm %s\n", p.ID)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func renderState(b *strings.Builder, rec Record) {
+	switch rec.State {
+	case StateOpen:
+		fmt.Fprintf(b, "State: open until %s\n", rec.Plan.ExpiresAt.Format(time.RFC3339))
+	case StateExpired:
+		fmt.Fprintf(b, "State: expired at %s\n", rec.Plan.ExpiresAt.Format(time.RFC3339))
+	default:
+		fmt.Fprintf(b, "State: %s, confirmed by %s at %s", rec.State, rec.ConfirmedBy, rec.ConfirmedAt.Format(time.RFC3339))
+		if rec.Revision > 0 {
+			fmt.Fprintf(b, ", revision %d", rec.Revision)
+		}
+		b.WriteByte('\n')
+	}
+}
+
+func renderEffect(e Effect) string {
+	parts := []string{string(e.Kind)}
+	for _, s := range []string{string(e.Job), e.Workspace, e.Domain} {
+		if s != "" {
+			parts = append(parts, s)
+		}
+	}
+	line := strings.Join(parts, " ")
+	if e.Reason != "" {
+		line += ": " + e.Reason
+	}
+	if e.LostWork > 0 {
+		line += fmt.Sprintf(" (loses %s)", e.LostWork.Round(time.Second))
+	}
+	return line
+}
+
+func renderList[T any](b *strings.Builder, title string, items []T, text func(T) string) {
+	if len(items) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "%s (%d):\n", title, len(items))
+	for _, item := range items {
+		fmt.Fprintf(b, "  %s\n", text(item))
+	}
+}
+
+func asIs(s string) string { return s }
--- a/pkg/policy/diff.go
+++ b/pkg/policy/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Change is one field that differs between two documents. An empty side means
@@ -125,10 +126,17 @@
 			flattenValue(out, fmt.Sprintf("%s[%d]", path, i), child)
 		}
 	case nil:
+	case json.Number:
+		out[path] = numberText(path, v)
 	default:
-		data, err := json.Marshal(v)
-		if err == nil {
-			out[path] = strings.Trim(string(data), `"`)
-		}
+		out[path] = fmt.Sprint(v)
+	}
+}
+
+// numberText shows a duration, which JSON holds in nanoseconds, in its text form.
+func numberText(path string, n json.Number) string {
+	if ns, err := n.Int64(); err == nil && strings.HasSuffix(path, ".startWithin") {
+		return time.Duration(ns).String()
 	}
+	return n.String()
 }
--- a/pkg/timeline/clock.go
+++ b/pkg/timeline/clock.go
@@ -14,13 +14,15 @@
 type Clock struct {
 	mu   sync.Mutex
 	last Timestamp
+	// wall returns the local wall time in nanoseconds; nil means time.Now.
+	wall func() int64
 }
 
 // Now returns a reading that is later than all earlier ones.
 func (c *Clock) Now() Timestamp {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.advance(time.Now().UnixNano())
+	c.advance(c.read())
 	return c.last
 }
 
@@ -29,7 +31,7 @@
 func (c *Clock) Merge(remote Timestamp) Timestamp {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wall := time.Now().UnixNano()
+	wall := c.read()
 	if c.last.Less(remote) && remote.Wall-wall <= int64(MaxDrift) {
 		c.last = remote
 	}
@@ -44,3 +46,10 @@
 	}
 	c.last.Logical++
 }
+
+func (c *Clock) read() int64 {
+	if c.wall != nil {
+		return c.wall()
+	}
+	return time.Now().UnixNano()
+}
