--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -16,6 +16,8 @@
 type Error struct {
 	problem.Problem
 	Server string // base URL of the server that answered
+	// Body is the whole document, for members that belong to one kind only.
+	Body json.RawMessage
 }
 
 // Error returns kind, detail and request ID.
@@ -30,7 +32,7 @@
 func errorOf(server string, response *http.Response, body []byte) error {
 	e := &Error{Server: server}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), problem.ContentType) && json.Unmarshal(body, &e.Problem) == nil && e.Kind != "" {
-		e.RetryAfter = retryAfter(response)
+		e.RetryAfter, e.Body = retryAfter(response), body
 		return e
 	}
 	// Something between the client and the system answered.
--- a/pkg/plan/apply.go
+++ b/pkg/plan/apply.go
@@ -32,7 +32,12 @@
 }
 
 func (s *Quota) apply(doc *policy.Document, _ string, _ time.Time) error {
-	return changeWorkspace(doc, s.Workspace, func(ws *policy.Workspace) { ws.Quota = s.Quota })
+	return changeWorkspace(doc, s.Workspace, func(ws *policy.Workspace) {
+		set(&ws.Quota.Accelerators, s.Accelerators)
+		set(&ws.Quota.Slots, s.Slots)
+		set(&ws.Quota.Queued, s.Queued)
+		set(&ws.Quota.RequestsPerSecond, s.RequestsPerSecond)
+	})
 }
 
 func (s *Class) apply(doc *policy.Document, _ string, _ time.Time) error {
--- a/pkg/plan/intent.go
+++ b/pkg/plan/intent.go
@@ -127,10 +127,14 @@
 	Weight    *float64 `json:"weight,omitempty"`
 }
 
-// Quota replaces the quota of a workspace; a zero field means no limit.
+// Quota changes the quota of a workspace. Absent fields keep their values; zero
+// means no limit.
 type Quota struct {
-	Workspace string       `json:"workspace"`
-	Quota     policy.Quota `json:"quota"`
+	Workspace         string   `json:"workspace"`
+	Accelerators      *int     `json:"accelerators,omitempty"`
+	Slots             *int     `json:"slots,omitempty"`
+	Queued            *int     `json:"queued,omitempty"`
+	RequestsPerSecond *float64 `json:"requestsPerSecond,omitempty"`
 }
 
 // Operator creates, changes or deletes an operator.
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -40,7 +40,7 @@
 		KindGuarantee:  {&Guarantee{Workspace: "postbud"}},
 		KindClass:      {&Class{Action: ActionCreate, Name: "fit", Rank: ptr(15), StartWithin: ptr(Duration(time.Minute))}},
 		KindPriority:   {&Priority{Class: "long", Rank: ptr(5), Workspace: "postbud", Weight: ptr(3.5)}},
-		KindQuota:      {&Quota{Workspace: "lautoka", Quota: policy.Quota{Queued: 10, RequestsPerSecond: 0.5}}},
+		KindQuota:      {&Quota{Workspace: "lautoka", Queued: ptr(10), RequestsPerSecond: ptr(0.5)}},
 		KindOperator:   {&Operator{Action: ActionCreate, Name: "eve", Role: policy.RoleViewer, TokenHash: policy.HashToken("e")}},
 		KindDrain:      {&Drain{Worker: "w1", Reason: "fan"}, &Drain{Rack: "r1", Reason: "move"}},
 		KindUndrain:    {&Undrain{Worker: "w9"}},
@@ -144,7 +144,7 @@
 	w := newWorld()
 	p1, _ := w.vm(Options{})
 	p2, _ := w.vm(Options{})
-	a, errA := p1.Make(t.Context(), ann, NewIntent(&Quota{Workspace: "postbud", Quota: policy.Quota{Accelerators: 32}}))
+	a, errA := p1.Make(t.Context(), ann, NewIntent(&Quota{Workspace: "postbud", Accelerators: ptr(32)}))
 	b, errB := p2.Make(t.Context(), bob, NewIntent(&Hold{Reason: "weekend"}))
 	if errA != nil || errB != nil {
 		t.Fatal(errA, errB)
