--- a/cmd/carawayusherd/main.go
+++ b/cmd/carawayusherd/main.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/carawayusher/carawayusher/pkg/daemon"
+	"github.com/carawayusher/carawayusher/pkg/demo"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/logging"
 	"github.com/carawayusher/carawayusher/pkg/settings"
@@ -34,7 +35,7 @@
 		Use: "carawayusherd", Short: "Scheduler of multi-accelerator jobs under workspace guarantees",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(newServeCommand(), newCheckCommand(), newVersionCommand())
+	root.AddCommand(newServeCommand(), newCheckCommand(), newDemoCommand(), newVersionCommand())
 	return root
 }
 
@@ -101,6 +102,19 @@
 	return cmd
 }
 
+func newDemoCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "demo", Short: "Run a mixed load on an embedded system and check the outcome", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			log, _, err := logging.New(logging.Options{Level: "error", Format: "console"})
+			if err != nil {
+				return err
+			}
+			return demo.Run(cmd.Context(), cmd.OutOrStdout(), log)
+		},
+	}
+}
+
 func newVersionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
--- a/pkg/embedded/policy.go
+++ b/pkg/embedded/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/carawayusher/carawayusher/pkg/configsync"
 	"github.com/carawayusher/carawayusher/pkg/policy"
@@ -11,7 +12,7 @@
 func (s *System) writePolicy(ctx context.Context, doc *policy.Document) error {
 	first := doc.Clone()
 	first.Revision = 1
-	value, err := configsync.Encode(first)
+	value, err := json.Marshal(first)
 	if err != nil {
 		return err
 	}
