--- a/pkg/daemon/local.go
+++ b/pkg/daemon/local.go
@@ -89,7 +89,7 @@
 	if !ok {
 		return errkind.New(errkind.NotFound, "failure domain %s has moved to another VM, which decides anew", p.Domain)
 	}
-	return d.Confirm(p.ID)
+	return d.Confirm(p)
 }
 
 // workers lists the workers of all failure domains; it implements
--- a/pkg/domain/adopt.go
+++ b/pkg/domain/adopt.go
@@ -14,7 +14,7 @@
 func (d *Domain) adoptTask(w *worker, st target.TaskStatus) {
 	var meta taskMeta
 	if err := json.Unmarshal(st.Meta, &meta); err != nil {
-		d.opts.Log.Error(err, "task with unreadable metadata is left to its lease", "task", st.Task, "worker", w.id)
+		d.opts.Log.Error(err, "task with unreadable metadata is ended", "task", st.Task, "worker", w.id)
 		return
 	}
 	a := d.adoptAttempt(meta, st)
@@ -34,6 +34,9 @@
 			a.startedAt = st.StartedAt
 		}
 	}
+	if a.withdrawn != "" {
+		d.stopCopies(a)
+	}
 	d.advance(a)
 }
 
@@ -41,7 +44,13 @@
 // tasks for a while, so that tasks of several attempts may turn up in any order;
 // the latest attempt counts.
 func (d *Domain) adoptAttempt(meta taskMeta, st target.TaskStatus) *attempt {
+	if st.State.Ended() && !st.Started {
+		return nil // a reservation that came to nothing
+	}
 	a, ok := d.attempts[meta.Offer.Job]
+	if ok && a.ended && a.offer.Attempt >= meta.Offer.Attempt {
+		return nil
+	}
 	if ok && a.offer.Attempt > meta.Offer.Attempt {
 		return nil
 	}
@@ -55,11 +64,8 @@
 		ok = false
 	}
 	if !ok {
-		if st.State.Ended() && !st.Started {
-			return nil
-		}
 		a = &attempt{offer: meta.Offer, state: api.StateReserved, orphan: true}
-		a.report = a.newReport(d.opts.Name)
+		a.report = a.newReport(d.opts.Name, d.opts.Epoch)
 		d.attempts[meta.Offer.Job] = a
 	}
 	return a
@@ -84,9 +90,9 @@
 	for i, p := range meta.Places {
 		w := d.workers[p.Worker]
 		if w == nil {
-			w = &worker{id: p.Worker} // not listed any more; lost unless it appears
+			w = unlistedWorker(p.Worker) // lost unless it appears
 		}
-		t := &task{id: api.TaskID(key + "." + itoa(i)), job: a.offer.Job, copy: c, worker: w}
+		t := &task{id: api.TaskID(key + "." + itoa(i)), index: i, job: a.offer.Job, copy: c, worker: w, reserved: true}
 		t.status = target.TaskStatus{Task: t.id, State: target.TaskReserved, Accelerators: p.Accelerators}
 		c.tasks = append(c.tasks, t)
 		d.byTask[t.id] = t
@@ -112,15 +118,16 @@
 // partially.
 func (d *Domain) checkAdopted(now time.Time) {
 	for _, a := range d.attempts {
-		if a.ended || a.placing || len(a.copies) == 0 || !d.formerEpoch(a.copies[0]) {
+		if a.ended || a.placing || len(a.copies) == 0 || !d.formerEpoch(a.copies[0].tasks[0].id) {
 			continue
 		}
 		d.settleAdopted(a, now)
 	}
 }
 
-func (d *Domain) formerEpoch(c *placedCopy) bool {
-	parts := strings.Split(string(c.tasks[0].id), "/")
+// formerEpoch reports whether an earlier owner of the domain placed the task.
+func (d *Domain) formerEpoch(id api.TaskID) bool {
+	parts := strings.Split(string(id), "/")
 	return !strings.HasPrefix(parts[len(parts)-1], itoa(int(d.opts.Epoch))+".")
 }
 
--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -26,16 +27,24 @@
 	dirty     bool   // report changed since it was last sent
 	ended     bool   // report carries the outcome
 	orphan    bool   // adopted from targets; no offer has come yet
+	resolving bool   // a journaled claim is being resolved; it may have run
 }
 
 // preemption is a stop in progress that keeps the work by a checkpoint.
 type preemption struct {
-	stopBy   time.Time
+	stopBy   time.Time // zero: a stop without a checkpoint would only lose work
 	reason   string
 	stopping bool
 	before   map[api.TaskID]string // checkpoints when it began
 }
 
+// tighten moves the latest time of the stop forward.
+func (p *preemption) tighten(stopBy time.Time) {
+	if !stopBy.IsZero() && (p.stopBy.IsZero() || stopBy.Before(p.stopBy)) {
+		p.stopBy = stopBy
+	}
+}
+
 // placedCopy is one set of places on which all tasks of a job run.
 type placedCopy struct {
 	places  []api.Allocation
@@ -48,6 +57,7 @@
 type task struct {
 	id     api.TaskID
 	job    api.JobID
+	index  int // in copy
 	copy   *placedCopy
 	worker *worker
 	status target.TaskStatus
@@ -55,8 +65,12 @@
 	stopping bool
 	// lost is set when the worker is gone and the lease has lapsed.
 	lost bool
+	// reserved is set once the target confirmed the reservation.
+	reserved bool
 }
 
+func (t *task) place() api.Allocation { return t.copy.places[t.index] }
+
 func (t *task) over() bool { return t.lost || t.status.State.Ended() }
 
 // taskMeta is kept with a task at its target, so that the next owner of the
@@ -91,13 +105,13 @@
 	if len(a.copies) == 0 {
 		return nil
 	}
-	return a.copies[0].places
+	return slices.Clone(a.copies[0].places)
 }
 
 // newReport starts a report with what is known of the attempt.
-func (a *attempt) newReport(domain string) Report {
+func (a *attempt) newReport(domain string, epoch int64) Report {
 	return Report{
-		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: domain,
+		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: domain, Epoch: epoch,
 		State: a.state, Allocations: a.allocations(), StartedAt: a.startedAt,
 	}
 }
--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -8,7 +8,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
-	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/gate"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/policy"
@@ -42,6 +41,9 @@
 	LeaseTTL time.Duration
 	// CallTimeout bounds one call to a target other than Sync.
 	CallTimeout time.Duration
+	// OnFenced is called once when a target shows that the failure domain has a
+	// newer owner; nil ignores it.
+	OnFenced func()
 }
 
 // Timings derived from the task lease: a renewal may fail twice before the
@@ -70,7 +72,9 @@
 	round     int // numbers the placements of this epoch
 	drained   map[string]bool
 	proposals map[string]sched.Action
+	postponed []sched.Action // refused by the gate; due again at the next tick
 	stopped   bool
+	fenced    bool // a target knows a newer owner: nothing more is decided or reported
 	started   time.Time
 }
 
@@ -125,7 +129,7 @@
 	defer d.mu.Unlock()
 	n := 0
 	for _, a := range d.attempts {
-		if a.placing || a.reporting {
+		if a.placing || a.reporting && !d.fenced {
 			n++
 		}
 	}
@@ -133,6 +137,9 @@
 }
 
 func (d *Domain) goRun(fn func()) {
+	if d.ctx.Err() != nil {
+		return
+	}
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
@@ -159,6 +166,8 @@
 		case <-tick.C:
 			d.refreshWorkers()
 			d.checkLost(time.Now())
+			d.moveFromLeaving()
+			d.retryPostponed()
 		case <-d.wake:
 		}
 		d.decide()
@@ -178,31 +187,7 @@
 func (d *Domain) isStopped() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.stopped
-}
-
-// act carries out one action, or keeps it as a proposal while automation is held.
-func (d *Domain) act(a sched.Action) {
-	if a.Proposal {
-		d.propose(a)
-		return
-	}
-	switch a.Type {
-	case sched.ActionPlace:
-		d.place(a)
-	case sched.ActionHedge:
-		d.hedge(a)
-	case sched.ActionPreempt, sched.ActionMove:
-		d.preempt(a)
-	case sched.ActionRefuse:
-		d.refuse(a)
-	case sched.ActionQuarantine:
-		d.record(timeline.Quarantined, a, "quarantined: "+a.Reason)
-	case sched.ActionUnquarantine:
-		d.record(timeline.Quarantined, a, "released on probation: "+a.Reason)
-	case sched.ActionThrottle:
-		d.throttle(a)
-	}
+	return d.stopped || d.fenced
 }
 
 func (d *Domain) record(t timeline.Type, a sched.Action, reason string) {
@@ -212,54 +197,6 @@
 	})
 }
 
-var gateKinds = map[sched.ActionType]gate.Kind{
-	sched.ActionPreempt:    gate.Preempt,
-	sched.ActionMove:       gate.Move,
-	sched.ActionHedge:      gate.Hedge,
-	sched.ActionQuarantine: gate.Quarantine,
-	sched.ActionThrottle:   gate.Throttle,
-}
-
-// propose hands a held action to the gate, which lists it for the operators.
-func (d *Domain) propose(a sched.Action) {
-	kind := gateKinds[a.Type]
-	if a.Reclaim {
-		kind = gate.Reclaim
-	}
-	id := d.opts.Name + "/" + string(kind) + "/" + string(a.Job) + a.Worker
-	d.mu.Lock()
-	_, known := d.proposals[id]
-	d.proposals[id] = a
-	d.mu.Unlock()
-	d.opts.Gate.Allow(kind, a.Workspace, gate.Proposal{
-		ID: id, Kind: kind, Workspace: a.Workspace, Job: a.Job, Worker: a.Worker,
-		Domain: d.opts.Name, Reason: a.Reason, LostWork: a.LostWork, At: time.Now(),
-	})
-	if !known {
-		d.record(timeline.Proposed, a, string(kind)+": "+a.Reason)
-	}
-}
-
-// Confirm carries out a held action that an operator confirmed, if it is still valid.
-func (d *Domain) Confirm(id string) error {
-	d.mu.Lock()
-	a, ok := d.proposals[id]
-	delete(d.proposals, id)
-	d.mu.Unlock()
-	if !ok {
-		return errkind.New(errkind.NotFound, "no proposal %s", id)
-	}
-	actions, err := d.opts.Sched.Confirm(time.Now(), a)
-	if err != nil {
-		return err
-	}
-	for _, next := range actions {
-		next.Proposal = false
-		d.act(next)
-	}
-	return nil
-}
-
 // SetPolicy puts a new configuration document in force.
 func (d *Domain) SetPolicy(doc *policy.Document) {
 	now := time.Now()
@@ -315,13 +252,13 @@
 // Reclaim takes the workspace's guaranteed cells back from borrowers now.
 func (d *Domain) Reclaim(workspace string) {
 	for _, a := range d.opts.Sched.Reclaim(time.Now(), workspace) {
-		d.act(a)
+		d.carryOut(a) // ordered by an operator, not automatic
 	}
 }
 
 // Defragment moves jobs so that larger blocks become free.
 func (d *Domain) Defragment() {
 	for _, a := range d.opts.Sched.Defragment(time.Now()) {
-		d.act(a)
+		d.carryOut(a) // ordered by an operator, not automatic
 	}
 }
--- a/pkg/domain/offer.go
+++ b/pkg/domain/offer.go
@@ -15,7 +15,7 @@
 func (d *Domain) Offer(ctx context.Context, o Offer) error {
 	now := time.Now()
 	d.mu.Lock()
-	if d.stopped {
+	if d.stopped || d.fenced {
 		d.mu.Unlock()
 		return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
 	}
@@ -24,8 +24,8 @@
 		d.mu.Unlock()
 		return err
 	}
-	a := &attempt{offer: o, state: api.StateQueued}
-	a.report = a.newReport(d.opts.Name)
+	a := &attempt{offer: o, state: api.StateQueued, resolving: len(o.Claimed) > 0}
+	a.report = a.newReport(d.opts.Name, d.opts.Epoch)
 	d.attempts[o.Job] = a
 	d.mu.Unlock()
 	if len(o.Claimed) > 0 {
@@ -66,7 +66,7 @@
 func (d *Domain) Withdraw(_ context.Context, job api.JobID, number int, reason string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopped {
+	if d.stopped || d.fenced {
 		return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
 	}
 	a, ok := d.attempts[job]
@@ -85,6 +85,7 @@
 	a.withdrawn = reason
 	switch {
 	case a.placing: // placeCopy sees it
+	case a.resolving && len(a.copies) == 0: // it may have run; resolveClaim reports what it finds
 	case len(a.copies) == 0:
 		d.opts.Sched.Cancel(time.Now(), a.offer.Job)
 		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", reason)
@@ -111,7 +112,8 @@
 // caller holds the lock.
 func (d *Domain) adoptTasks(w *worker, statuses []target.TaskStatus) {
 	for _, st := range statuses {
-		if _, known := d.byTask[st.Task]; known || len(st.Meta) == 0 || st.State == target.TaskFenced {
+		if _, known := d.byTask[st.Task]; known || len(st.Meta) == 0 || st.State == target.TaskFenced ||
+			w.givenUp[st.Task] || !d.formerEpoch(st.Task) {
 			continue
 		}
 		d.adoptTask(w, st)
--- a/pkg/domain/outbox.go
+++ b/pkg/domain/outbox.go
@@ -21,7 +21,7 @@
 	if a.ended {
 		return
 	}
-	a.report = a.newReport(d.opts.Name)
+	a.report = a.newReport(d.opts.Name, d.opts.Epoch)
 	d.deliver(a)
 }
 
@@ -29,7 +29,7 @@
 // caller holds the lock.
 func (d *Domain) deliver(a *attempt) {
 	a.dirty = true
-	if a.reporting || a.orphan && !a.ended {
+	if a.reporting || d.fenced || a.orphan && !a.ended {
 		return
 	}
 	a.reporting = true
@@ -40,7 +40,7 @@
 	pause := reportRetryMin
 	for {
 		d.mu.Lock()
-		if !a.dirty {
+		if !a.dirty || d.fenced {
 			a.reporting = false
 			d.mu.Unlock()
 			return
@@ -83,11 +83,8 @@
 			d.forget(a)
 			return true
 		}
-		a.reporting = false
+		a.reporting = false // the outcome is delivered by a new loop
 		d.withdraw(a, "the job's partition refused the attempt: "+err.Error())
-		if !a.ended {
-			return true // the outcome will be delivered by a new loop
-		}
 		return true
 	default:
 		a.dirty = true
@@ -105,15 +102,3 @@
 	}
 	a.reporting = false
 }
-
-// releaseTask gives one reservation back.
-func (d *Domain) releaseTask(t *task) {
-	if t.worker.conn == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
-	defer cancel()
-	if err := t.worker.conn.Release(ctx, t.id, d.opts.Epoch); err != nil {
-		d.opts.Log.V(1).Info("release failed; the lease ends the reservation", "task", t.id, "error", err.Error())
-	}
-}
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -56,7 +57,7 @@
 		if !ok || !w.synced {
 			return nil, p.Worker
 		}
-		t := &task{id: taskID(a.offer, d.opts.Epoch, d.round, i), job: a.offer.Job, copy: c, worker: w}
+		t := &task{id: taskID(a.offer, d.opts.Epoch, d.round, i), index: i, job: a.offer.Job, copy: c, worker: w}
 		t.status = target.TaskStatus{Task: t.id, State: target.TaskReserved, Accelerators: p.Accelerators}
 		c.tasks = append(c.tasks, t)
 		c.places = append(c.places, api.Allocation{Worker: w.id, Incarnation: w.incarnation, Accelerators: p.Accelerators, Task: t.id})
@@ -92,12 +93,15 @@
 // reserveAll reserves every task, or none: after a failure the others are given
 // back by the caller. It returns the worker to blame.
 func (d *Domain) reserveAll(a *attempt, c *placedCopy, start bool) (string, error) {
+	d.mu.Lock()
+	meta := taskMeta{Offer: metaOffer(a.offer), Places: slices.Clone(c.places), Hedge: c.hedge}
+	d.mu.Unlock()
 	g, ctx := errgroup.WithContext(d.ctx)
 	g.SetLimit(gangConcurrency)
 	blamed := make([]string, len(c.tasks))
 	for i, t := range c.tasks {
 		g.Go(func() error {
-			if err := d.reserve(ctx, a, c, t, i, start); err != nil {
+			if err := d.reserve(ctx, a, t, meta, start); err != nil {
 				blamed[i] = t.worker.id
 				return err
 			}
@@ -113,8 +117,9 @@
 	return "", err
 }
 
-func (d *Domain) reserve(ctx context.Context, a *attempt, c *placedCopy, t *task, index int, start bool) error {
-	meta, err := json.Marshal(taskMeta{Offer: metaOffer(a.offer), Index: index, Places: c.places, Hedge: c.hedge})
+func (d *Domain) reserve(ctx context.Context, a *attempt, t *task, about taskMeta, start bool) error {
+	about.Index = t.index
+	meta, err := json.Marshal(about)
 	if err != nil {
 		return errkind.Wrap(err, errkind.Internal, "encode task of job %s", a.offer.Job)
 	}
@@ -123,19 +128,19 @@
 		TTL: d.opts.LeaseTTL, Meta: meta,
 	}
 	if start {
-		s := d.startRequest(a, c, t, index)
+		s := d.startRequest(a, t)
 		req.Start = &s
 	}
 	callCtx, cancel := context.WithTimeout(ctx, d.opts.CallTimeout)
 	defer cancel()
-	res, err := t.worker.conn.Reserve(callCtx, req)
+	res, err := d.conn(t).Reserve(callCtx, req)
 	if err != nil {
 		d.noteRefusal(t.worker, err)
 		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c.places[index].Incarnation = res.Incarnation
+	t.copy.places[t.index].Incarnation, t.reserved = res.Incarnation, true
 	return nil
 }
 
@@ -145,11 +150,11 @@
 	return o
 }
 
-func (d *Domain) startRequest(a *attempt, c *placedCopy, t *task, index int) target.StartRequest {
+func (d *Domain) startRequest(a *attempt, t *task) target.StartRequest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return target.StartRequest{
-		Task: t.id, Epoch: d.opts.Epoch, Incarnation: c.places[index].Incarnation,
+		Task: t.id, Epoch: d.opts.Epoch, Incarnation: t.place().Incarnation,
 		Class: a.offer.Spec.Class, Payload: a.offer.Spec.Payload, Checkpoint: a.offer.Checkpoint,
 	}
 }
@@ -162,6 +167,8 @@
 	case errkind.TargetLeaving:
 		w.leaving = true
 		d.updateState(w)
+	case errkind.StaleEpoch:
+		d.noteFenced(w, err)
 	case errkind.Unavailable:
 		w.failing = true // the sync loop finds out whether it is back
 		d.updateState(w)
@@ -184,7 +191,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.opts.LeaseTTL/2)
 	defer cancel()
 	return d.opts.Reporter.Claim(ctx, a.offer.Partition, Claim{
-		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: d.opts.Name, Places: places,
+		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: d.opts.Name, Places: places, Epoch: d.opts.Epoch,
 	})
 }
 
@@ -204,29 +211,34 @@
 func (d *Domain) startAll(a *attempt, c *placedCopy) {
 	var g errgroup.Group
 	g.SetLimit(gangConcurrency)
-	for i, t := range c.tasks {
+	for _, t := range c.tasks {
 		g.Go(func() error {
-			d.startTask(a, c, t, i)
+			d.startTask(a, t)
 			return nil
 		})
 	}
 	_ = g.Wait() // the functions return no error
 }
 
-func (d *Domain) startTask(a *attempt, c *placedCopy, t *task, index int) {
-	req := d.startRequest(a, c, t, index)
+func (d *Domain) startTask(a *attempt, t *task) {
+	req := d.startRequest(a, t)
+	unanswered := false
 	for try := 0; try < startTries; try++ {
 		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
-		err := t.worker.conn.Start(ctx, req)
+		err := d.conn(t).Start(ctx, req)
 		cancel()
 		if err == nil {
 			return
 		}
 		d.noteRefusal(t.worker, err)
 		if !errkind.Is(err, errkind.Unavailable) {
+			if unanswered {
+				break // an earlier try may have taken effect
+			}
 			d.startRefused(a, t, err)
 			return
 		}
+		unanswered = true
 		select {
 		case <-d.ctx.Done():
 			return
@@ -236,97 +248,98 @@
 	d.goRun(func() { d.resolveTask(a, t) })
 }
 
-// resolveTask finds out whether a start without an answer took effect. Fence
-// makes sure that one that did not never will.
-func (d *Domain) resolveTask(a *attempt, t *task) {
-	for {
-		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
-		st, err := t.worker.conn.Fence(ctx, t.id, d.opts.Epoch)
-		cancel()
-		d.mu.Lock()
-		if t.over() {
-			d.mu.Unlock()
-			return
-		}
-		if err == nil {
-			st.Accelerators = t.status.Accelerators
-			t.status = st
-			d.advance(a)
-			d.mu.Unlock()
-			return
-		}
-		d.mu.Unlock()
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-time.After(syncRetry):
-		}
-	}
-}
-
 // startRefused marks a task that the target will certainly not run, for example
 // because its reservation lapsed before the start arrived.
 func (d *Domain) startRefused(a *attempt, t *task, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t.over() || t.status.Started {
+	if t.status.State.Ended() || t.status.Started {
 		return
 	}
+	t.lost = false // wherever its worker is, the task did not start there
 	t.status.State = target.TaskFenced
 	t.status.Error = err.Error()
 	d.advance(a)
 }
 
-// startedCopy makes the start known, unless the attempt was withdrawn meanwhile.
+// startedCopy makes the start known and does what was asked for meanwhile.
 func (d *Domain) startedCopy(a *attempt, c *placedCopy) {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a.placing = false
 	c.started = true
-	if c.hedge {
-		d.advance(a)
-		return
+	d.loseOutrun(a, c)
+	if !c.hedge {
+		d.markRunning(a)
+	}
+	switch {
+	case a.withdrawn != "":
+		d.stopCopies(a)
+	case a.preempt != nil:
+		d.beginPreemption(a)
 	}
+	d.advance(a)
+}
+
+// markRunning reports that the attempt runs; the caller holds the lock.
+func (d *Domain) markRunning(a *attempt) {
+	now := time.Now()
 	d.opts.Sched.Started(now, a.offer.Job, a.offer.Attempt)
 	a.state, a.startedAt = api.StateRunning, now
 	d.event(timeline.Started, a, "")
 	d.sendState(a)
-	if a.withdrawn != "" {
-		d.stopCopies(a)
+}
+
+// loseOutrun gives up tasks whose worker was seen to restart after their
+// reservation was made and before it was confirmed here.
+func (d *Domain) loseOutrun(a *attempt, c *placedCopy) {
+	for _, t := range c.tasks {
+		if !t.over() && t.reserved && t.place().Incarnation < t.worker.incarnation {
+			t.lost = true
+			a.report.Reason = "the worker restarted"
+		}
 	}
-	d.advance(a)
 }
 
 // placeFailed gives back what was reserved and queues the attempt again.
 func (d *Domain) placeFailed(a *attempt, c *placedCopy, blame string, err error) {
 	unresolved := d.releaseAll(c)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a.placing = false
 	if unresolved && len(c.tasks) == 1 && !a.offer.Spec.AtMostOnce {
-		// The combined reserve and start got no answer and neither did the fence:
-		// the task may run. Its worker's next sync or the lapsed lease decides.
-		c.started = true
-		a.state, a.startedAt = api.StateRunning, time.Now()
-		d.opts.Sched.Started(time.Now(), a.offer.Job, a.offer.Attempt)
+		// The combined reserve and start got no answer, and the fence did not rule
+		// out that the task ran. Its worker's next answer or the lapsed lease decides.
+		d.startedCopy(a, c)
 		d.goRun(func() { d.resolveTask(a, c.tasks[0]) })
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a.placing = false
 	d.forgetCopy(c)
 	if c.hedge {
+		a.copies = slices.DeleteFunc(a.copies, func(o *placedCopy) bool { return o == c })
+		if a.withdrawn != "" {
+			d.stopCopies(a)
+		} else if a.preempt != nil {
+			d.beginPreemption(a)
+		}
+		d.advance(a)
 		return
 	}
 	a.copies = nil
-	if a.withdrawn != "" {
+	switch {
+	case a.withdrawn != "":
 		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", a.withdrawn)
-		return
+	case a.preempt != nil:
+		d.finishAttempt(a, api.OutcomeNotRun, sched.EndPreempted, "", a.preempt.reason)
+	default:
+		d.event(timeline.Queued, a, "placement refused by "+blame+": "+err.Error())
+		d.requeue(a, blame)
 	}
-	d.event(timeline.Queued, a, "placement refused by "+blame+": "+err.Error())
-	d.requeue(a, blame)
 }
 
-// releaseAll fences every task of a copy; it reports whether one did not answer.
+// releaseAll fences every task of a copy. It reports whether a task may have
+// started. A task that could not be fenced now is fenced in the background,
+// because each sync renews the lease of its reservation.
 func (d *Domain) releaseAll(c *placedCopy) bool {
 	var g errgroup.Group
 	g.SetLimit(gangConcurrency)
@@ -334,12 +347,16 @@
 		g.Go(func() error {
 			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
 			defer cancel()
-			st, err := t.worker.conn.Fence(ctx, t.id, d.opts.Epoch)
-			if err == nil && st.Started && !st.State.Ended() {
-				// The start took effect although its answer was lost.
-				return errkind.New(errkind.Conflict, "task %s runs", t.id)
+			st, err := d.conn(t).Fence(ctx, t.id, d.opts.Epoch)
+			if err != nil {
+				d.noteRefusal(t.worker, err)
+				d.goRun(func() { d.releaseTask(t) })
+				return err
+			}
+			if st.Started {
+				return errkind.New(errkind.Conflict, "task %s was started", t.id)
 			}
-			return err
+			return nil
 		})
 	}
 	return g.Wait() != nil
@@ -359,6 +376,10 @@
 func (d *Domain) enqueue(a *attempt, now time.Time) {
 	if err := d.opts.Sched.Enqueue(now, schedJob(a.offer)); err != nil {
 		e := errkind.As(err)
+		if errkind.Retryable(err) { // the queue is full now; the partition tries again later
+			d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", e.Message)
+			return
+		}
 		a.report.Kind = string(e.Kind)
 		d.finishAttempt(a, api.OutcomeRefused, sched.EndCancelled, "", e.Message)
 	}
@@ -404,7 +425,7 @@
 		d.goRun(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
 			defer cancel()
-			if err := t.worker.conn.Throttle(ctx, t.id, d.opts.Epoch, act.Share); err != nil {
+			if err := d.conn(t).Throttle(ctx, t.id, d.opts.Epoch, act.Share); err != nil {
 				d.opts.Log.V(1).Info("throttle failed", "task", t.id, "error", err.Error())
 			}
 		})
--- /dev/null
+++ b/pkg/domain/place_test.go
@@ -0,0 +1,229 @@
+package domain
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/target/memory"
+)
+
+// scenario is one job with one fault. Each guards against a job that is lost,
+// runs partially, or runs although it is reported as not run.
+type scenario struct {
+	name    string
+	workers int
+	spec    api.JobSpec
+	fault   func(w *world)            // before the offer
+	during  func(w *world, d *Domain) // 2 s after it
+	settle  time.Duration             // until the outcome is checked
+	want    api.Outcome
+	starts  int // at the workers, in all
+}
+
+func refuse(kind errkind.Kind) func() error {
+	return func() error { return errkind.New(kind, "refused by the test") }
+}
+
+func before(h func(string, string) error) func(*world) { return func(w *world) { w.hook(h, nil) } }
+func after(h func(string, string) error) func(*world)  { return func(w *world) { w.hook(nil, h) } }
+
+func restart(i int) func(*world, *Domain) {
+	return func(w *world, _ *Domain) { w.workers[i].Restart() }
+}
+
+func faults(i int, f memory.Faults) func(*world, *Domain) {
+	return func(w *world, _ *Domain) { w.workers[i].SetFaults(f) }
+}
+
+func withdraw(_ *world, d *Domain) { _ = d.Withdraw(context.Background(), testJob, 1, "cancelled") }
+
+var atMostOnce = api.JobSpec{AtMostOnce: true, Payload: running("5s")}
+
+func amoGang() api.JobSpec {
+	s := gang("5s")
+	s.AtMostOnce = true
+	return s
+}
+
+// restartOn restarts the first worker at its next call of the method.
+func restartOn(method string) func(*world) {
+	return func(w *world) {
+		w.hook(once("w0", method, 1, func() error { w.workers[0].Restart(); return nil }), nil)
+	}
+}
+
+// startThenRestart loses the answer of the first start, then restarts the worker.
+func startThenRestart(w *world) {
+	w.hook(nil, once("w0", "start", 1, func() error { w.workers[0].Restart(); return lost() }))
+}
+
+var scenarios = []scenario{
+	{name: "single", workers: 1, spec: api.JobSpec{Payload: running("5s")}, want: api.OutcomeSucceeded, starts: 1},
+	{name: "single that fails", workers: 1, spec: api.JobSpec{Payload: []byte(`{"fail":true}`)}, want: api.OutcomeFailed, starts: 1},
+	{name: "gang", workers: 2, spec: gang("5s"), want: api.OutcomeSucceeded, starts: 2},
+	{
+		name: "gang, one worker refuses once", workers: 2, spec: gang("5s"),
+		fault: before(once("w1", "reserve", 1, refuse(errkind.CapacityExceeded))), want: api.OutcomeSucceeded, starts: 2,
+	},
+	{name: "gang, one worker dies between reserve and start", workers: 2, spec: gang("5s"), fault: restartOn("start"), want: api.OutcomeStopped, starts: 1},
+	{
+		name: "gang, one worker does not answer any more", workers: 2, spec: gang("60s"),
+		during: faults(0, memory.Faults{RefuseConnections: true}), settle: 25 * time.Second, want: api.OutcomeLost, starts: 2,
+	},
+	{name: "gang, one worker restarts", workers: 2, spec: gang("60s"), during: restart(0), want: api.OutcomeLost, starts: 2},
+	{name: "gang, an answer to reserve is lost", workers: 2, spec: gang("5s"), fault: after(once("w1", "reserve", 1, lost)), want: api.OutcomeSucceeded, starts: 2},
+	{name: "gang, an answer to start is lost", workers: 2, spec: gang("5s"), fault: after(once("w1", "start", 1, lost)), want: api.OutcomeSucceeded, starts: 2},
+	{name: "gang, all answers to start are lost", workers: 2, spec: gang("20s"), fault: after(once("w1", "start", 5, lost)), settle: 30 * time.Second, want: api.OutcomeSucceeded, starts: 2},
+	{name: "answer to reserve with start is lost", workers: 1, spec: api.JobSpec{Payload: running("5s")}, fault: after(once("", "reserve", 1, lost)), want: api.OutcomeSucceeded, starts: 1},
+	{
+		name: "answer to reserve with start is lost and the task has ended", workers: 1, spec: api.JobSpec{Payload: running("10ms")},
+		fault: after(once("", "reserve", 1, func() error { time.Sleep(50 * time.Millisecond); return lost() })), want: api.OutcomeSucceeded, starts: 1,
+	},
+	{
+		name: "reserve with start and its fence are lost", workers: 1, spec: api.JobSpec{Payload: running("1ms")},
+		fault: func(w *world) {
+			a, b := once("", "reserve", 1, lost), once("", "fence", 1, lost)
+			w.hook(nil, func(id, m string) error {
+				if err := a(id, m); err != nil {
+					return err
+				}
+				return b(id, m)
+			})
+		}, want: api.OutcomeSucceeded, starts: 1,
+	},
+	{
+		name: "at most once", workers: 1, spec: atMostOnce, want: api.OutcomeSucceeded, starts: 1,
+	},
+	{
+		name: "claim refused", workers: 1, spec: atMostOnce,
+		fault: func(w *world) { w.part.claim = refuse(errkind.Conflict) }, want: api.OutcomeNotRun,
+	},
+	{
+		name: "claim answer lost", workers: 1, spec: atMostOnce,
+		fault: func(w *world) { w.part.claimAfter = refuse(errkind.Timeout) }, want: api.OutcomeNotRun,
+	},
+	{
+		name: "claim refused and the fence unanswered", workers: 1, spec: atMostOnce,
+		fault: func(w *world) {
+			w.part.claim = refuse(errkind.Conflict)
+			w.hook(once("", "fence", 3, lost), nil)
+		}, want: api.OutcomeNotRun,
+	},
+	{name: "at most once, worker restarts before the start", workers: 1, spec: atMostOnce, fault: restartOn("start"), want: api.OutcomeNotRun},
+	{name: "at most once, start answer lost and worker restarted", workers: 1, spec: atMostOnce, fault: startThenRestart, want: api.OutcomeLost, starts: 1},
+	{
+		name: "at most once, start answer lost and the next try refused", workers: 1, spec: atMostOnce,
+		fault: func(w *world) {
+			w.hook(once("", "start", 2, func() func() error {
+				n := 0
+				return func() error {
+					if n++; n == 2 {
+						return errkind.New(errkind.Conflict, "refused by the test")
+					}
+					return nil
+				}
+			}()), once("", "start", 1, lost))
+		}, want: api.OutcomeSucceeded, starts: 1,
+	},
+	{name: "at most once gang", workers: 2, spec: amoGang(), want: api.OutcomeSucceeded, starts: 2},
+	{name: "worker restarts", workers: 1, spec: api.JobSpec{Payload: running("5s")}, during: restart(0), want: api.OutcomeLost, starts: 1},
+	{
+		name: "worker paused past its lease", workers: 1, spec: api.JobSpec{Payload: running("60s")},
+		during: func(w *world, _ *Domain) {
+			w.workers[0].SetFaults(memory.Faults{Pause: true})
+			time.Sleep(18 * time.Second)
+			w.workers[0].SetFaults(memory.Faults{})
+		}, want: api.OutcomeLost, starts: 1,
+	},
+	{
+		name: "answers to sync lost past the lease", workers: 1, spec: api.JobSpec{Payload: running("120s")},
+		during: func(w *world, _ *Domain) {
+			w.hook(nil, once("", "sync", 1000, lost))
+			time.Sleep(20 * time.Second)
+			w.hook(nil, nil)
+		}, want: api.OutcomeLost, starts: 1,
+	},
+	{name: "withdrawn while queued", workers: 0, spec: api.JobSpec{}, during: withdraw, want: api.OutcomeNotRun},
+	{name: "withdrawn while running", workers: 1, spec: api.JobSpec{Payload: running("60s")}, during: withdraw, want: api.OutcomeStopped, starts: 1},
+	{
+		name: "withdrawn while placing", workers: 1, spec: api.JobSpec{Payload: running("60s")},
+		fault:  after(once("", "reserve", 1, func() error { time.Sleep(3 * time.Second); return nil })),
+		during: withdraw, want: api.OutcomeStopped, starts: 1,
+	},
+	{
+		name: "withdrawn while reserve with start is unclear", workers: 1, spec: api.JobSpec{Payload: running("60s")},
+		fault: after(once("", "reserve", 1, func() error { time.Sleep(3 * time.Second); return lost() })), during: withdraw,
+		want: api.OutcomeStopped, starts: 1,
+	},
+	{
+		name: "report is retried until it is taken", workers: 1, spec: api.JobSpec{},
+		fault: func(w *world) {
+			n := 0
+			w.part.report = func() error {
+				if n++; n < 20 {
+					return errkind.New(errkind.Unavailable, "no owner")
+				}
+				return nil
+			}
+		}, settle: 60 * time.Second, want: api.OutcomeSucceeded, starts: 1,
+	},
+	{
+		name: "report refused by the partition", workers: 1, spec: api.JobSpec{Payload: running("60s")},
+		fault: func(w *world) { w.part.report = refuse(errkind.Conflict) }, want: "", starts: 1,
+	},
+}
+
+func TestScenarios(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			inWorld(t, s.workers, func(t *testing.T, w *world, d *Domain) { s.run(t, w, d) })
+		})
+	}
+}
+
+func (s scenario) run(t *testing.T, w *world, d *Domain) {
+	if s.fault != nil {
+		s.fault(w)
+	}
+	mustOffer(t, d, offerOf(s.spec))
+	time.Sleep(2 * time.Second)
+	if s.during != nil {
+		s.during(w, d)
+	}
+	time.Sleep(max(s.settle, 10*time.Second))
+	r := w.part.outcome(testJob)
+	if r.Outcome != s.want {
+		t.Errorf("outcome %q (%s), want %q", r.Outcome, r.Reason, s.want)
+	}
+	if n := len(w.starts(testJob)); n != s.starts {
+		t.Errorf("%d tasks were started, want %d", n, s.starts)
+	}
+	if n := w.live(); n != 0 {
+		t.Errorf("%d tasks still hold a place after the end", n)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.attempts) != 0 || len(d.byTask) != 0 {
+		t.Errorf("%d attempts and %d tasks are still kept", len(d.attempts), len(d.byTask))
+	}
+}
+
+// An at-most-once job must not start before its claim stands.
+func TestNoStartBeforeClaim(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world, d *Domain) {
+		w.part.claim = func() error {
+			if n := len(w.starts("")); n != 0 {
+				t.Errorf("%d tasks started before the claim", n)
+			}
+			return nil
+		}
+		mustOffer(t, d, offerOf(atMostOnce))
+		time.Sleep(time.Second)
+		if n := len(w.starts("")); n != 1 {
+			t.Errorf("%d tasks started after the claim, want 1", n)
+		}
+	})
+}
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
-	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target"
 	"github.com/carawayusher/carawayusher/pkg/timeline"
@@ -37,7 +37,7 @@
 
 // advance ends the attempt when its tasks allow it; the caller holds the lock.
 func (d *Domain) advance(a *attempt) {
-	if a.ended || a.placing {
+	if a.ended || a.placing || d.fenced {
 		return
 	}
 	for _, c := range a.copies {
@@ -110,7 +110,7 @@
 		}
 	}
 	a.report.Result = winner.result()
-	a.report.Allocations = winner.places
+	a.report.Allocations = slices.Clone(winner.places)
 	d.finishAttempt(a, api.OutcomeSucceeded, sched.EndSucceeded, "", "")
 }
 
@@ -164,7 +164,7 @@
 		return
 	}
 	a.ended = true
-	r := a.newReport(d.opts.Name)
+	r := a.newReport(d.opts.Name, d.opts.Epoch)
 	r.State, r.Outcome, r.Reason = "", o, reason
 	r.Result, r.Checkpoint, r.Attained, r.Kind = a.report.Result, a.report.Checkpoint, a.report.Attained, a.report.Kind
 	if a.report.Allocations != nil {
@@ -196,25 +196,9 @@
 
 // stopTask stops one task; without an answer it tries again until the task is over.
 func (d *Domain) stopTask(t *task) {
-	for {
-		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
-		err := t.worker.conn.Stop(ctx, t.id, d.opts.Epoch)
-		cancel()
-		if err == nil || errkind.Is(err, errkind.NotFound) || errkind.Is(err, errkind.StaleEpoch) {
-			return
-		}
-		d.mu.Lock()
-		over := t.over()
-		d.mu.Unlock()
-		if over {
-			return
-		}
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-time.After(syncRetry):
-		}
-	}
+	d.repeat(t, func(ctx context.Context, conn target.Target) error {
+		return conn.Stop(ctx, t.id, d.opts.Epoch)
+	}, t.over)
 }
 
 // preempt takes the places of a running attempt back: with a checkpoint if the
@@ -223,11 +207,27 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a, ok := d.attempts[act.Job]
-	if !ok || a.ended || a.preempt != nil || a.withdrawn != "" {
+	if !ok || a.ended || a.offer.Attempt != act.Attempt || a.withdrawn != "" {
+		return
+	}
+	if a.preempt != nil {
+		a.preempt.tighten(act.StopBy)
 		return
 	}
 	a.preempt = &preemption{stopBy: act.StopBy, reason: act.Reason, before: map[api.TaskID]string{}}
-	d.event(timeline.Preempted, a, act.Reason+" (for "+act.For+")")
+	reason := act.Reason
+	if act.For != "" {
+		reason += " (for " + act.For + ")"
+	}
+	d.event(timeline.Preempted, a, reason)
+	if !a.placing { // otherwise startedCopy begins it: a stop before the start has no effect
+		d.beginPreemption(a)
+	}
+}
+
+// beginPreemption asks for checkpoints, or stops an attempt that cannot make
+// any; the caller holds the lock.
+func (d *Domain) beginPreemption(a *attempt) {
 	if !a.offer.Spec.Checkpointable || len(a.copies) == 0 {
 		a.preempt.stopping = true
 		d.stopCopies(a)
@@ -238,11 +238,9 @@
 	for _, t := range a.copies[0].tasks {
 		a.preempt.before[t.id] = t.status.Checkpoint
 		d.goRun(func() {
-			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
-			defer cancel()
-			if err := t.worker.conn.Checkpoint(ctx, t.id, d.opts.Epoch); err != nil {
-				d.opts.Log.V(1).Info("checkpoint request failed", "task", t.id, "error", err.Error())
-			}
+			d.repeat(t, func(ctx context.Context, conn target.Target) error {
+				return conn.Checkpoint(ctx, t.id, d.opts.Epoch)
+			}, func() bool { return t.over() || a.preempt.stopping })
 		})
 	}
 }
@@ -254,7 +252,8 @@
 		if p == nil || p.stopping || a.ended || len(a.copies) == 0 {
 			continue
 		}
-		if now.Before(p.stopBy) && !a.copies[0].checkpointedSince(p.before) {
+		late := !p.stopBy.IsZero() && !now.Before(p.stopBy)
+		if !late && !a.copies[0].checkpointedSince(p.before) {
 			continue
 		}
 		p.stopping = true
--- a/pkg/domain/resolve.go
+++ b/pkg/domain/resolve.go
@@ -1,7 +1,6 @@
 package domain
 
 import (
-	"context"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -52,7 +51,8 @@
 func (d *Domain) finishResolved(a *attempt, o api.Outcome, why sched.EndReason, reason string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(a.copies) == 0 {
+	a.resolving = false
+	if len(a.copies) == 0 && !d.fenced {
 		d.finishAttempt(a, o, why, "", reason)
 	}
 }
@@ -103,9 +103,7 @@
 }
 
 func (d *Domain) fenceClaimed(a *attempt, w *worker, place api.Allocation) resolution {
-	ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
-	defer cancel()
-	st, err := w.conn.Fence(ctx, place.Task, d.opts.Epoch)
+	st, same, err := d.fence(w, place)
 	if err != nil {
 		return resolutionOpen
 	}
@@ -115,7 +113,7 @@
 		d.adoptTask(w, st)
 		return resolutionAdopted
 	}
-	forgotten := w.incarnation != place.Incarnation || time.Since(a.offer.ClaimedAt) > target.IdentityRetention
+	forgotten := !same || time.Since(a.offer.ClaimedAt) > target.IdentityRetention
 	if st.Started || forgotten {
 		return resolutionUnknown
 	}
--- a/pkg/domain/service.go
+++ b/pkg/domain/service.go
@@ -46,6 +46,9 @@
 	StartedAt   time.Time        `cbor:"11,keyasint,omitzero"`
 	EndedAt     time.Time        `cbor:"12,keyasint,omitzero"`
 	Attained    time.Duration    `cbor:"13,keyasint,omitempty"`
+	// Epoch is that of the reporting owner. A partition refuses the report of an
+	// owner that it knows to be superseded.
+	Epoch int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Held is an attempt that a domain knows, with its latest report.
@@ -77,6 +80,7 @@
 	Attempt int              `cbor:"2,keyasint"`
 	Domain  string           `cbor:"3,keyasint"`
 	Places  []api.Allocation `cbor:"4,keyasint"`
+	Epoch   int64            `cbor:"5,keyasint,omitempty"` // of the claiming owner
 }
 
 // Reporter is the partitions' side.
--- /dev/null
+++ b/pkg/domain/takeover_test.go
@@ -0,0 +1,226 @@
+package domain
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/target/memory"
+)
+
+// kill ends a domain's owner as the death of its VM does.
+func kill(d *Domain) { d.Stop(context.Background(), false) }
+
+// A successor adopts what runs, and ends what runs only in part, at whatever
+// step the former owner died.
+func TestTakeover(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec   api.JobSpec
+		method string // the former owner dies at its n-th call of the method
+		n      int
+		want   api.Outcome
+		starts int
+	}{
+		"running single":               {api.JobSpec{Payload: running("20s")}, "", 0, api.OutcomeSucceeded, 1},
+		"running gang":                 {gang("20s"), "", 0, api.OutcomeSucceeded, 2},
+		"running at most once":         {atMostOnce20(), "", 0, api.OutcomeSucceeded, 1},
+		"gang only partly reserved":    {gang("20s"), "reserve", 2, api.OutcomeNotRun, 0},
+		"gang only reserved":           {gang("20s"), "start", 1, api.OutcomeNotRun, 0},
+		"gang partly started":          {gang("20s"), "start", 2, api.OutcomeStopped, 1},
+		"at most once before start":    {atMostOnce20(), "start", 1, api.OutcomeNotRun, 0},
+		"at most once before reserve":  {atMostOnce20(), "reserve", 1, "", 0},
+		"at most once gang, in halves": {amoGang(), "start", 2, api.OutcomeStopped, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world, d *Domain) {
+				if c.method != "" {
+					var n atomic.Int32
+					w.hook(once("", c.method, 1000, func() error {
+						if int(n.Add(1)) >= c.n {
+							time.Sleep(10 * time.Millisecond) // the calls before have ended
+							d.cancel()
+							return lost()
+						}
+						return nil
+					}), nil)
+				}
+				mustOffer(t, d, offerOf(c.spec))
+				time.Sleep(2 * time.Second)
+				kill(d)
+				w.hook(nil, nil)
+				w.start()
+				time.Sleep(40 * time.Second)
+				r := w.part.outcome(testJob)
+				if r.Outcome != c.want || len(w.starts(testJob)) != c.starts {
+					t.Errorf("outcome %q (%s) and %d starts, want %q and %d", r.Outcome, r.Reason, len(w.starts(testJob)), c.want, c.starts)
+				}
+				if n, _ := w.part.count(testJob); c.want != "" && n != 1 {
+					t.Errorf("%d outcomes were reported, want one", n)
+				}
+				if n := w.live(); n != 0 {
+					t.Errorf("%d tasks still hold a place", n)
+				}
+			})
+		})
+	}
+}
+
+func atMostOnce20() api.JobSpec { return api.JobSpec{AtMostOnce: true, Payload: running("20s")} }
+
+// A claimed attempt must be resolved by what its workers know, never run anew,
+// and reported as not run only with proof.
+func TestClaimResolution(t *testing.T) {
+	for name, c := range map[string]struct {
+		before string                    // the former owner dies before this call; empty: after the start
+		gap    func(w *world)            // while there is no owner
+		during func(w *world, d *Domain) // after the claimed offer
+		want   api.Outcome
+		starts int
+	}{
+		"never started":          {before: "start", want: api.OutcomeNotRun},
+		"ran and ended":          {gap: func(*world) { time.Sleep(10 * time.Second) }, want: api.OutcomeSucceeded, starts: 1},
+		"still running":          {want: api.OutcomeSucceeded, starts: 1},
+		"worker restarted":       {gap: func(w *world) { w.workers[0].Restart() }, want: api.OutcomeLost, starts: 1},
+		"not started, restarted": {before: "start", gap: func(w *world) { w.workers[0].Restart() }, want: api.OutcomeLost},
+		"worker gone":            {gap: func(w *world) { w.workers[0].Close() }, want: api.OutcomeLost, starts: 1},
+		"withdrawn while resolving": {
+			gap:    func(w *world) { w.workers[0].SetFaults(memory.Faults{RefuseConnections: true}) },
+			during: func(w *world, d *Domain) { withdraw(w, d); w.workers[0].SetFaults(memory.Faults{}) },
+			want:   api.OutcomeStopped, starts: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, func(t *testing.T, w *world, d *Domain) {
+				if c.before != "" {
+					w.hook(once("", c.before, 100, func() error { d.cancel(); return lost() }), nil)
+				}
+				spec := api.JobSpec{AtMostOnce: true, Payload: running("8s")}
+				o := offerOf(spec)
+				mustOffer(t, d, o)
+				time.Sleep(2 * time.Second)
+				kill(d)
+				w.hook(nil, nil)
+				claim := w.part.claimOf(testJob)
+				o.Claimed, o.ClaimedAt = claim.Places, time.Now()
+				if c.gap != nil {
+					c.gap(w)
+				}
+				next := w.start()
+				mustOffer(t, next, o)
+				if c.during != nil {
+					time.Sleep(time.Second)
+					c.during(w, next)
+				}
+				time.Sleep(40 * time.Second)
+				r := w.part.outcome(testJob)
+				if r.Outcome != c.want || len(w.starts(testJob)) != c.starts {
+					t.Errorf("outcome %q (%s) and %d starts, want %q and %d", r.Outcome, r.Reason, len(w.starts(testJob)), c.want, c.starts)
+				}
+			})
+		})
+	}
+}
+
+// Two owners at once: the former one must neither start anything nor report
+// tasks as lost that its successor follows.
+func TestFormerOwnerIsHarmless(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world, old *Domain) {
+		mustOffer(t, old, offerOf(gang("60s")))
+		time.Sleep(2 * time.Second)
+		next := w.start()
+		time.Sleep(2 * time.Second)
+		late := offerOf(api.JobSpec{})
+		late.Job = "j0-2"
+		if err := old.Offer(t.Context(), late); !errkind.Is(err, errkind.StaleEpoch) {
+			t.Errorf("offer to the former owner: %v, want stale_epoch", err)
+		}
+		time.Sleep(30 * time.Second)
+		if r := w.part.outcome(testJob); r.Outcome != "" {
+			t.Fatalf("outcome %q (%s) while the gang runs", r.Outcome, r.Reason)
+		}
+		mustOffer(t, next, offerOf(gang("60s"))) // known already
+		time.Sleep(60 * time.Second)
+		if r := w.part.outcome(testJob); r.Outcome != api.OutcomeSucceeded || r.Epoch != 2 {
+			t.Errorf("outcome %q under epoch %d, want succeeded under 2", r.Outcome, r.Epoch)
+		}
+		if n := len(w.starts("")); n != 2 {
+			t.Errorf("%d starts, want 2", n)
+		}
+	})
+}
+
+// A graceful stop delivers the reports that are due; a lost shard sends nothing more.
+func TestStop(t *testing.T) {
+	for name, flush := range map[string]bool{"flush": true, "lost": false} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, func(t *testing.T, w *world, d *Domain) {
+				w.part.report = refuse(errkind.Unavailable)
+				mustOffer(t, d, offerOf(api.JobSpec{}))
+				time.Sleep(2 * time.Second)
+				go func() {
+					time.Sleep(time.Second)
+					w.part.mu.Lock()
+					defer w.part.mu.Unlock()
+					w.part.report = nil
+				}()
+				d.Stop(t.Context(), flush)
+				time.Sleep(5 * time.Second)
+				if got := w.part.outcome(testJob).Outcome != ""; got != flush {
+					t.Errorf("outcome delivered: %v, want %v", got, flush)
+				}
+				_, calls := w.part.count(testJob)
+				time.Sleep(time.Minute)
+				if _, now := w.part.count(testJob); now != calls {
+					t.Error("a stopped domain went on reporting")
+				}
+			})
+		})
+	}
+}
+
+// A worker that is listed at a new address keeps its tasks.
+func TestWorkerMovesToNewAddress(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world, d *Domain) {
+		mustOffer(t, d, offerOf(api.JobSpec{Payload: running("30s")}))
+		time.Sleep(2 * time.Second)
+		w.dialer.Add("new", w.workers[0])
+		w.dialer.Add("w0", nil)
+		w.mu.Lock()
+		w.vms[0].Address = "new"
+		w.mu.Unlock()
+		time.Sleep(40 * time.Second)
+		if r := w.part.outcome(testJob); r.Outcome != api.OutcomeSucceeded {
+			t.Errorf("outcome %q (%s), want succeeded", r.Outcome, r.Reason)
+		}
+	})
+}
+
+// An adopted gang whose worker is not in the VM list must be withdrawable.
+func TestWithdrawAdoptedGangWithUnlistedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stop()
+		d := w.start()
+		time.Sleep(time.Second)
+		mustOffer(t, d, offerOf(gang("600s")))
+		time.Sleep(2 * time.Second)
+		kill(d)
+		w.mu.Lock()
+		w.vms = w.vms[:1]
+		w.mu.Unlock()
+		w.workers[1].Close()
+		next := w.start()
+		time.Sleep(2 * time.Second)
+		if err := next.Withdraw(t.Context(), testJob, 1, "cancelled"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		if r := w.part.outcome(testJob); r.Outcome != api.OutcomeLost {
+			t.Errorf("outcome %q (%s), want lost", r.Outcome, r.Reason)
+		}
+	})
+}
--- a/pkg/domain/worker.go
+++ b/pkg/domain/worker.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target"
@@ -36,7 +36,10 @@
 	listed      bool
 	state       sched.WorkerState
 	reported    bool // state has been told to the scheduler
-	cancel      context.CancelFunc
+	// givenUp names the tasks that were reported as lost while the worker did not
+	// answer. The worker may still run them when it is back.
+	givenUp map[api.TaskID]bool
+	cancel  context.CancelFunc
 }
 
 // refreshWorkers follows the platform's list and the members' reports.
@@ -70,16 +73,18 @@
 	if ok && w.address == vm.Address {
 		return w
 	}
+	ctx, cancel := context.WithCancel(d.ctx)
 	if ok {
+		// The tasks stay with the worker. The first sync at the new address shows
+		// whether another process is there.
 		w.cancel()
+		w.seq, w.synced = 0, false
+	} else {
+		w = &worker{id: vm.ID, lastRenewal: time.Now(), state: sched.WorkerDown}
+		d.workers[vm.ID] = w
 	}
-	ctx, cancel := context.WithCancel(d.ctx)
-	w = &worker{
-		id: vm.ID, rack: vm.Rack, address: vm.Address, conn: d.opts.Dialer.Dial(vm.Address),
-		accelerators: vm.Accelerators, slots: vm.Slots, listed: true,
-		lastRenewal: time.Now(), state: sched.WorkerDown, cancel: cancel,
-	}
-	d.workers[vm.ID] = w
+	w.rack, w.address, w.conn = vm.Rack, vm.Address, d.opts.Dialer.Dial(vm.Address)
+	w.accelerators, w.slots, w.listed, w.cancel = vm.Accelerators, vm.Slots, true, cancel
 	d.opts.Sched.UpsertWorker(time.Now(), sched.Worker{
 		ID: w.id, Rack: w.rack, Accelerators: w.accelerators, Slots: w.slots, State: sched.WorkerDown,
 	})
@@ -146,11 +151,12 @@
 	if !w.synced || w.failing {
 		req.Wait = 0 // learn the state at once
 	}
-	d.mu.Unlock()
 	sent := time.Now()
+	conn := w.conn
+	d.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, req.Wait+d.opts.CallTimeout)
 	defer cancel()
-	resp, err := w.conn.Sync(callCtx, req)
+	resp, err := conn.Sync(callCtx, req)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -165,9 +171,7 @@
 func (d *Domain) syncFailed(w *worker, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if errkind.Is(err, errkind.StaleEpoch) {
-		d.opts.Log.Info("target knows a newer owner of the failure domain", "worker", w.id, "epoch", d.opts.Epoch)
-	}
+	d.noteFenced(w, err)
 	w.failing = true
 	d.updateState(w)
 }
@@ -175,19 +179,23 @@
 func (d *Domain) synced(w *worker, req target.SyncRequest, resp target.SyncResponse, sent time.Time) {
 	d.mu.Lock()
 	restarted := w.incarnation != 0 && resp.Incarnation != w.incarnation
-	if restarted {
-		d.loseTasks(w, "the worker restarted")
-		w.leaving = false
-	}
 	first := !w.synced
 	w.synced, w.failing = true, false
 	w.incarnation, w.seq, w.usage, w.lastRenewal = resp.Incarnation, resp.Seq, resp.Usage, sent
+	if restarted {
+		d.loseRestarted(w)
+		w.leaving = false
+	}
 	newlyLeaving := resp.Leaving && !w.leaving
 	w.leaving = w.leaving || resp.Leaving
 	if first || restarted || req.Since == 0 {
 		d.adoptTasks(w, resp.Tasks)
 	}
 	d.applyStatuses(w, resp.Tasks)
+	d.endStrays(w, resp.Tasks)
+	if req.Since == 0 {
+		w.givenUp = nil // the strays among them are being ended
+	}
 	d.updateState(w)
 	d.mu.Unlock()
 	if newlyLeaving {
@@ -200,18 +208,43 @@
 func (d *Domain) checkLost(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.fenced {
+		return // the new owner decides what is lost
+	}
 	for _, w := range d.workers {
 		if w.failing && now.Sub(w.lastRenewal) > d.opts.lostAfter() {
-			d.loseTasks(w, "the worker did not answer until its lease had lapsed")
+			d.giveUp(w)
 		}
 	}
 	d.checkPreemptions(now)
 	d.checkAdopted(now)
 }
 
-func (d *Domain) loseTasks(w *worker, reason string) {
+// loseRestarted gives up the tasks of an earlier process of the worker. A
+// reservation that is not confirmed yet tells its process when it is.
+func (d *Domain) loseRestarted(w *worker) {
+	d.loseTasks(w, "the worker restarted", func(t *task) bool {
+		return t.reserved && t.place().Incarnation != w.incarnation
+	})
+}
+
+// giveUp reports the tasks of a silent worker as lost. The next sync asks for
+// all tasks: a call whose answer was lost may have renewed their leases.
+func (d *Domain) giveUp(w *worker) {
+	w.seq = 0
+	d.loseTasks(w, "the worker did not answer until its lease had lapsed", func(t *task) bool {
+		if w.givenUp == nil {
+			w.givenUp = map[api.TaskID]bool{}
+		}
+		w.givenUp[t.id] = true
+		return true
+	})
+}
+
+// loseTasks gives up the tasks of the worker that match; the caller holds the lock.
+func (d *Domain) loseTasks(w *worker, reason string, match func(*task) bool) {
 	for _, t := range d.byTask {
-		if t.worker != w || t.over() {
+		if t.worker != w || t.over() || !match(t) {
 			continue
 		}
 		t.lost = true
--- /dev/null
+++ b/pkg/domain/world_test.go
@@ -0,0 +1,371 @@
+package domain
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/gate"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/target/memory"
+	"github.com/carawayusher/carawayusher/pkg/timeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testName = "r1/a"
+	testTTL  = 15 * time.Second
+)
+
+// fixtureT is what testing.T and rapid.T have in common.
+type fixtureT interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Errorf(format string, args ...any)
+}
+
+// world is one failure domain with in-memory workers and a fake partition.
+type world struct {
+	t       fixtureT
+	workers []*memory.Worker
+	dialer  memory.Dialer
+	part    *fakePartition
+	gate    *fakeGate
+
+	mu       sync.Mutex
+	vms      []platform.VM
+	leaving  map[string]bool
+	reported []string // workers that the domain reported as leaving
+	// before and after run around each call to a target; an error answers the
+	// call, before it is done or after it was.
+	before, after func(worker, method string) error
+	domains       []*Domain
+}
+
+func newWorld(t fixtureT, workers int) *world {
+	w := &world{t: t, part: newFakePartition(), gate: &fakeGate{}, leaving: map[string]bool{}}
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("w%d", i), memory.Config{})
+	}
+	return w
+}
+
+func (w *world) addWorker(id string, c memory.Config) {
+	c.ID = id
+	m := memory.NewWorker(c)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers = append(w.workers, m)
+	w.dialer.Add(id, &hooked{Target: m, id: id, w: w})
+	w.vms = append(w.vms, platform.VM{
+		ID: id, Role: platform.RoleTarget, Address: id, State: platform.VMLive,
+		FailureDomain: testName, Rack: "k0", Accelerators: memory.DefaultAccelerators, Slots: target.DefaultSlots,
+	})
+}
+
+// start runs a domain owner; epochs count from 1.
+func (w *world) start() *Domain {
+	d := New(Options{
+		Name: testName, Epoch: int64(len(w.domains) + 1), Sched: sched.NewDomain(testName, sched.Options{}),
+		Dialer: &w.dialer, Reporter: w.part, Gate: w.gate, Recorder: timeline.Discard{}, Log: logr.Discard(),
+		VMs: w.listVMs, LeavingTargets: w.listLeaving, ReportLeaving: w.reportLeaving,
+		LeaseTTL: testTTL, CallTimeout: time.Second,
+	})
+	w.domains = append(w.domains, d)
+	d.Start()
+	return d
+}
+
+func (w *world) stop() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, d := range w.domains {
+		d.Stop(ctx, false)
+	}
+	for _, m := range w.workers {
+		m.Close()
+	}
+}
+
+func (w *world) listVMs() []platform.VM {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.vms)
+}
+
+func (w *world) listLeaving() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]bool{}
+	for id := range w.leaving {
+		out[id] = true
+	}
+	return out
+}
+
+func (w *world) reportLeaving(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reported = append(w.reported, id)
+}
+
+func (w *world) reportedLeaving() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.reported)
+}
+
+func (w *world) hook(before, after func(worker, method string) error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.before, w.after = before, after
+}
+
+// starts returns the tasks of the job that the workers have started.
+func (w *world) starts(job api.JobID) []memory.StartRecord {
+	var out []memory.StartRecord
+	for _, m := range w.workers {
+		for _, s := range m.Starts().Starts {
+			if job == "" || s.Job == job {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// live returns the number of tasks that hold a place at any worker.
+func (w *world) live() int {
+	n := 0
+	for _, m := range w.workers {
+		n += m.RunningTasks()
+	}
+	return n
+}
+
+// once returns a hook that fails the first calls of a method at a worker; an
+// empty worker means any.
+func once(worker, method string, times int, then func() error) func(string, string) error {
+	var mu sync.Mutex
+	return func(id, m string) error {
+		mu.Lock()
+		skip := times == 0 || m != method || worker != "" && id != worker
+		if !skip {
+			times--
+		}
+		mu.Unlock()
+		if skip {
+			return nil
+		}
+		return then()
+	}
+}
+
+func lost() error { return errkind.New(errkind.Unavailable, "the answer was lost") }
+
+// hooked is a worker behind the hooks of the world.
+type hooked struct {
+	target.Target
+	id string
+	w  *world
+}
+
+func (h *hooked) around(method string, call func() error) error {
+	h.w.mu.Lock()
+	before, after := h.w.before, h.w.after
+	h.w.mu.Unlock()
+	if before != nil {
+		if err := before(h.id, method); err != nil {
+			return err
+		}
+	}
+	err := call()
+	if err == nil && after != nil {
+		err = after(h.id, method)
+	}
+	return err
+}
+
+func (h *hooked) Reserve(ctx context.Context, req target.ReserveRequest) (res target.Reservation, err error) {
+	err = h.around("reserve", func() error { res, err = h.Target.Reserve(ctx, req); return err })
+	return res, err
+}
+
+func (h *hooked) Start(ctx context.Context, req target.StartRequest) error {
+	return h.around("start", func() error { return h.Target.Start(ctx, req) })
+}
+
+func (h *hooked) Sync(ctx context.Context, req target.SyncRequest) (resp target.SyncResponse, err error) {
+	err = h.around("sync", func() error { resp, err = h.Target.Sync(ctx, req); return err })
+	return resp, err
+}
+
+func (h *hooked) Fence(ctx context.Context, task api.TaskID, epoch int64) (st target.TaskStatus, err error) {
+	err = h.around("fence", func() error { st, err = h.Target.Fence(ctx, task, epoch); return err })
+	return st, err
+}
+
+func (h *hooked) Release(ctx context.Context, task api.TaskID, epoch int64) error {
+	return h.around("release", func() error { return h.Target.Release(ctx, task, epoch) })
+}
+
+// fakePartition takes reports and claims as a partition's owner does.
+type fakePartition struct {
+	mu       sync.Mutex
+	outcomes map[string][]Report // by job/attempt
+	states   []Report
+	claims   map[api.JobID]Claim
+	calls    int
+	// report and claim answer the calls if set: before they are taken, or after.
+	report, reportAfter, claim, claimAfter func() error
+}
+
+func newFakePartition() *fakePartition {
+	return &fakePartition{outcomes: map[string][]Report{}, claims: map[api.JobID]Claim{}}
+}
+
+func attemptKey(job api.JobID, attempt int) string { return fmt.Sprintf("%s/%d", job, attempt) }
+
+func answer(fn func() error) error {
+	if fn == nil {
+		return nil
+	}
+	return fn()
+}
+
+func (p *fakePartition) Report(ctx context.Context, _ int, r Report) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if err := answer(p.report); err != nil {
+		return err
+	}
+	if r.Outcome == "" {
+		p.states = append(p.states, r)
+		return nil
+	}
+	key := attemptKey(r.Job, r.Attempt)
+	p.outcomes[key] = append(p.outcomes[key], r)
+	if r.Outcome == api.OutcomeNotRun {
+		delete(p.claims, r.Job)
+	}
+	return answer(p.reportAfter)
+}
+
+func (p *fakePartition) Claim(_ context.Context, _ int, c Claim) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := answer(p.claim); err != nil {
+		return err
+	}
+	if _, ok := p.claims[c.Job]; ok {
+		return errkind.New(errkind.Conflict, "job %s has a claim", c.Job)
+	}
+	p.claims[c.Job] = c
+	return answer(p.claimAfter)
+}
+
+// outcome returns the outcome of the first attempt, empty while there is none.
+func (p *fakePartition) outcome(job api.JobID) Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.outcomes[attemptKey(job, 1)]
+	if len(all) == 0 {
+		return Report{}
+	}
+	return all[len(all)-1]
+}
+
+func (p *fakePartition) claimOf(job api.JobID) Claim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claims[job]
+}
+
+func (p *fakePartition) count(job api.JobID) (outcomes, calls int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.outcomes[attemptKey(job, 1)]), p.calls
+}
+
+// fakeGate lets every action through unless it is closed.
+type fakeGate struct {
+	mu        sync.Mutex
+	closed    bool
+	proposals []gate.Proposal
+	allowed   []gate.Kind
+}
+
+func (g *fakeGate) Allow(kind gate.Kind, _ string, p gate.Proposal) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		g.proposals = append(g.proposals, p)
+		return false
+	}
+	g.allowed = append(g.allowed, kind)
+	return true
+}
+
+func (g *fakeGate) seen() ([]gate.Proposal, []gate.Kind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.proposals), slices.Clone(g.allowed)
+}
+
+func (g *fakeGate) set(closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = closed
+}
+
+// inWorld runs fn in a bubble with a synced domain of the given workers.
+func inWorld(t *testing.T, workers int, fn func(t *testing.T, w *world, d *Domain)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, workers)
+		defer w.stop()
+		d := w.start()
+		time.Sleep(time.Second)
+		fn(t, w, d)
+	})
+}
+
+const testJob api.JobID = "j0-1"
+
+func offerOf(spec api.JobSpec) Offer {
+	if spec.Class == "" {
+		spec.Class = api.ClassLong
+	}
+	spec.Workspace = "ws"
+	return Offer{Job: testJob, Attempt: 1, Spec: spec, SubmittedAt: time.Now()}
+}
+
+func running(d string) []byte { return fmt.Appendf(nil, `{"run":%q}`, d) }
+
+// gang returns the spec of a job with 8 accelerators on each of two workers.
+func gang(run string) api.JobSpec {
+	return api.JobSpec{Accelerators: 16, Adjacency: api.AdjacencyRack, Payload: running(run)}
+}
+
+func mustOffer(t fixtureT, d *Domain, o Offer) {
+	t.Helper()
+	if err := d.Offer(context.Background(), o); err != nil {
+		t.Fatalf("offer: %v", err)
+	}
+}
--- a/pkg/router/domain.go
+++ b/pkg/router/domain.go
@@ -21,7 +21,6 @@
 	methodSummary  = "domain.summary"
 	methodWorkers  = "domain.workers"
 	methodPreview  = "domain.preview"
-	methodConfirm  = "domain.confirm"
 )
 
 type offerRequest struct {
@@ -43,11 +42,6 @@
 	Document *policy.Document `cbor:"2,keyasint"`
 }
 
-type confirmRequest struct {
-	Domain   string `cbor:"1,keyasint"`
-	Proposal string `cbor:"2,keyasint"`
-}
-
 func (r *Router) localDomain(name string) (*domain.Domain, error) {
 	d, ok := r.local.Domain(name)
 	if !ok {
@@ -151,21 +145,6 @@
 	return d.Preview(req.Document), nil
 }
 
-// Confirm carries out a held action that an operator confirmed.
-func (r *Router) Confirm(ctx context.Context, name, proposal string) error {
-	req := confirmRequest{Domain: name, Proposal: proposal}
-	_, err := call(ctx, r, ownership.DomainShard(name), methodConfirm, req, r.confirmLocal)
-	return err
-}
-
-func (r *Router) confirmLocal(_ context.Context, req confirmRequest) (empty, error) {
-	d, err := r.localDomain(req.Domain)
-	if err != nil {
-		return empty{}, err
-	}
-	return empty{}, d.Confirm(req.Proposal)
-}
-
 func (r *Router) registerDomain(reg peer.Registry) {
 	handle(reg, methodOffer, r.offerLocal)
 	handle(reg, methodWithdraw, r.withdrawLocal)
@@ -174,5 +153,4 @@
 	handle(reg, methodSummary, r.summaryLocal)
 	handle(reg, methodWorkers, r.workersLocal)
 	handle(reg, methodPreview, r.previewLocal)
-	handle(reg, methodConfirm, r.confirmLocal)
 }
