Test the domain owner as a state machine and mend what it found

Excluded: the in-memory worker and the scheduler.

Change: an end without a run is held back until every worker has answered this owner or the lease time has passed; without proof the outcome is stopped. A not-run report names its places (SamePlaces). Every end stops what is left of the attempt. Refused placements, failed syncs and repeated calls wait with jitter (backoff/v5); a worker that refuses a placement rests; the long polls of the workers drift apart.

The test runs one owner and up to eight successors, dead or alive, on three workers with lost calls, lost answers, pauses, restarts and partition faults.

--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target"
@@ -22,12 +24,15 @@
 	// withdrawn says why the attempt is taken back; empty if it is not.
 	withdrawn string
 	preempt   *preemption
-	report    Report // the newest report
-	reporting bool   // a goroutine delivers reports
-	dirty     bool   // report changed since it was last sent
-	ended     bool   // report carries the outcome
-	orphan    bool   // adopted from targets; no offer has come yet
-	resolving bool   // a journaled claim is being resolved; it may have run
+	report    Report                      // the newest report
+	reporting bool                        // a goroutine delivers reports
+	dirty     bool                        // report changed since it was last sent
+	ended     bool                        // report carries the outcome
+	orphan    bool                        // adopted from targets; no offer has come yet
+	refusals  *backoff.ExponentialBackOff // pauses between refused placements
+	pending   *pendingEnd
+	offeredAt time.Time // zero while it is only adopted
+	resolving bool      // a journaled claim is being resolved; it may have run
 }
 
 // preemption is a stop in progress that keeps the work by a checkpoint.
--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -72,8 +72,10 @@
 	round     int // numbers the placements of this epoch
 	drained   map[string]bool
 	proposals map[string]sched.Action
+	requeues  []requeued
 	postponed []sched.Action // refused by the gate; due again at the next tick
 	stopped   bool
+	listed    bool // the VM list has been read
 	fenced    bool // a target knows a newer owner: nothing more is decided or reported
 	started   time.Time
 }
@@ -165,7 +167,7 @@
 			return
 		case <-tick.C:
 			d.refreshWorkers()
-			d.checkLost(time.Now())
+			d.tick(time.Now())
 			d.moveFromLeaving()
 			d.retryPostponed()
 		case <-d.wake:
@@ -174,6 +176,21 @@
 	}
 }
 
+// tick does what is due by time.
+func (d *Domain) tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fenced {
+		return // the new owner decides
+	}
+	d.checkLost(now)
+	d.checkPreemptions(now)
+	d.checkAdopted(now)
+	d.checkPending()
+	d.wakeRested(now)
+	d.enqueueDue(now)
+}
+
 // decide carries out one round of decisions.
 func (d *Domain) decide() {
 	if d.isStopped() {
--- a/pkg/domain/fence.go
+++ b/pkg/domain/fence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -41,19 +40,15 @@
 // resolveTask finds out whether a start without an answer took effect. Fence
 // makes sure that one that did not never will.
 func (d *Domain) resolveTask(a *attempt, t *task) {
+	pauses := newBackoff()
 	for {
 		d.mu.Lock()
 		w, place := t.worker, t.place()
 		d.mu.Unlock()
 		st, same, err := d.fence(w, place)
-		if d.resolved(a, t, st, same, err) {
+		if d.resolved(a, t, st, same, err) || !sleep(d.ctx, pauses.NextBackOff()) {
 			return
 		}
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-time.After(syncRetry):
-		}
 	}
 }
 
@@ -67,12 +62,12 @@
 	case t.over():
 	case err != nil:
 		return false
-	case !same && t.reserved:
+	case !same:
 		t.lost = true
 		a.report.Reason = "the worker restarted"
 	default:
 		st.Accelerators = t.status.Accelerators
-		t.status = st
+		t.status, t.reserved = st, true
 	}
 	d.advance(a)
 	return true
@@ -88,6 +83,7 @@
 // repeat makes a call about a task until it is answered, the worker or the task
 // is gone, or another owner decides. Done is called under the lock.
 func (d *Domain) repeat(t *task, call func(context.Context, target.Target) error, done func() bool) {
+	pauses := newBackoff()
 	for {
 		ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
 		err := call(ctx, d.conn(t))
@@ -98,13 +94,8 @@
 		d.mu.Lock()
 		gone := d.workers[t.worker.id] != t.worker || d.fenced || done()
 		d.mu.Unlock()
-		if gone {
-			return
-		}
-		select {
-		case <-d.ctx.Done():
+		if gone || !sleep(d.ctx, pauses.NextBackOff()) {
 			return
-		case <-time.After(syncRetry):
 		}
 	}
 }
--- a/pkg/domain/offer.go
+++ b/pkg/domain/offer.go
@@ -24,7 +24,7 @@
 		d.mu.Unlock()
 		return err
 	}
-	a := &attempt{offer: o, state: api.StateQueued, resolving: len(o.Claimed) > 0}
+	a := &attempt{offer: o, offeredAt: now, state: api.StateQueued, resolving: len(o.Claimed) > 0}
 	a.report = a.newReport(d.opts.Name, d.opts.Epoch)
 	d.attempts[o.Job] = a
 	d.mu.Unlock()
@@ -33,15 +33,25 @@
 		return nil
 	}
 	if err := d.opts.Sched.Enqueue(now, schedJob(o)); err != nil {
-		d.mu.Lock()
-		delete(d.attempts, o.Job)
-		d.mu.Unlock()
-		return err
+		return d.offerRefused(a, err)
 	}
 	d.notify()
 	return nil
 }
 
+// offerRefused forgets an attempt that the scheduler does not take. One that may
+// have run under the former owner is kept until that is known.
+func (d *Domain) offerRefused(a *attempt, err error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.provesNotRun(a) && len(a.copies) == 0 {
+		delete(d.attempts, a.offer.Job)
+		return err
+	}
+	d.requeues = append(d.requeues, requeued{a, time.Now()})
+	return nil
+}
+
 // reoffer handles an attempt that is already here; the caller holds the lock.
 func (d *Domain) reoffer(a *attempt, o Offer) error {
 	if o.Attempt < a.offer.Attempt {
@@ -56,6 +66,9 @@
 	}
 	a.offer.Partition, a.offer.PartitionEpoch = o.Partition, o.PartitionEpoch
 	a.orphan = false
+	if a.offeredAt.IsZero() {
+		a.offeredAt = time.Now()
+	}
 	d.deliver(a)
 	return nil
 }
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -141,6 +141,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.copy.places[t.index].Incarnation, t.reserved = res.Incarnation, true
+	t.worker.refusals = nil
 	return nil
 }
 
@@ -201,8 +202,10 @@
 	d.releaseAll(c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forgetCopy(c)
-	a.placing = false
+	if d.goesOnWithout(a, c) {
+		return
+	}
+	a.report.Allocations = slices.Clone(c.places) // the partition releases the claim of these places only
 	d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, "", "the claim was refused: "+err.Error())
 }
 
@@ -303,29 +306,19 @@
 
 // placeFailed gives back what was reserved and queues the attempt again.
 func (d *Domain) placeFailed(a *attempt, c *placedCopy, blame string, err error) {
-	unresolved := d.releaseAll(c)
-	if unresolved && len(c.tasks) == 1 && !a.offer.Spec.AtMostOnce {
+	if len(c.tasks) == 1 && !a.offer.Spec.AtMostOnce && errkind.Is(err, errkind.Unavailable) && d.mayHaveStarted(c.tasks[0]) {
 		// The combined reserve and start got no answer, and the fence did not rule
 		// out that the task ran. Its worker's next answer or the lapsed lease decides.
 		d.startedCopy(a, c)
 		d.goRun(func() { d.resolveTask(a, c.tasks[0]) })
 		return
 	}
+	d.releaseAll(c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a.placing = false
-	d.forgetCopy(c)
-	if c.hedge {
-		a.copies = slices.DeleteFunc(a.copies, func(o *placedCopy) bool { return o == c })
-		if a.withdrawn != "" {
-			d.stopCopies(a)
-		} else if a.preempt != nil {
-			d.beginPreemption(a)
-		}
-		d.advance(a)
+	if d.goesOnWithout(a, c) {
 		return
 	}
-	a.copies = nil
 	switch {
 	case a.withdrawn != "":
 		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", a.withdrawn)
@@ -337,52 +330,49 @@
 	}
 }
 
-// releaseAll fences every task of a copy. It reports whether a task may have
-// started. A task that could not be fenced now is fenced in the background,
-// because each sync renews the lease of its reservation.
-func (d *Domain) releaseAll(c *placedCopy) bool {
+// goesOnWithout forgets a copy that was not started. It reports whether there is
+// another: c was a hedge, or a copy of the former owner has turned up.
+func (d *Domain) goesOnWithout(a *attempt, c *placedCopy) bool {
+	a.placing = false
+	d.forgetCopy(c)
+	a.copies = slices.DeleteFunc(a.copies, func(o *placedCopy) bool { return o == c })
+	if len(a.copies) == 0 {
+		return false
+	}
+	if a.withdrawn != "" {
+		d.stopCopies(a)
+	} else if a.preempt != nil {
+		d.beginPreemption(a)
+	}
+	d.advance(a)
+	return true
+}
+
+func (d *Domain) mayHaveStarted(t *task) bool {
+	d.mu.Lock()
+	w, place := t.worker, t.place()
+	d.mu.Unlock()
+	st, same, err := d.fence(w, place)
+	return err != nil || st.Started || !same
+}
+
+// releaseAll gives every reservation of a copy back. One that cannot be given
+// back now is in the background, because each sync renews its lease.
+func (d *Domain) releaseAll(c *placedCopy) {
 	var g errgroup.Group
 	g.SetLimit(gangConcurrency)
 	for _, t := range c.tasks {
 		g.Go(func() error {
 			ctx, cancel := context.WithTimeout(d.ctx, d.opts.CallTimeout)
 			defer cancel()
-			st, err := d.conn(t).Fence(ctx, t.id, d.opts.Epoch)
-			if err != nil {
+			if err := d.conn(t).Release(ctx, t.id, d.opts.Epoch); err != nil {
 				d.noteRefusal(t.worker, err)
 				d.goRun(func() { d.releaseTask(t) })
-				return err
-			}
-			if st.Started {
-				return errkind.New(errkind.Conflict, "task %s was started", t.id)
 			}
 			return nil
 		})
 	}
-	return g.Wait() != nil
-}
-
-// requeue puts the attempt back into the scheduler's queue; the caller holds the lock.
-func (d *Domain) requeue(a *attempt, blame string) {
-	now := time.Now()
-	a.state = api.StateQueued
-	a.copies = nil
-	d.opts.Sched.Ended(now, a.offer.Job, a.offer.Attempt, sched.EndPlaceFailed, blame)
-	d.enqueue(a, now)
-	d.notify()
-}
-
-// enqueue hands the attempt to the scheduler; a refusal ends the attempt.
-func (d *Domain) enqueue(a *attempt, now time.Time) {
-	if err := d.opts.Sched.Enqueue(now, schedJob(a.offer)); err != nil {
-		e := errkind.As(err)
-		if errkind.Retryable(err) { // the queue is full now; the partition tries again later
-			d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", e.Message)
-			return
-		}
-		a.report.Kind = string(e.Kind)
-		d.finishAttempt(a, api.OutcomeRefused, sched.EndCancelled, "", e.Message)
-	}
+	_ = g.Wait() // the functions return no error
 }
 
 // forgetCopy drops the tasks of a copy from the index; the caller holds the lock.
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -23,6 +23,10 @@
 			st.Accelerators = t.status.Accelerators
 		}
 		t.status = st
+		if !t.reserved { // the answer to its reservation was lost
+			t.reserved = true
+			t.copy.places[t.index].Incarnation = w.incarnation
+		}
 		a := d.attempts[t.job]
 		if a == nil {
 			continue
@@ -104,11 +108,6 @@
 }
 
 func (d *Domain) succeed(a *attempt, winner *placedCopy) {
-	for _, c := range a.copies {
-		if c != winner {
-			d.stopTasks(c)
-		}
-	}
 	a.report.Result = winner.result()
 	a.report.Allocations = slices.Clone(winner.places)
 	d.finishAttempt(a, api.OutcomeSucceeded, sched.EndSucceeded, "", "")
@@ -163,7 +162,16 @@
 	if a.ended {
 		return
 	}
+	if o == api.OutcomeNotRun || o == api.OutcomeRefused {
+		if d.withholds(a, pendingEnd{o, why, blame, reason}) {
+			return
+		}
+		if !d.provesNotRun(a) {
+			o, reason = api.OutcomeStopped, reason+"; a worker cannot be asked whether it ran"
+		}
+	}
 	a.ended = true
+	d.stopCopies(a) // what the outcome does not need
 	r := a.newReport(d.opts.Name, d.opts.Epoch)
 	r.State, r.Outcome, r.Reason = "", o, reason
 	r.Result, r.Checkpoint, r.Attained, r.Kind = a.report.Result, a.report.Checkpoint, a.report.Attained, a.report.Kind
--- /dev/null
+++ b/pkg/domain/property_test.go
@@ -0,0 +1,379 @@
+package domain
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/sched"
+	"github.com/carawayusher/carawayusher/pkg/target"
+	"github.com/carawayusher/carawayusher/pkg/target/memory"
+)
+
+// switchOff shows that the property test needs a protection: "epoch" is the
+// epoch check of the workers, "claim" the journaled claim.
+var switchOff = flag.String("switch-off", "", "protection to switch off: epoch or claim")
+
+const propertyWorkers = 3
+
+// machine drives one failure domain through random work and faults.
+type machine struct {
+	w      *world
+	owner  *Domain
+	offers []Offer // the newest attempt of each job
+	jobs   int
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{w: newWorld(t, 0)}
+	for i := range propertyWorkers {
+		m.w.addWorker(fmt.Sprintf("w%d", i), memory.Config{IgnoreEpochs: *switchOff == "epoch"})
+	}
+	m.w.part.noClaims = *switchOff == "claim"
+	m.owner = m.w.start()
+	return m
+}
+
+var propertySpecs = []api.JobSpec{
+	{},
+	{Checkpointable: true},
+	{AtMostOnce: true},
+	{Accelerators: 3, Adjacency: api.AdjacencyWorker},
+	{Accelerators: 16, Adjacency: api.AdjacencyRack},
+	{Accelerators: 16, Adjacency: api.AdjacencyRack, AtMostOnce: true},
+	{Accelerators: 12, Adjacency: api.AdjacencyRack, Checkpointable: true},
+}
+
+// pick draws an index, which is shorter in the output than the element.
+func pick[T any](t *rapid.T, list []T, label string) T {
+	return list[rapid.IntRange(0, len(list)-1).Draw(t, label)]
+}
+
+// Submit offers a new job.
+func (m *machine) Submit(t *rapid.T) {
+	spec := pick(t, propertySpecs, "spec")
+	spec.Payload = running(rapid.SampledFrom([]string{"1ms", "2s", "30s"}).Draw(t, "run"))
+	o := offerOf(spec)
+	m.jobs++
+	o.Job = api.JobID(fmt.Sprintf("j0-%d", m.jobs))
+	m.offers = append(m.offers, o)
+	m.offer(o)
+}
+
+// offer hands an attempt over as a partition does, with its claim if there is one.
+func (m *machine) offer(o Offer) {
+	if c := m.w.part.claimOf(o.Job); c.Attempt == o.Attempt {
+		o.Claimed, o.ClaimedAt = c.Places, time.Now()
+	}
+	_ = m.owner.Offer(context.Background(), o) // refused offers are repeated by Retry
+}
+
+// Retry offers open attempts again, and ended ones that may run again as the next attempt.
+func (m *machine) Retry(*rapid.T) {
+	for i := range m.offers {
+		o := &m.offers[i]
+		switch m.w.part.final(o.Job, o.Attempt) {
+		case api.OutcomeNotRun:
+			o.Attempt++
+		case api.OutcomeLost, api.OutcomePreempted, api.OutcomeStopped:
+			if o.Spec.AtMostOnce {
+				continue
+			}
+			o.Attempt++
+		case "":
+		default:
+			continue
+		}
+		m.offer(*o)
+	}
+}
+
+// Withdraw takes an attempt back.
+func (m *machine) Withdraw(t *rapid.T) {
+	if len(m.offers) > 0 {
+		o := pick(t, m.offers, "offer")
+		_ = m.owner.Withdraw(context.Background(), o.Job, o.Attempt, "withdrawn") // it may be over
+	}
+}
+
+// Preempt takes the places of an attempt back.
+func (m *machine) Preempt(t *rapid.T) {
+	if len(m.offers) > 0 {
+		o := pick(t, m.offers, "offer")
+		if !o.Spec.AtMostOnce {
+			m.owner.carryOut(sched.Action{Type: sched.ActionPreempt, Job: o.Job, Attempt: o.Attempt, StopBy: time.Now().Add(time.Second)})
+		}
+	}
+}
+
+// Takeover starts a successor. The former owner has died, or runs on.
+func (m *machine) Takeover(t *rapid.T) {
+	if len(m.w.domains) > 8 {
+		return
+	}
+	if rapid.Bool().Draw(t, "dead") {
+		kill(m.owner)
+	}
+	m.owner = m.w.start()
+	m.w.part.setEpoch(int64(len(m.w.domains)))
+	m.Retry(t)
+}
+
+// WorkerFault restarts a worker or sets its switches.
+func (m *machine) WorkerFault(t *rapid.T) {
+	worker := pick(t, m.w.workers, "worker")
+	switch rapid.IntRange(0, 4).Draw(t, "fault") {
+	case 0:
+		worker.Restart()
+	case 1:
+		worker.SetFaults(memory.Faults{Pause: true})
+	case 2:
+		worker.SetFaults(memory.Faults{RefuseConnections: true})
+	case 3:
+		worker.SetFaults(memory.Faults{LoseStarts: rapid.IntRange(1, 8).Draw(t, "starts")})
+	default:
+		worker.SetFaults(memory.Faults{})
+	}
+}
+
+// CallFault loses calls or answers of one method.
+func (m *machine) CallFault(t *rapid.T) {
+	method := rapid.SampledFrom([]string{"reserve", "start", "sync", "fence", "release"}).Draw(t, "method")
+	fault := once("", method, rapid.IntRange(1, 30).Draw(t, "times"), lost)
+	if rapid.Bool().Draw(t, "answer") {
+		m.w.hook(nil, fault)
+	} else {
+		m.w.hook(fault, nil)
+	}
+}
+
+// PartitionFault loses reports or claims, or their answers.
+func (m *machine) PartitionFault(t *rapid.T) {
+	var left atomic.Int32
+	left.Store(int32(rapid.IntRange(1, 5).Draw(t, "times")))
+	fault := func() error {
+		if left.Add(-1) < 0 {
+			return nil
+		}
+		return errkind.New(errkind.Timeout, "the answer was lost")
+	}
+	p := m.w.part
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch rapid.IntRange(0, 3).Draw(t, "call") {
+	case 0:
+		p.report = fault
+	case 1:
+		p.reportAfter = fault
+	case 2:
+		p.claim = fault
+	default:
+		p.claimAfter = fault
+	}
+}
+
+// Wait lets time pass.
+func (m *machine) Wait(t *rapid.T) {
+	time.Sleep(time.Duration(rapid.SampledFrom([]int{1, 50, 1000, 6000, 20000}).Draw(t, "ms")) * time.Millisecond)
+}
+
+// Check holds after every step.
+func (m *machine) Check(t *rapid.T) {
+	seen := map[api.TaskID]bool{}
+	placements := map[api.JobID]string{}
+	for _, s := range m.w.starts("") {
+		if seen[s.Task] {
+			t.Fatalf("task %s started twice", s.Task)
+		}
+		seen[s.Task] = true
+		key := placementKey(s.Task)
+		if was, ok := placements[s.Job]; ok && was != key && m.atMostOnce(s.Job) {
+			t.Fatalf("at-most-once job started as %s and as %s", was, key)
+		}
+		placements[s.Job] = key
+		var attempt int
+		_, _ = fmt.Sscanf(string(s.Task[len(s.Job):]), "/%d/", &attempt)
+		// A restarted worker has forgotten a task that it ran for a former owner. A
+		// job that may be repeated has no claim that would tell.
+		forgotten := !m.atMostOnce(s.Job) && m.incarnation(s.Worker) != s.Incarnation
+		if m.w.part.final(s.Job, attempt) == api.OutcomeNotRun && !forgotten {
+			t.Fatalf("task %s started, and its attempt was reported as not run", s.Task)
+		}
+	}
+	for _, worker := range m.w.workers {
+		m.checkCapacity(t, worker)
+	}
+}
+
+func (m *machine) incarnation(worker string) int64 {
+	i := slices.IndexFunc(m.w.workers, func(w *memory.Worker) bool { return w.ID() == worker })
+	return m.w.workers[i].Incarnation()
+}
+
+func (m *machine) atMostOnce(job api.JobID) bool {
+	return slices.ContainsFunc(m.offers, func(o Offer) bool { return o.Job == job && o.Spec.AtMostOnce })
+}
+
+// live returns the tasks that hold a place at a worker that answers.
+func live(worker *memory.Worker) []target.TaskStatus {
+	if f := worker.Faults(); f.Pause || f.RefuseConnections {
+		return nil
+	}
+	resp, _ := worker.Sync(context.Background(), target.SyncRequest{RenewOnly: true})
+	return slices.DeleteFunc(resp.Tasks, func(st target.TaskStatus) bool { return st.State.Ended() })
+}
+
+func (m *machine) checkCapacity(t *rapid.T, worker *memory.Worker) {
+	taken := map[int]api.TaskID{}
+	tasks := live(worker)
+	for _, st := range tasks {
+		for _, a := range st.Accelerators {
+			if other, ok := taken[a]; ok {
+				t.Fatalf("accelerator %d of %s is held by %s and %s", a, worker.ID(), other, st.Task)
+			}
+			taken[a] = st.Task
+		}
+	}
+	if len(tasks) > target.DefaultSlots {
+		t.Fatalf("%d tasks on %s", len(tasks), worker.ID())
+	}
+}
+
+// settle ends all faults and expects that every attempt ends, that no gang runs
+// partially, and that nothing is left at the workers.
+func (m *machine) settle(t *rapid.T) {
+	m.w.hook(nil, nil)
+	for _, worker := range m.w.workers {
+		worker.SetFaults(memory.Faults{})
+	}
+	p := m.w.part
+	p.mu.Lock()
+	p.report, p.reportAfter, p.claim, p.claimAfter = nil, nil, nil, nil
+	p.mu.Unlock()
+	for range 60 {
+		m.Retry(t)
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		m.Check(t)
+		m.checkWhole(t)
+		if m.open() == 0 && m.w.live() == 0 {
+			m.owner.mu.Lock()
+			defer m.owner.mu.Unlock()
+			if len(m.owner.attempts)+len(m.owner.byTask) > 0 {
+				t.Fatalf("%d attempts and %d tasks are still kept", len(m.owner.attempts), len(m.owner.byTask))
+			}
+			return
+		}
+	}
+	t.Fatalf("%d attempts have no outcome and %d tasks hold a place%s", m.open(), m.w.live(), m.dump())
+}
+
+// dump describes what the owner and the workers hold.
+func (m *machine) dump() string {
+	d := m.owner
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := ""
+	for id, a := range d.attempts {
+		out += fmt.Sprintf("\nattempt %s/%d %s placing=%v withdrawn=%q preempted=%v ended=%v orphan=%v resolving=%v pending=%v",
+			id, a.offer.Attempt, a.state, a.placing, a.withdrawn, a.preempt != nil, a.ended, a.orphan, a.resolving, a.pending)
+		for _, c := range a.copies {
+			for _, t := range c.tasks {
+				out += fmt.Sprintf("\n  task %s at %s %s lost=%v stopping=%v", t.id, t.worker.id, t.status.State, t.lost, t.stopping)
+			}
+		}
+	}
+	for _, worker := range m.w.workers {
+		for _, st := range live(worker) {
+			out += fmt.Sprintf("\nworker %s: %s %s", worker.ID(), st.Task, st.State)
+		}
+	}
+	return out
+}
+
+func (m *machine) open() int {
+	n := 0
+	for _, o := range m.offers {
+		switch m.w.part.final(o.Job, o.Attempt) {
+		case "":
+			n++
+		case api.OutcomeNotRun:
+			n++
+		case api.OutcomeLost, api.OutcomePreempted, api.OutcomeStopped:
+			if !o.Spec.AtMostOnce {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// checkWhole expects that the tasks of a placement run all or not at all.
+func (m *machine) checkWhole(t *rapid.T) {
+	running, whole := map[string]bool{}, map[string]int{}
+	for _, worker := range m.w.workers {
+		resp, _ := worker.Sync(context.Background(), target.SyncRequest{RenewOnly: true})
+		for _, st := range resp.Tasks {
+			key := placementKey(st.Task)
+			if st.State == target.TaskRunning {
+				running[key] = true
+			}
+			if st.State == target.TaskRunning || st.State == target.TaskSucceeded {
+				whole[key] += len(st.Accelerators)
+			}
+		}
+	}
+	for key := range running {
+		job := api.TaskID(key).Job()
+		i := slices.IndexFunc(m.offers, func(o Offer) bool { return o.Job == job })
+		if want := m.offers[i].Spec.Accelerators; whole[key] != want {
+			t.Fatalf("%s runs on %d accelerators of %d%s", key, whole[key], want, m.dump())
+		}
+	}
+}
+
+func (p *fakePartition) final(job api.JobID, attempt int) api.Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if all := p.outcomes[attemptKey(job, attempt)]; len(all) > 0 {
+		return all[0].Outcome
+	}
+	return ""
+}
+
+func (p *fakePartition) setEpoch(epoch int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.epoch = epoch
+}
+
+// bubbleTB hides testing.T.Deadline, which is not allowed in a bubble.
+type bubbleTB struct{ rapid.TB }
+
+// Guards the promises of the domain's owner against any sequence of faults: no
+// task identity starts twice, an at-most-once job starts one placement at most,
+// what is reported as not run did not run, accelerators and slots are never
+// exceeded, no gang goes on partially, and every attempt ends.
+func TestDomainProperties(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleTB{t}, func(t *rapid.T) {
+			m := newMachine(t)
+			defer m.w.stop()
+			t.Repeat(map[string]func(*rapid.T){
+				"": m.Check, "submit": m.Submit, "submit2": m.Submit, "retry": m.Retry, "withdraw": m.Withdraw, "preempt": m.Preempt,
+				"takeover": m.Takeover, "worker fault": m.WorkerFault, "call fault": m.CallFault,
+				"partition fault": m.PartitionFault, "wait": m.Wait, "wait2": m.Wait,
+			})
+			m.settle(t)
+		})
+	})
+}
--- a/pkg/domain/resolve.go
+++ b/pkg/domain/resolve.go
@@ -24,6 +24,7 @@
 // restarted leaves the outcome unknown.
 func (d *Domain) resolveClaim(a *attempt) {
 	deadline := time.Now().Add(d.opts.lostAfter())
+	pauses := newBackoff()
 	for {
 		switch d.tryResolve(a) {
 		case resolutionAdopted:
@@ -40,10 +41,8 @@
 			d.finishResolved(a, api.OutcomeLost, sched.EndWorkerLost, "a worker of the claimed attempt cannot be asked")
 			return
 		}
-		select {
-		case <-d.ctx.Done():
+		if !sleep(d.ctx, pauses.NextBackOff()) {
 			return
-		case <-time.After(syncRetry):
 		}
 	}
 }
@@ -53,6 +52,7 @@
 	defer d.mu.Unlock()
 	a.resolving = false
 	if len(a.copies) == 0 && !d.fenced {
+		a.report.Allocations = a.offer.Claimed // the partition releases the claim of these places only
 		d.finishAttempt(a, o, why, "", reason)
 	}
 }
--- a/pkg/domain/service.go
+++ b/pkg/domain/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -83,6 +84,12 @@
 	Epoch   int64            `cbor:"5,keyasint,omitempty"` // of the claiming owner
 }
 
+// SamePlaces reports whether two lists name the same tasks. A report that an
+// attempt did not run speaks for the places that it names only.
+func SamePlaces(a, b []api.Allocation) bool {
+	return slices.EqualFunc(a, b, func(x, y api.Allocation) bool { return x.Task == y.Task })
+}
+
 // Reporter is the partitions' side.
 type Reporter interface {
 	// Report delivers r to the owner of the partition; a nil error means that it
--- a/pkg/domain/worker.go
+++ b/pkg/domain/worker.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/sched"
@@ -12,10 +14,6 @@
 	"github.com/carawayusher/carawayusher/pkg/timeline"
 )
 
-// syncRetry is the pause after a failed sync; a worker that does not answer is
-// asked again until the VM list drops it and its tasks are over.
-const syncRetry = 250 * time.Millisecond
-
 // worker is a target as the domain's owner sees it; the domain's lock guards it.
 type worker struct {
 	id, rack, address string
@@ -25,6 +23,7 @@
 	// synced is set by the first successful sync under this epoch: from then on
 	// the target refuses the former owner.
 	synced      bool
+	met         bool // synced at least once under this epoch, at any address
 	incarnation int64
 	seq         int64
 	usage       target.Usage
@@ -39,7 +38,10 @@
 	// givenUp names the tasks that were reported as lost while the worker did not
 	// answer. The worker may still run them when it is back.
 	givenUp map[api.TaskID]bool
-	cancel  context.CancelFunc
+	// restUntil is when the worker may get new work again after it refused some.
+	restUntil time.Time
+	refusals  *backoff.ExponentialBackOff
+	cancel    context.CancelFunc
 }
 
 // refreshWorkers follows the platform's list and the members' reports.
@@ -57,6 +59,7 @@
 		w := d.ensureWorker(vm)
 		w.leaving = w.leaving || vm.State == platform.VMLeaving || leaving[vm.ID]
 	}
+	d.listed = true
 	for id, w := range d.workers {
 		w.listed = listed[id]
 		d.updateState(w)
@@ -109,7 +112,7 @@
 		state = sched.WorkerDown
 	case w.leaving || !w.listed:
 		state = sched.WorkerLeaving
-	case d.drained[w.id] || d.drained["rack:"+w.rack]:
+	case !w.restUntil.IsZero() || d.drained[w.id] || d.drained["rack:"+w.rack]:
 		state = sched.WorkerDrained
 	}
 	if w.reported && state == w.state {
@@ -130,14 +133,15 @@
 	sched.WorkerDown:    "down",
 }
 
-// syncLoop renews the leases at one target and follows its tasks.
+// syncLoop renews the leases at one target and follows its tasks. A worker that
+// does not answer is asked again until the VM list drops it and its tasks are over.
 func (d *Domain) syncLoop(ctx context.Context, w *worker) {
+	pauses := newBackoff()
 	for ctx.Err() == nil {
-		if !d.syncOnce(ctx, w) {
-			select {
-			case <-ctx.Done():
-			case <-time.After(syncRetry):
-			}
+		if d.syncOnce(ctx, w) {
+			pauses.Reset()
+		} else {
+			sleep(ctx, pauses.NextBackOff())
 		}
 	}
 }
@@ -146,7 +150,7 @@
 	d.mu.Lock()
 	req := target.SyncRequest{
 		Epoch: d.opts.Epoch, TTL: d.opts.LeaseTTL, Since: w.seq,
-		Incarnation: w.incarnation, Wait: d.opts.syncWait(),
+		Incarnation: w.incarnation, Wait: jittered(d.opts.syncWait()),
 	}
 	if !w.synced || w.failing {
 		req.Wait = 0 // learn the state at once
@@ -180,7 +184,7 @@
 	d.mu.Lock()
 	restarted := w.incarnation != 0 && resp.Incarnation != w.incarnation
 	first := !w.synced
-	w.synced, w.failing = true, false
+	w.synced, w.met, w.failing = true, true, false
 	w.incarnation, w.seq, w.usage, w.lastRenewal = resp.Incarnation, resp.Seq, resp.Usage, sent
 	if restarted {
 		d.loseRestarted(w)
@@ -204,20 +208,14 @@
 	d.notify()
 }
 
-// checkLost gives up the tasks of workers whose lease has lapsed.
+// checkLost gives up the tasks of workers whose lease has lapsed; the caller
+// holds the lock.
 func (d *Domain) checkLost(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.fenced {
-		return // the new owner decides what is lost
-	}
 	for _, w := range d.workers {
 		if w.failing && now.Sub(w.lastRenewal) > d.opts.lostAfter() {
 			d.giveUp(w)
 		}
 	}
-	d.checkPreemptions(now)
-	d.checkAdopted(now)
 }
 
 // loseRestarted gives up the tasks of an earlier process of the worker. A
--- a/pkg/domain/world_test.go
+++ b/pkg/domain/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"sync"
@@ -22,7 +23,13 @@
 	"github.com/carawayusher/carawayusher/pkg/timeline"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1") // a fixed seed, so that a failure can be repeated
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const (
 	testName = "r1/a"
@@ -227,6 +234,8 @@
 	outcomes map[string][]Report // by job/attempt
 	states   []Report
 	claims   map[api.JobID]Claim
+	epoch    int64 // newest owner of the domain that the partition knows
+	noClaims bool  // permits every start and journals nothing
 	calls    int
 	// report and claim answer the calls if set: before they are taken, or after.
 	report, reportAfter, claim, claimAfter func() error
@@ -255,13 +264,24 @@
 	if err := answer(p.report); err != nil {
 		return err
 	}
+	ended := len(p.outcomes[attemptKey(r.Job, r.Attempt)]) > 0
+	if r.Epoch < p.epoch || ended && r.Outcome == "" {
+		return errkind.New(errkind.Conflict, "superseded")
+	}
+	if ended {
+		return nil // repeated or late
+	}
 	if r.Outcome == "" {
 		p.states = append(p.states, r)
 		return nil
 	}
 	key := attemptKey(r.Job, r.Attempt)
 	p.outcomes[key] = append(p.outcomes[key], r)
-	if r.Outcome == api.OutcomeNotRun {
+	if c, ok := p.claims[r.Job]; ok && r.Outcome == api.OutcomeNotRun {
+		if !SamePlaces(c.Places, r.Allocations) {
+			p.outcomes[key] = p.outcomes[key][:len(p.outcomes[key])-1]
+			return nil // another owner's claim; it is offered again with the attempt
+		}
 		delete(p.claims, r.Job)
 	}
 	return answer(p.reportAfter)
@@ -270,9 +290,12 @@
 func (p *fakePartition) Claim(_ context.Context, _ int, c Claim) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := answer(p.claim); err != nil {
+	if err := answer(p.claim); err != nil || p.noClaims {
 		return err
 	}
+	if c.Epoch < p.epoch || len(p.outcomes[attemptKey(c.Job, c.Attempt)]) > 0 {
+		return errkind.New(errkind.Conflict, "superseded")
+	}
 	if _, ok := p.claims[c.Job]; ok {
 		return errkind.New(errkind.Conflict, "job %s has a claim", c.Job)
 	}
