Refuse superseded domain owners, bound results and the memory of ended jobs

Change: reports and claims below the known epoch are refused as conflict. A not-run report releases the claim of the places that it names; otherwise the attempt is offered again with the claim. jobs.result_max ends a job as failed with kind too_large, at the domain and again at the partition. The existing tests of the partition name the epoch of the domain's owner in their reports and claims now; what they check is unchanged. A race between an offer and a claim, found by the property test under -race, is mended.

--- a/pkg/daemon/host.go
+++ b/pkg/daemon/host.go
@@ -79,6 +79,7 @@
 		Domains:        h.d.router, Summaries: h.d.members.Summaries,
 		DomainEpoch: h.domainEpoch, Config: h.d.config, Gate: h.d.gate, Retries: h.d.retries,
 		Recorder: h.d.events, Log: h.d.log.WithName("partition"), Retention: h.d.settings.Jobs.ResultRetention,
+		ResultMax: h.d.settings.Jobs.ResultMax,
 	})
 	h.mu.Lock()
 	h.partitions[n] = p
@@ -109,6 +110,9 @@
 		Log: h.d.log.WithName("domain"), VMs: h.d.vms.last,
 		LeavingTargets: h.d.members.LeavingTargets, ReportLeaving: h.d.members.ReportLeaving,
 		LeaseTTL: h.d.settings.Targets.LeaseTTL, CallTimeout: h.d.settings.Targets.StartTimeout,
+		ResultMax: h.d.settings.Jobs.ResultMax,
+		// The answer does not name the newer epoch; any above the own one will do.
+		OnFenced: func() { h.d.owners.SawEpoch(ownership.DomainShard(name), epoch+1) },
 	})
 	if doc := h.d.config.Current(); doc != nil {
 		d.SetPolicy(h.share(doc, name))
--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -41,6 +41,9 @@
 	LeaseTTL time.Duration
 	// CallTimeout bounds one call to a target other than Sync.
 	CallTimeout time.Duration
+	// ResultMax is the largest result of a job; a larger one fails it. Zero means
+	// no limit.
+	ResultMax int64
 	// OnFenced is called once when a target shows that the failure domain has a
 	// newer owner; nil ignores it.
 	OnFenced func()
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -77,7 +77,9 @@
 		d.placeFailed(a, c, blame, err)
 		return
 	}
+	d.mu.Lock()
 	d.event(timeline.Reserved, a, "")
+	d.mu.Unlock()
 	if a.offer.Spec.AtMostOnce {
 		if err := d.claim(a, c); err != nil {
 			d.claimFailed(a, c, err)
@@ -184,14 +186,14 @@
 func (d *Domain) claim(a *attempt, c *placedCopy) error {
 	d.mu.Lock()
 	places := append([]api.Allocation(nil), c.places...)
-	withdrawn := a.withdrawn != ""
+	withdrawn, partition := a.withdrawn != "", a.offer.Partition
 	d.mu.Unlock()
 	if withdrawn {
 		return errkind.New(errkind.Cancelled, "withdrawn before the start")
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, d.opts.LeaseTTL/2)
 	defer cancel()
-	return d.opts.Reporter.Claim(ctx, a.offer.Partition, Claim{
+	return d.opts.Reporter.Claim(ctx, partition, Claim{
 		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: d.opts.Name, Places: places, Epoch: d.opts.Epoch,
 	})
 }
@@ -397,8 +399,8 @@
 	}
 	a.placing = true
 	a.copies = append(a.copies, c)
-	d.mu.Unlock()
 	d.event(timeline.Hedged, a, act.Reason)
+	d.mu.Unlock()
 	d.goRun(func() { d.placeCopy(a, c) })
 }
 
@@ -434,6 +436,7 @@
 	d.finishAttempt(a, api.OutcomeRefused, sched.EndCancelled, "", act.Reason)
 }
 
+// event records an event about the attempt; the caller holds the lock.
 func (d *Domain) event(t timeline.Type, a *attempt, reason string) {
 	e := timeline.Event{
 		Type: t, Job: a.offer.Job, Workspace: a.offer.Spec.Workspace, Domain: d.opts.Name, Reason: reason,
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target"
 	"github.com/carawayusher/carawayusher/pkg/timeline"
@@ -108,11 +110,21 @@
 }
 
 func (d *Domain) succeed(a *attempt, winner *placedCopy) {
-	a.report.Result = winner.result()
+	result := winner.result()
+	if d.tooLarge(result) {
+		a.report.Kind = string(errkind.TooLarge)
+		d.finishAttempt(a, api.OutcomeFailed, sched.EndSucceeded, "", fmt.Sprintf("the result has %d bytes, more than %d", len(result), d.opts.ResultMax))
+		return
+	}
+	a.report.Result = result
 	a.report.Allocations = slices.Clone(winner.places)
 	d.finishAttempt(a, api.OutcomeSucceeded, sched.EndSucceeded, "", "")
 }
 
+func (d *Domain) tooLarge(result []byte) bool {
+	return d.opts.ResultMax > 0 && int64(len(result)) > d.opts.ResultMax
+}
+
 // endBroken decides the outcome of a copy whose tasks are all over.
 func (d *Domain) endBroken(a *attempt, c *placedCopy) {
 	ran, lost, failed := false, false, (*task)(nil)
@@ -131,7 +143,9 @@
 	case !ran && !lost:
 		d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, d.firstWorker(c), "the task was not started")
 	case failed != nil:
-		a.report.Result = failed.status.Result
+		if !d.tooLarge(failed.status.Result) {
+			a.report.Result = failed.status.Result
+		}
 		d.finishAttempt(a, api.OutcomeFailed, sched.EndFailed, failed.worker.id, failed.status.Error)
 	case lost:
 		reason := a.report.Reason
--- a/pkg/partition/dispatch.go
+++ b/pkg/partition/dispatch.go
@@ -154,6 +154,8 @@
 		return nil, time.Time{}, errkind.New(errkind.NotFound, "no job %s", c.Job)
 	case j.terminal() || j.cancelRequested:
 		return nil, time.Time{}, errkind.New(errkind.Conflict, "job %s has ended or is cancelled", c.Job)
+	case p.superseded(c.Domain, c.Epoch) != nil:
+		return nil, time.Time{}, p.superseded(c.Domain, c.Epoch)
 	case j.status.Attempt != c.Attempt || j.status.FailureDomain != c.Domain:
 		return nil, time.Time{}, errkind.New(errkind.Conflict, "job %s is at attempt %d in %s", c.Job, j.status.Attempt, j.status.FailureDomain)
 	case j.claim != nil:
--- a/pkg/partition/partition.go
+++ b/pkg/partition/partition.go
@@ -73,6 +73,12 @@
 	Log         logr.Logger
 	// Retention is how long the ends of durable jobs are kept.
 	Retention time.Duration
+	// RetainedBytes bounds the memory of ended jobs; the oldest go first. Zero
+	// means DefaultRetainedBytes.
+	RetainedBytes int64
+	// ResultMax is the largest result that is kept; a larger one fails the job.
+	// Zero means no limit.
+	ResultMax int64
 }
 
 // Partition owns the jobs of one partition under one epoch.
@@ -87,6 +93,8 @@
 
 	mu      sync.Mutex
 	jobs    map[api.JobID]*job
+	active  map[api.JobID]*job // those of jobs that a sweep looks after
+	ended   retained
 	byKey   map[string]api.JobID
 	log     journal.Log
 	stopped bool
@@ -97,10 +105,14 @@
 // New returns a partition that is not yet running.
 func New(opts Options) *Partition {
 	ctx, cancel := context.WithCancel(context.Background())
+	if opts.RetainedBytes <= 0 {
+		opts.RetainedBytes = DefaultRetainedBytes
+	}
 	return &Partition{
 		opts: opts, ctx: ctx, cancel: cancel,
 		recovered: make(chan struct{}),
 		jobs:      map[api.JobID]*job{},
+		active:    map[api.JobID]*job{},
 		byKey:     map[string]api.JobID{},
 		load:      map[string]int{},
 	}
@@ -171,6 +183,7 @@
 // insert adds a job to the indexes; the caller holds the lock or is recovering.
 func (p *Partition) insert(j *job) {
 	p.jobs[j.status.ID] = j
+	p.active[j.status.ID] = j
 	if j.key != "" {
 		p.byKey[jobKey(j.status.Spec.Workspace, j.key)] = j.status.ID
 	}
@@ -178,6 +191,7 @@
 
 func (p *Partition) remove(j *job) {
 	delete(p.jobs, j.status.ID)
+	delete(p.active, j.status.ID)
 	if j.key != "" {
 		delete(p.byKey, jobKey(j.status.Spec.Workspace, j.key))
 	}
--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -139,7 +139,12 @@
 
 func (f *fixture) start(t *testing.T, epoch int64) *Partition {
 	t.Helper()
-	p := New(Options{
+	return f.startWith(t, epoch, func(*Options) {})
+}
+
+func (f *fixture) startWith(t *testing.T, epoch int64, change func(*Options)) *Partition {
+	t.Helper()
+	opts := Options{
 		Number: 3, Epoch: epoch, OpenJournal: f.log.open(epoch),
 		StoreReachable: f.storeUp.Load, Domains: f.domains,
 		Summaries: func() []sched.Summary {
@@ -148,7 +153,9 @@
 		DomainEpoch: func(string) (int64, bool) { return f.epoch.Load(), true },
 		Config:      noConfig{}, Gate: f.gate, Retries: NewBudgetedRetries(),
 		Recorder: timeline.Discard{}, Log: logr.Discard(), Retention: time.Hour,
-	})
+	}
+	change(&opts)
+	p := New(opts)
 	p.Start()
 	t.Cleanup(func() { p.Stop(context.Background(), false) })
 	return p
@@ -191,7 +198,7 @@
 		"other domain":  {change: func(c *domain.Claim) { c.Domain = "r1/b" }, want: errkind.Conflict},
 		"unknown job":   {change: func(c *domain.Claim) { c.Job = "j3-x" }, want: errkind.NotFound},
 		"claimed before": {before: func(p *Partition, id api.JobID) {
-			_ = p.Claim(context.Background(), domain.Claim{Job: id, Attempt: 1, Domain: testDomain})
+			_ = p.Claim(context.Background(), domain.Claim{Job: id, Attempt: 1, Domain: testDomain, Epoch: 7})
 		}, want: errkind.Conflict},
 		"cancelled": {before: func(p *Partition, id api.JobID) { _, _ = p.Cancel(context.Background(), "postbud", id) }, want: errkind.Conflict},
 	}
@@ -203,7 +210,7 @@
 				if tc.before != nil {
 					tc.before(p, st.ID)
 				}
-				c := domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain}
+				c := domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7}
 				if tc.change != nil {
 					tc.change(&c)
 				}
@@ -223,7 +230,7 @@
 		old := f.start(t, 1)
 		st := submit(t, old, order, "k")
 		places := []api.Allocation{{Worker: "w1", Incarnation: 5}}
-		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Places: places}); err != nil {
+		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7, Places: places}); err != nil {
 			t.Fatal(err)
 		}
 		successor := f.start(t, 2)
@@ -233,13 +240,13 @@
 		if o.Attempt != 1 || len(o.Claimed) != 1 || o.Claimed[0].Worker != "w1" {
 			t.Fatalf("offer of the successor = %+v", o)
 		}
-		if err := successor.Report(t.Context(), domain.Report{Job: st.ID, Attempt: 1, Domain: testDomain, Outcome: api.OutcomeLost}); err != nil {
+		if err := successor.Report(t.Context(), domain.Report{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7, Outcome: api.OutcomeLost}); err != nil {
 			t.Fatal(err)
 		}
 		if got := get(t, successor, st.ID); got.State != api.StateUnknown || got.Ran != "unknown" {
 			t.Errorf("state = %s, ran = %s; want unknown", got.State, got.Ran)
 		}
-		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain}); err == nil {
+		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7}); err == nil {
 			t.Error("the fenced owner gave a claim")
 		}
 	})
@@ -258,7 +265,7 @@
 		}
 		o := f.domains.last(t)
 		if err := second.Report(t.Context(), domain.Report{
-			Job: st.ID, Attempt: o.Attempt, Domain: testDomain, Outcome: api.OutcomeSucceeded, Result: []byte(`1`),
+			Job: st.ID, Attempt: o.Attempt, Domain: testDomain, Epoch: 7, Outcome: api.OutcomeSucceeded, Result: []byte(`1`),
 		}); err != nil {
 			t.Fatal(err)
 		}
@@ -328,7 +335,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				p := newFixture().start(t, 1)
 				st := submit(t, p, tc.spec, "k")
-				if err := p.Report(t.Context(), domain.Report{Job: st.ID, Attempt: 9, Domain: "r1/b", Outcome: tc.outcome}); err != nil {
+				if err := p.Report(t.Context(), domain.Report{Job: st.ID, Attempt: 9, Domain: "r1/b", Epoch: 7, Outcome: tc.outcome}); err != nil {
 					t.Fatal(err)
 				}
 				if got := get(t, p, st.ID); got.State != tc.want {
@@ -345,7 +352,7 @@
 	fail := func(t *testing.T, p *Partition, f *fixture) {
 		t.Helper()
 		o := f.domains.last(t)
-		if err := p.Report(t.Context(), domain.Report{Job: o.Job, Attempt: o.Attempt, Domain: testDomain, Outcome: api.OutcomeFailed}); err != nil {
+		if err := p.Report(t.Context(), domain.Report{Job: o.Job, Attempt: o.Attempt, Domain: testDomain, Epoch: 7, Outcome: api.OutcomeFailed}); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(time.Minute)
--- a/pkg/partition/recover.go
+++ b/pkg/partition/recover.go
@@ -61,9 +61,7 @@
 			p.apply(r)
 		}
 	}
-	for _, j := range p.jobs {
-		j.endDurable = j.end != nil
-	}
+	p.retainRecovered()
 	return nil
 }
 
--- a/pkg/partition/report.go
+++ b/pkg/partition/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -48,6 +49,9 @@
 		}
 		return errkind.New(errkind.Conflict, "job %s has ended", r.Job)
 	}
+	if err := p.superseded(r.Domain, r.Epoch); err != nil {
+		return err
+	}
 	if r.Attempt != j.status.Attempt || r.Domain != j.status.FailureDomain {
 		return p.foreignReport(j, r)
 	}
@@ -69,6 +73,15 @@
 	return nil
 }
 
+// superseded refuses an owner of a failure domain that has a newer one: it may
+// report tasks as lost that its successor follows.
+func (p *Partition) superseded(name string, epoch int64) error {
+	if known, ok := p.opts.DomainEpoch(name); ok && epoch < known {
+		return errkind.New(errkind.Conflict, "failure domain %s has an owner with epoch %d, not %d", name, known, epoch)
+	}
+	return nil
+}
+
 // foreignReport handles an attempt that is not the present one: a success of a
 // repeatable job is an answer all the same, anything else is to be stopped.
 func (p *Partition) foreignReport(j *job, r domain.Report) error {
@@ -89,6 +102,12 @@
 	}
 	switch r.Outcome {
 	case api.OutcomeSucceeded:
+		if p.tooLarge(r.Result) {
+			r.Reason = fmt.Sprintf("the result has %d bytes, more than %d", len(r.Result), p.opts.ResultMax)
+			r.Result = nil
+			p.endRun(j, r, api.StateFailed, errkind.TooLarge)
+			return
+		}
 		p.endRun(j, r, api.StateSucceeded, "")
 	case api.OutcomeFailed:
 		p.failed(j, r)
@@ -106,7 +125,16 @@
 	}
 }
 
+// tooLarge reports whether a result would break the journal's entry limit.
+func (p *Partition) tooLarge(result []byte) bool {
+	return p.opts.ResultMax > 0 && int64(len(result)) > p.opts.ResultMax
+}
+
 func (p *Partition) failed(j *job, r domain.Report) {
+	if r.Kind == string(errkind.TooLarge) { // another run would give as large a result
+		p.endRun(j, r, api.StateFailed, errkind.TooLarge)
+		return
+	}
 	j.failures++
 	if p.mayRetry(j, r) {
 		p.retry(j, r)
@@ -125,6 +153,12 @@
 
 // notRun continues with another attempt: nothing of this one was started.
 func (p *Partition) notRun(j *job, r domain.Report) {
+	if j.claim != nil && !domain.SamePlaces(j.claim.places, r.Allocations) {
+		// The claim is another owner's, which may have started the job. The offer is
+		// made again with the claim, to be resolved.
+		j.offeredEpoch, j.withdrawing = 0, false
+		return
+	}
 	if j.claim != nil {
 		rec := record{Type: recordClaimReleased, Job: j.status.ID, Attempt: j.claim.attempt}
 		j.claim = nil
@@ -142,6 +176,10 @@
 // lost handles an attempt whose worker is gone. An at-most-once job that may
 // have run is never run again; its outcome is reported as unknown.
 func (p *Partition) lost(j *job, r domain.Report) {
+	if j.status.Spec.AtMostOnce && j.claim == nil {
+		p.notRun(j, r) // it never starts without a claim
+		return
+	}
 	if j.status.Spec.AtMostOnce {
 		p.endRun(j, r, api.StateUnknown, errkind.OutcomeUnknown)
 		return
@@ -223,6 +261,9 @@
 	if state == api.StateUnknown {
 		s.Ran = string(errkind.Unknown)
 	}
+	if p.tooLarge(r.Result) {
+		r.Result = nil // of a failed run; its reason tells
+	}
 	s.Result = json.RawMessage(r.Result)
 	if len(r.Allocations) > 0 {
 		s.Allocations = r.Allocations
@@ -238,8 +279,9 @@
 func (p *Partition) endWithoutRun(j *job, state api.State, why *errkind.Error) {
 	s := &j.status
 	s.State, s.Kind, s.Reason = state, string(why.Kind), why.Message
+	ran := s.Ran == string(errkind.HasRun) || j.failures > 0 || j.attained > 0
 	s.Ran = string(errkind.NotRun)
-	if j.failures > 0 || j.attained > 0 {
+	if ran {
 		s.Ran = string(errkind.HasRun)
 	} else {
 		j.retryAfter = why.RetryAfter
@@ -255,6 +297,7 @@
 	if !j.durable {
 		j.end = &final
 		j.finish()
+		p.retain(j)
 		return
 	}
 	final.Durable = true
@@ -286,6 +329,7 @@
 			j.endDurable = true
 			j.status.Durable = true
 			j.finish()
+			p.retain(j)
 		}
 	})
 }
--- a/pkg/partition/sweep.go
+++ b/pkg/partition/sweep.go
@@ -40,14 +40,15 @@
 		clear(p.load)
 		p.loadAt = now
 	}
-	for _, j := range p.jobs {
+	for _, j := range p.active {
 		p.sweepJob(j, now, summaries)
 	}
+	p.dropExpired(now)
 }
 
 func (p *Partition) sweepJob(j *job, now time.Time, summaries map[string]sched.Summary) {
 	if j.terminal() {
-		p.sweepEnded(j, now)
+		p.writeEnd(j) // it is active only because its end is not durable yet
 		return
 	}
 	if !j.isAccepted() {
@@ -66,21 +67,6 @@
 	}
 }
 
-// sweepEnded writes a pending end again and drops ends past their retention.
-func (p *Partition) sweepEnded(j *job, now time.Time) {
-	keep := volatileRetention
-	if j.durable {
-		keep = p.opts.Retention
-		if !j.endDurable {
-			p.writeEnd(j)
-			return
-		}
-	}
-	if now.Sub(j.status.EndedAt) > keep {
-		p.remove(j)
-	}
-}
-
 // forgetLostOffer offers the attempt again when the domain has a new owner.
 func (p *Partition) forgetLostOffer(j *job) {
 	if j.offeredEpoch == 0 {
