domain: encode the metadata of a gang from a copy of its places

Cause: while one reservation of a gang wrote the worker's incarnation into the places, another encoded them; the example of pkg/embedded showed the race. Excluded: the scheduler's slices, which nobody writes after the decision. Change: each placement encodes a copy taken before the calls; the example of the library stays as its test. Result: go test -race -count=3 ./pkg/embedded failed before and passes now.

--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -95,9 +96,13 @@
 	g, ctx := errgroup.WithContext(d.ctx)
 	g.SetLimit(gangConcurrency)
 	blamed := make([]string, len(c.tasks))
+	// The answers change the incarnations in c.places while others are encoded.
+	d.mu.Lock()
+	places := slices.Clone(c.places)
+	d.mu.Unlock()
 	for i, t := range c.tasks {
 		g.Go(func() error {
-			if err := d.reserve(ctx, a, c, t, i, start); err != nil {
+			if err := d.reserve(ctx, a, c, places, i, start); err != nil {
 				blamed[i] = t.worker.id
 				return err
 			}
@@ -113,8 +118,9 @@
 	return "", err
 }
 
-func (d *Domain) reserve(ctx context.Context, a *attempt, c *placedCopy, t *task, index int, start bool) error {
-	meta, err := json.Marshal(taskMeta{Offer: metaOffer(a.offer), Index: index, Places: c.places, Hedge: c.hedge})
+func (d *Domain) reserve(ctx context.Context, a *attempt, c *placedCopy, places []api.Allocation, index int, start bool) error {
+	t := c.tasks[index]
+	meta, err := json.Marshal(taskMeta{Offer: metaOffer(a.offer), Index: index, Places: places, Hedge: c.hedge})
 	if err != nil {
 		return errkind.Wrap(err, errkind.Internal, "encode task of job %s", a.offer.Job)
 	}
