--- a/pkg/daemon/local.go
+++ b/pkg/daemon/local.go
@@ -10,6 +10,7 @@
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/gate"
 	"github.com/carawayusher/carawayusher/pkg/plan"
+	"github.com/carawayusher/carawayusher/pkg/policy"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 )
 
@@ -47,13 +48,28 @@
 		v := d.Preview(doc)
 		p.Effects = append(effects(d.Name(), plan.EffectPreempt, v.Preempt), effects(d.Name(), plan.EffectRefuse, v.Refuse)...)
 		p.Unmeetable = v.Unmeetable
-		if err := sched.CheckGuarantees(doc, map[string][]sched.Worker{d.Name(): d.Equipment()}); err != nil {
+		if err := sched.CheckGuarantees(l.guaranteesHere(doc, d.Name()), map[string][]sched.Worker{d.Name(): d.Equipment()}); err != nil {
 			p.Impossible = []string{errkind.As(err).Message}
 		}
 	}
 	return p
 }
 
+// guaranteesHere returns the document with the guarantees of one failure domain
+// and those of failure domains that have no workers: the former are checked
+// against the domain's equipment, the latter are impossible everywhere.
+func (l localPlans) guaranteesHere(doc *policy.Document, name string) *policy.Document {
+	known := l.d.vms.domains()
+	c := doc.Clone()
+	for id, ws := range c.Workspaces {
+		ws.Guarantees = slices.DeleteFunc(ws.Guarantees, func(g policy.Guarantee) bool {
+			return g.FailureDomain != name && slices.Contains(known, g.FailureDomain)
+		})
+		c.Workspaces[id] = ws
+	}
+	return c
+}
+
 func effects(name string, kind plan.EffectKind, actions []sched.Action) []plan.Effect {
 	var out []plan.Effect
 	for _, a := range actions {
