--- /dev/null
+++ b/pkg/journal/journal_test.go
@@ -0,0 +1,377 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/platform/memory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var background = context.Background()
+
+func newStore() *memory.Store {
+	return memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+}
+
+// faultStore lets a test act on the writes of one owner.
+type faultStore struct {
+	platform.Store
+	mu sync.Mutex
+	// before runs before each Put; an error is returned without a write.
+	before func(key string) error
+	any    bool // no comparison of versions
+}
+
+func (s *faultStore) Put(ctx context.Context, key string, value []byte, expect int64, l platform.LeaseID) (int64, error) {
+	s.mu.Lock()
+	before := s.before
+	s.mu.Unlock()
+	if before != nil {
+		if err := before(key); err != nil {
+			return 0, err
+		}
+	}
+	if s.any {
+		expect = platform.AnyVersion
+	}
+	return s.Store.Put(ctx, key, value, expect, l)
+}
+
+func (s *faultStore) setBefore(f func(string) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before = f
+}
+
+func open(t *testing.T, store platform.Store, epoch int64) (Log, Recovered) {
+	t.Helper()
+	log, rec, err := Open(background, Options{Store: store, Epoch: epoch, VM: fmt.Sprint("vm", epoch)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = log.Close(background) })
+	return log, rec
+}
+
+func mustAppend(t *testing.T, log Log, record string) {
+	t.Helper()
+	if err := log.Append(background, PriorityAccept, []byte(record)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func records(r Recovered) string {
+	var out []string
+	for _, b := range r.all() {
+		out = append(out, string(b))
+	}
+	return strings.Join(out, " ")
+}
+
+// TestPausedOwner guards against a second owner's records being overwritten by
+// a former owner that was paused during the takeover.
+func TestPausedOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		noCompare bool
+		kind      errkind.Kind
+		want      string
+	}{
+		{"fenced", false, errkind.StaleEpoch, "a b"},
+		{"without the comparison of versions the record of the new owner is lost", true, "", "a late"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			store := newStore()
+			paused, _ := open(t, &faultStore{Store: store, any: tc.noCompare}, 1)
+			mustAppend(t, paused, "a")
+			if tc.noCompare {
+				// The new owner's entry takes the next slot, its record the one after.
+				mustAppend(t, paused, "")
+			}
+			second, rec := open(t, store, 2)
+			if got := strings.TrimSpace(records(rec)); got != "a" {
+				t.Fatalf("recovered %q", got)
+			}
+			mustAppend(t, second, "b")
+			err := paused.Append(background, PriorityClaim, []byte("late"))
+			if errkind.Of(err) != tc.kind {
+				t.Fatalf("append of the paused owner: %v", err)
+			}
+			if tc.noCompare {
+				_ = paused.Append(background, PriorityClaim, []byte("late"))
+			}
+			l, err := load(background, store, keysOf(0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			lost := true
+			for _, e := range l.entries {
+				for _, r := range e.Records {
+					lost = lost && string(r) != "b"
+				}
+			}
+			if lost != tc.noCompare {
+				t.Fatalf("record of the new owner lost: %v", lost)
+			}
+		})
+	}
+}
+
+// TestLostAnswers guards against a record that is written twice, or reported as
+// failed, when the answer to its write is lost.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		log, _ := open(t, store, 1)
+		for i := range 10 {
+			store.UpdateFaults(func(f *memory.Faults) { f.LoseNext = i % 3 })
+			mustAppend(t, log, fmt.Sprint(i))
+		}
+		_ = log.Close(background)
+		_, rec := open(t, store, 2)
+		if got := records(rec); got != "0 1 2 3 4 5 6 7 8 9" {
+			t.Fatalf("recovered %q", got)
+		}
+	})
+}
+
+// TestOutage guards against a record that is lost or out of order after an
+// outage, and against an Append that waits longer than its context.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		log, _ := open(t, store, 1)
+		mustAppend(t, log, "a")
+		store.SetFaults(memory.Faults{Outage: true})
+		ctx, cancel := context.WithTimeout(background, time.Second)
+		defer cancel()
+		if err := log.Append(ctx, PriorityEnd, []byte("b")); !errkind.Is(err, errkind.StoreUnavailable) {
+			t.Fatalf("append in an outage: %v", err)
+		}
+		time.Sleep(time.Hour)
+		store.SetFaults(memory.Faults{})
+		mustAppend(t, log, "c")
+		_ = log.Close(background)
+		_, rec := open(t, store, 2)
+		if got := records(rec); got != "a b c" {
+			t.Fatalf("recovered %q", got)
+		}
+	})
+}
+
+// TestRingIsReusedAfterSnapshotOnly guards against an entry that is overwritten
+// before a snapshot covers it.
+func TestRingIsReusedAfterSnapshotOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultStore{Store: newStore()}
+		log, _ := open(t, store, 1)
+		store.setBefore(func(key string) error {
+			if strings.Contains(key, "/snap/") {
+				return errkind.New(errkind.StoreUnavailable, "chunk refused")
+			}
+			return nil
+		})
+		ctx, cancel := context.WithTimeout(background, time.Minute)
+		defer cancel()
+		written := 0
+		for log.Append(ctx, PriorityAccept, fmt.Appendf(nil, "%d", written)) == nil {
+			written++
+		}
+		if want := RingSlots - reservedSlots - 1; written != want {
+			t.Fatalf("%d entries were written without a snapshot, want %d", written, want)
+		}
+		store.setBefore(nil)
+		for written++; written < 300; written++ { // the one that timed out is still queued
+			mustAppend(t, log, fmt.Sprint(written))
+		}
+		_ = log.Close(background)
+		_, rec := open(t, store.Store, 2)
+		want := make([]string, 300)
+		for i := range want {
+			want[i] = fmt.Sprint(i)
+		}
+		if got := records(rec); got != strings.Join(want, " ") {
+			t.Fatalf("recovered %q", got)
+		}
+		if len(rec.Snapshot) == 0 {
+			t.Fatal("no snapshot was written")
+		}
+	})
+}
+
+// TestCrashDuringSnapshot guards against a snapshot that is used before all its
+// chunks are in place, for a crash before each of its writes.
+func TestCrashDuringSnapshot(t *testing.T) {
+	large := strings.Repeat("x", 700<<10)
+	for crashAt := range 8 {
+		store := &faultStore{Store: newStore()}
+		log, _ := open(t, store, 1)
+		snapshotWrites, crashed := 0, make(chan struct{})
+		store.setBefore(func(key string) error {
+			if strings.Contains(key, "/snap/") || strings.HasSuffix(key, "/head") {
+				if snapshotWrites == crashAt {
+					close(crashed)
+				}
+				if snapshotWrites++; snapshotWrites > crashAt {
+					return errkind.New(errkind.StoreUnavailable, "crashed")
+				}
+			}
+			return nil
+		})
+		for i := range 3 {
+			mustAppend(t, log, large+fmt.Sprint(i))
+		}
+		want := []string{large + "0", large + "1", large + "2"}
+		for i := 3; i < 40; i++ {
+			mustAppend(t, log, fmt.Sprint(i))
+			want = append(want, fmt.Sprint(i))
+		}
+		if crashAt < 4 { // three chunks and the head
+			<-crashed
+		}
+		ended, cancel := context.WithCancel(background)
+		cancel()
+		_ = log.Close(ended)
+		_, rec := open(t, store.Store, 2)
+		if records(rec) != strings.Join(want, " ") {
+			t.Fatalf("crash before snapshot write %d: %d records recovered", crashAt, len(rec.all()))
+		}
+	}
+}
+
+// TestManyTakeovers guards against a ring that fills up with owner entries.
+func TestManyTakeovers(t *testing.T) {
+	store := newStore()
+	for epoch := int64(1); epoch <= 3*RingSlots; epoch++ {
+		log, rec, err := Open(background, Options{Store: store, Epoch: epoch})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if epoch == 1 {
+			mustAppend(t, log, "a")
+		} else if got := records(rec); got != "a" {
+			t.Fatalf("epoch %d recovered %q", epoch, got)
+		}
+		_ = log.Close(background)
+	}
+}
+
+// TestStaleOpen guards against an owner with an old epoch that takes over.
+func TestStaleOpen(t *testing.T) {
+	store := newStore()
+	open(t, store, 5)
+	if _, _, err := Open(background, Options{Store: store, Epoch: 4}); !errkind.Is(err, errkind.StaleEpoch) {
+		t.Fatalf("open with an old epoch: %v", err)
+	}
+}
+
+// TestDelayedSnapshotWrite guards against a chunk or head of a former owner
+// that lands after the new owner has read the journal.
+func TestDelayedSnapshotWrite(t *testing.T) {
+	for _, part := range []string{"/snap/", "/head"} {
+		t.Run(strings.Trim(part, "/"), func(t *testing.T) {
+			store := newStore()
+			slow := &faultStore{Store: store}
+			held, release := make(chan struct{}), make(chan struct{})
+			former, _ := open(t, slow, 1)
+			var once sync.Once
+			slow.setBefore(func(key string) error {
+				if strings.Contains(key, part) {
+					once.Do(func() { close(held); <-release })
+				}
+				return nil
+			})
+			for i := range SnapshotEvery {
+				mustAppend(t, former, fmt.Sprint(i))
+			}
+			<-held
+			second, rec := open(t, store, 2)
+			want := records(rec)
+			close(release)
+			_ = former.Close(background)
+			for i := range 3 * RingSlots {
+				mustAppend(t, second, fmt.Sprint("n", i))
+				want += fmt.Sprint(" n", i)
+			}
+			_ = second.Close(background)
+			_, rec = open(t, store, 3)
+			if got := records(rec); got != want {
+				t.Fatalf("recovered %d bytes, want %d", len(got), len(want))
+			}
+		})
+	}
+}
+
+// TestLimits guards against an entry above the limit and unbounded memory.
+func TestLimits(t *testing.T) {
+	store := newStore()
+	log, _ := open(t, store, 1)
+	if err := log.Append(background, PriorityAccept, make([]byte, MaxRecordBytes+1)); !errkind.Is(err, errkind.TooLarge) {
+		t.Fatalf("oversize record: %v", err)
+	}
+	if err := log.Append(background, PriorityAccept, make([]byte, MaxRecordBytes)); err != nil {
+		t.Fatalf("largest record: %v", err)
+	}
+	store.SetFaults(memory.Faults{Outage: true})
+	ctx, cancel := context.WithCancel(background)
+	cancel()
+	var err error
+	for range MaxPendingBytes/MaxRecordBytes + 2 {
+		err = log.Append(ctx, PriorityAccept, make([]byte, MaxRecordBytes))
+	}
+	if !errkind.Is(err, errkind.Overloaded) {
+		t.Fatalf("append above the pending limit: %v", err)
+	}
+	if err := log.Close(ctx); err == nil {
+		t.Fatal("close did not report what was not written")
+	}
+	if err := log.Append(background, PriorityAccept, nil); !errkind.Is(err, errkind.Unavailable) {
+		t.Fatalf("append after close: %v", err)
+	}
+}
+
+// TestApplyOrder guards against records that are applied out of order, and
+// checks that a group shares one entry.
+func TestApplyOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		var applied []string
+		log, _, err := Open(background, Options{
+			Store: store, Epoch: 1,
+			Apply:    func(r []byte) { applied = append(applied, string(r)) },
+			Snapshot: func() [][]byte { return nil },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.SetFaults(memory.Faults{Delay: 10 * time.Millisecond})
+		store.ResetCounts()
+		var wg sync.WaitGroup
+		for range 100 {
+			wg.Go(func() {
+				if err := log.Append(background, PriorityAccept, []byte("r")); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		if puts := store.Counts().Calls[memory.OpPut]; len(applied) != 100 || puts > 3 {
+			t.Fatalf("%d records applied with %d writes", len(applied), puts)
+		}
+		if err := errors.Join(log.Close(background), log.Close(background)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/peer/peertest/net.go
@@ -0,0 +1,114 @@
+// Package peertest is an in-memory network of VMs for tests. It encodes
+// requests and answers as pkg/peer does, counts their bytes and cuts links.
+package peertest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/peer"
+)
+
+// Net connects VMs by address.
+type Net struct {
+	mu    sync.Mutex
+	vms   map[string]*VM
+	delay map[string]time.Duration
+	bytes int64
+}
+
+// VM is one VM's end; it implements peer.Caller and peer.Registry.
+type VM struct {
+	net      *Net
+	address  string
+	handlers map[string]peer.HandlerFunc
+	down     bool
+}
+
+// NewNet returns a network without VMs.
+func NewNet() *Net { return &Net{vms: map[string]*VM{}, delay: map[string]time.Duration{}} }
+
+// Join adds a VM, or replaces the one with the address.
+func (n *Net) Join(address string) *VM {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	vm := &VM{net: n, address: address, handlers: map[string]peer.HandlerFunc{}}
+	n.vms[address] = vm
+	return vm
+}
+
+// SetDown cuts all links of the VM at the address, or restores them.
+func (n *Net) SetDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vms[address].down = down
+}
+
+// SetDelay delays the answers of the VM at the address.
+func (n *Net) SetDelay(address string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay[address] = d
+}
+
+// Bytes returns the bytes of all requests and answers so far.
+func (n *Net) Bytes() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes
+}
+
+// Handle implements peer.Registry.
+func (v *VM) Handle(method string, h peer.HandlerFunc) {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	v.handlers[method] = h
+}
+
+// Call implements peer.Caller.
+func (v *VM) Call(ctx context.Context, address, method string, req, resp any) error {
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "request cannot be encoded")
+	}
+	n := v.net
+	n.mu.Lock()
+	to := n.vms[address]
+	cut := to == nil || to.down || v.down
+	delay := n.delay[address]
+	var h peer.HandlerFunc
+	if !cut {
+		h = to.handlers[method]
+		n.bytes += int64(len(body))
+	}
+	n.mu.Unlock()
+	if cut {
+		return errkind.New(errkind.Unavailable, "peer %s cannot be reached", address)
+	}
+	if h == nil {
+		return errkind.New(errkind.NotFound, "method %q is not known", method)
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return errkind.Wrap(ctx.Err(), errkind.Timeout, "peer %s did not answer in time", address)
+	}
+	answer, err := h(ctx, func(into any) error { return cbor.Unmarshal(body, into) })
+	if err != nil {
+		return err
+	}
+	if body, err = cbor.Marshal(answer); err != nil {
+		return errkind.Wrap(err, errkind.Internal, "answer cannot be encoded")
+	}
+	n.mu.Lock()
+	n.bytes += int64(len(body))
+	n.mu.Unlock()
+	if resp == nil {
+		return nil
+	}
+	return cbor.Unmarshal(body, resp)
+}
