sched: reservations, learned run times, aging, hedging, quarantine, moves

Cause: large gangs were passed by small work without end, work that cannot borrow waited behind work that can, and the order was strictly by class. Change: a waiting gang reserves the accelerators that come free first by learned quantiles; backfill there is preempted when it is last in the way. The order is urgent, aged, short, deadline at risk, then seniority with a head start by class. The property test found that a cell's kept slots could be negative (a worker got one task beyond its slots) and that an owner's task outside its cell was counted as movable.

--- a/pkg/sched/cells.go
+++ b/pkg/sched/cells.go
@@ -56,12 +56,17 @@
 	m := w.capacity &^ w.pinned
 	fixed := 0
 	for _, j := range w.tasks {
-		if j.preemptible() || j.ws == ws {
+		if j.preemptible() {
 			continue
 		}
 		for _, s := range j.spots {
-			if s.w == w {
+			if s.w != w {
+				continue
+			}
+			if j.ws != ws {
 				m &^= s.mask
+			}
+			if s.kind != slotOfCell {
 				fixed++
 			}
 		}
@@ -109,11 +114,11 @@
 		p.slotsUsed, p.warm.used = 0, 0
 	}
 	w.eachSpot(func(j *job, s *spot) {
-		s.kind, s.part = slotBorrows, nil
+		s.kind, s.part, s.warm = slotBorrows, nil, false
 		if p := w.ownPart(j.ws, s.mask); p != nil {
 			s.kind, s.part = slotOfCell, p
 			p.slotsUsed++
-			if j.class.Short && d.rules.KeepWarm {
+			if s.warm = j.class.Short && d.rules.KeepWarm; s.warm {
 				p.warm.used++
 			}
 		}
--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -19,8 +19,11 @@
 	d.cool(now)
 	d.settleClaims(now, &out)
 	d.shortcut(now, &out)
+	d.judge(now, &out)
+	d.settleReservations(now, &out)
 	d.pass(now, &out)
 	d.settleClaims(now, &out)
+	d.hedge(now, &out)
 	return out
 }
 
@@ -36,7 +39,10 @@
 func (d *Domain) pass(now time.Time, out *[]Action) {
 	all := d.freed
 	d.freed = false
-	for _, g := range d.order() {
+	if all {
+		d.firmWanted = false
+	}
+	for _, g := range d.order(now) {
 		if !all && !g.dirty {
 			continue
 		}
@@ -44,6 +50,10 @@
 		for len(g.jobs) > 0 && d.try(now, g.jobs[0], out) {
 			continue
 		}
+		if len(g.jobs) > 0 {
+			d.firmWanted = d.firmWanted || g.amo
+			d.reserve(now, g.jobs[0])
+		}
 	}
 }
 
@@ -61,13 +71,16 @@
 	if !j.ws.allows(j.Accelerators, 1) {
 		return false
 	}
-	if !d.find(j) {
+	if !d.find(j) && !d.backfill(now, j) {
 		return d.reclaim(now, j, false, out)
 	}
 	if !j.ws.allows(j.Accelerators, len(j.spots)) {
 		j.spots = nil
 		return false
 	}
+	if j.reservation != nil {
+		d.dropReservation(j.reservation)
+	}
 	d.dequeue(j)
 	d.take(now, j)
 	*out = append(*out, d.placed(j))
@@ -110,6 +123,9 @@
 	defer d.mu.Unlock()
 	d.settlePins()
 	victim, j := d.jobs[a.Job], d.waiting(a.For)
+	if out, ok := d.confirmOther(now, a, victim, j); ok {
+		return out, nil
+	}
 	if a.Type != ActionPreempt || victim == nil || victim.Attempt != a.Attempt || victim.phase != phasePlaced || j == nil {
 		return nil, errkind.New(errkind.PlanOutdated, "the proposed action no longer applies")
 	}
@@ -121,3 +137,26 @@
 	d.reclaim(now, j, true, &out)
 	return out, nil
 }
+
+// confirmOther carries out a proposal that is no reclaim.
+func (d *Domain) confirmOther(now time.Time, a Action, subject, waiting *job) (out []Action, ok bool) {
+	if w := d.byID[a.Worker]; a.Type == ActionQuarantine && w != nil && !w.bad {
+		d.quarantine(now, w, true, &out)
+		return out, true
+	}
+	if subject == nil || subject.Attempt != a.Attempt || subject.phase != phasePlaced || subject.AtMostOnce {
+		return nil, false
+	}
+	switch {
+	case a.Type == ActionHedge && len(subject.spots) == 1:
+		return out, d.hedgeJob(now, subject, true, &out)
+	case a.Type == ActionMove || a.Type == ActionPreempt && !a.Reclaim:
+		if waiting == nil || waiting.reservation == nil {
+			return nil, false
+		}
+		a.Proposal, a.StopBy = false, now.Add(d.opts.Grace)
+		subject.phase, subject.stopBy = phaseStopping, a.StopBy
+		return []Action{a}, true
+	}
+	return nil, false
+}
--- a/pkg/sched/domain.go
+++ b/pkg/sched/domain.go
@@ -30,18 +30,24 @@
 	byRack  map[string]*rack
 	idx     [viewCount]index
 
-	jobs      map[api.JobID]*job
-	groups    map[groupKey]*group
-	active    []*group // with waiting jobs
-	claims    []*claim
-	queued    int
-	queuedBy  map[string]int
-	seq       uint64
-	freed     bool // capacity may have become free since the last Decide
-	tokens    bucket
-	wake      time.Time
-	chunk     []Placement
-	warmQueue []warmEntry
+	jobs          map[api.JobID]*job
+	groups        map[groupKey]*group
+	active        []*group // with waiting jobs
+	claims        []*claim
+	queued        int
+	queuedBy      map[string]int
+	seq           uint64
+	freed         bool // capacity may have become free since the last Decide
+	tokens        bucket
+	wake          time.Time
+	chunk         []Placement
+	warmQueue     []warmEntry
+	learned       learner
+	reservations  []*reservation
+	watches       watches
+	hedges        int
+	suspects, out []*worker // about to be and in quarantine
+	firmWanted    bool      // work waits that can use no borrowed capacity
 }
 
 // workspace is a workspace's use of the domain.
@@ -64,6 +70,7 @@
 		name: name, opts: opts, rules: opts.Rules, doc: &policy.Document{},
 		workspaces: map[string]*workspace{}, byID: map[string]*worker{}, byRack: map[string]*rack{},
 		jobs: map[api.JobID]*job{}, groups: map[groupKey]*group{}, queuedBy: map[string]int{},
+		learned: newLearner(),
 	}
 	d.tokens = newBucket(opts.ReclaimPerSecond, opts.ReclaimPerSecond)
 	return d
@@ -308,6 +315,7 @@
 	defer d.mu.Unlock()
 	if j := d.jobs[id]; j != nil && j.Attempt == attempt && len(j.spots) > 0 && j.startedAt.IsZero() {
 		j.startedAt, j.savedAt = now, now
+		d.watchRun(now, j)
 	}
 }
 
@@ -333,10 +341,10 @@
 		d.withdraw(j)
 		return
 	}
+	d.learnFrom(now, j, why, blame)
 	d.release(j)
 	delete(d.jobs, id)
 	d.freed = true
-	_, _, _ = now, why, blame
 }
 
 // Cancel removes a queued job and reports true. For an unknown or running job
@@ -352,8 +360,22 @@
 	return true
 }
 
+// learnFrom records the run time of a success and whom a failure is blamed on.
+func (d *Domain) learnFrom(now time.Time, j *job, why EndReason, blame string) {
+	switch {
+	case why == EndSucceeded && !j.startedAt.IsZero():
+		d.learned.record(j, now.Sub(j.startedAt)+j.Attained)
+		j.noteSuccess()
+	case (why == EndFailed || why == EndPlaceFailed) && blame != "":
+		d.noteFailure(j, blame)
+	}
+}
+
 // withdraw forgets a job that has no place yet.
 func (d *Domain) withdraw(j *job) {
+	if j.reservation != nil {
+		d.dropReservation(j.reservation)
+	}
 	if j.claim != nil {
 		d.dropClaim(j.claim)
 	} else {
--- a/pkg/sched/job.go
+++ b/pkg/sched/job.go
@@ -32,6 +32,7 @@
 	mask uint64
 	kind slotKind
 	part *part // with slotOfCell
+	warm bool  // counts as short work of the part
 }
 
 // job is a job with its state.
@@ -42,16 +43,19 @@
 	group *group
 	pos   int // index in the group's heap
 
-	phase      phase
-	spots      []spot
-	one        [1]spot // backs spots of a job with one task
-	queuedAt   time.Time
-	startedAt  time.Time // zero until Started
-	savedAt    time.Time // last checkpoint or start
-	stopBy     time.Time
-	proposedAt time.Time
-	claim      *claim
-	seq        uint64
+	phase       phase
+	spots       []spot
+	one         [1]spot // backs spots of a job with one task
+	queuedAt    time.Time
+	startedAt   time.Time // zero until Started
+	savedAt     time.Time // last checkpoint or start
+	stopBy      time.Time
+	proposedAt  time.Time
+	claim       *claim
+	reservation *reservation
+	backfillOf  api.JobID // the gang on whose reservation it runs
+	hedged      bool      // has a second copy
+	seq         uint64
 }
 
 // urgent reports whether the job has a bound on its start.
--- a/pkg/sched/options.go
+++ b/pkg/sched/options.go
@@ -17,11 +17,30 @@
 	// Shortcut lets a job that waits for its victims start on other capacity that
 	// becomes free before.
 	Shortcut bool
+	// Aging orders by waiting time, deadline slack and attained service instead
+	// of strictly by class.
+	Aging bool
+	// SpareFirm leaves capacity outside guarantees to work that cannot borrow.
+	SpareFirm bool
+	// Reserve keeps accelerators for a gang that waits; Backfill uses them until then.
+	Reserve  bool
+	Backfill bool
+	// Move restarts jobs elsewhere when a waiting gang gains more than that costs.
+	Move bool
+	// Learn estimates run times by learned quantiles instead of declared times.
+	Learn bool
+	// Hedge starts a second copy of stragglers.
+	Hedge bool
+	// Quarantine takes workers out that fail everything.
+	Quarantine bool
 }
 
 // DefaultRules returns the rules in use.
 func DefaultRules() Rules {
-	return Rules{Lend: true, Reclaim: true, OwnReclaim: true, KeepWarm: true, Shortcut: true}
+	return Rules{
+		Lend: true, Reclaim: true, OwnReclaim: true, KeepWarm: true, Shortcut: true, Aging: true, SpareFirm: true,
+		Reserve: true, Backfill: true, Move: true, Learn: true, Hedge: true, Quarantine: true,
+	}
 }
 
 // Options configures a Domain. The zero value of each field selects its default.
@@ -80,6 +99,14 @@
 		{"own_reclaim", &r.OwnReclaim},
 		{"keep_warm", &r.KeepWarm},
 		{"shortcut", &r.Shortcut},
+		{"aging", &r.Aging},
+		{"spare_firm", &r.SpareFirm},
+		{"reserve", &r.Reserve},
+		{"backfill", &r.Backfill},
+		{"move", &r.Move},
+		{"learn", &r.Learn},
+		{"hedge", &r.Hedge},
+		{"quarantine", &r.Quarantine},
 	}
 }
 
--- a/pkg/sched/place.go
+++ b/pkg/sched/place.go
@@ -29,7 +29,18 @@
 // mayBorrow reports whether the job may use idle cells of other workspaces.
 func (d *Domain) mayBorrow(j *job) bool { return d.rules.Lend && j.preemptible() }
 
+// borrowsFirst reports whether the job leaves capacity that no guarantee covers
+// to waiting work that can use no other.
+func (d *Domain) borrowsFirst(j *job) bool {
+	return d.rules.SpareFirm && d.firmWanted && !j.class.Short && d.mayBorrow(j)
+}
+
 func (d *Domain) findSlot(j *job) bool {
+	if d.borrowsFirst(j) {
+		if w := d.pick(j, slotAny, 0); w != nil {
+			return j.single(w, 0)
+		}
+	}
 	if w := d.pick(j, slotFirm, 0); w != nil {
 		return j.single(w, 0)
 	}
@@ -52,6 +63,11 @@
 
 func (d *Domain) findWorker(j *job) bool {
 	n := j.Accelerators
+	if d.borrowsFirst(j) {
+		if w := d.pick(j, accAny, n); w != nil {
+			return j.single(w, bestBlock(w.avail(accAny), w.capacity, n))
+		}
+	}
 	if w := d.pick(j, accFirm, n); w != nil {
 		return j.single(w, bestBlock(w.avail(accFirm), w.capacity, n))
 	}
@@ -183,22 +199,27 @@
 // take accounts for the job's spots as in use.
 func (d *Domain) take(now time.Time, j *job) {
 	for i := range j.spots {
-		s := &j.spots[i]
-		w := s.w
-		w.free &^= s.mask
-		w.slotsUsed++
-		w.tasks = append(w.tasks, j)
-		s.settle(j.ws)
-		if s.kind == slotOfCell && j.class.Short && d.rules.KeepWarm {
-			d.warmStart(now, s.part)
-		}
-		d.refresh(w)
+		d.takeSpot(now, j, i)
 	}
 	j.phase, j.savedAt = phasePlaced, now
 	j.ws.accelerators += j.Accelerators
 	j.ws.slots += len(j.spots)
 }
 
+// takeSpot accounts for one task of the job.
+func (d *Domain) takeSpot(now time.Time, j *job, i int) {
+	s := &j.spots[i]
+	w := s.w
+	w.free &^= s.mask
+	w.slotsUsed++
+	w.tasks = append(w.tasks, j)
+	s.settle(j.ws)
+	if s.warm = s.kind == slotOfCell && j.class.Short && d.rules.KeepWarm; s.warm {
+		d.warmStart(now, s.part)
+	}
+	d.refresh(w)
+}
+
 // settle chooses the account of the spot's slot.
 func (s *spot) settle(ws *workspace) {
 	w := s.w
@@ -229,7 +250,7 @@
 		switch s.kind {
 		case slotOfCell:
 			s.part.slotsUsed--
-			if j.class.Short && d.rules.KeepWarm {
+			if s.warm {
 				s.part.warmEnd(s.mask)
 			}
 		case slotOfFree:
@@ -239,6 +260,10 @@
 		d.refresh(w)
 	}
 	j.ws.accelerators -= j.Accelerators
+	if j.hedged {
+		j.ws.accelerators -= j.Accelerators
+		d.hedges--
+	}
 	j.ws.slots -= len(j.spots)
 	j.spots = nil
 }
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -21,8 +21,9 @@
 // group is the queue of the jobs of one shape, a heap in order of before.
 type group struct {
 	groupKey
-	jobs  []*job
-	dirty bool // got a job since it was last tried
+	jobs    []*job
+	dirty   bool // got a job since it was last tried
+	urgency urgency
 }
 
 // before orders the jobs of one group.
@@ -33,6 +34,9 @@
 	if c := compareDeadline(a.Deadline, b.Deadline); c != 0 {
 		return c < 0
 	}
+	if !a.SubmittedAt.Equal(b.SubmittedAt) {
+		return a.SubmittedAt.Before(b.SubmittedAt)
+	}
 	return a.seq < b.seq
 }
 
@@ -128,12 +132,66 @@
 }
 
 // order sorts the groups with waiting jobs by what goes first and drops empty ones.
-func (d *Domain) order() []*group {
+func (d *Domain) order(now time.Time) []*group {
 	d.active = slices.DeleteFunc(d.active, func(g *group) bool { return len(g.jobs) == 0 })
-	slices.SortFunc(d.active, compareGroups)
+	if !d.rules.Aging {
+		slices.SortFunc(d.active, compareGroups)
+		return d.active
+	}
+	for _, g := range d.active {
+		g.urgency = d.urgency(now, g.jobs[0])
+	}
+	slices.SortFunc(d.active, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(a.urgency.tier, b.urgency.tier), a.urgency.at.Compare(b.urgency.at), cmp.Compare(a.jobs[0].seq, b.jobs[0].seq))
+	})
 	return d.active
 }
 
+// urgency is the place of a job in the order.
+type urgency struct {
+	tier int
+	at   time.Time
+}
+
+// Tiers of the order. Work that waits longer than starveAfter goes before all but
+// urgent work, which bounds the wait of every job that fits.
+const (
+	tierUrgent = iota
+	tierAged
+	tierShort
+	tierRisk // its deadline leaves little slack
+	tierRest
+)
+
+const (
+	// starveAfter is the wait after which only urgent work goes before a job.
+	starveAfter = 10 * time.Minute
+	// rankStep is the head start of a class over the next one among work that
+	// is not short. A strict order made the last class wait for whole bursts.
+	rankStep = time.Minute
+	// riskSlack is the slack below which a deadline decides the order.
+	riskSlack = 10 * time.Minute
+)
+
+func (d *Domain) urgency(now time.Time, j *job) urgency {
+	switch {
+	case j.urgent():
+		return urgency{tierUrgent, j.SubmittedAt}
+	case now.Sub(j.queuedAt) >= starveAfter:
+		return urgency{tierAged, j.SubmittedAt}
+	case j.class.Short:
+		return urgency{tierShort, j.SubmittedAt.Add(time.Duration(j.class.Rank) * rankStep)}
+	}
+	if !j.Deadline.IsZero() {
+		if slack := j.Deadline.Sub(now) - d.remaining(now, j); slack < riskSlack {
+			return urgency{tierRisk, j.Deadline.Add(-d.remaining(now, j))}
+		}
+	}
+	// Service that a checkpoint kept counts as seniority, so that preempted work
+	// is finished first.
+	return urgency{tierRest, j.SubmittedAt.Add(time.Duration(j.class.Rank)*rankStep - j.Attained)}
+}
+
 func compareGroups(a, b *group) int {
 	x, y := a.jobs[0], b.jobs[0]
 	return cmp.Or(
--- a/pkg/sched/reclaim.go
+++ b/pkg/sched/reclaim.go
@@ -266,6 +266,9 @@
 		d.wakeAt(now.Add(time.Second))
 		return false
 	}
+	if j.reservation != nil {
+		d.dropReservation(j.reservation)
+	}
 	d.dequeue(j)
 	d.makeClaim(j, p)
 	stop := d.stopBy(now, j)
--- a/pkg/sched/report.go
+++ b/pkg/sched/report.go
@@ -72,9 +72,7 @@
 		if w.usable() {
 			s.FreeSlots += w.slots(slotAny)
 		}
-		if l := largestLevel(w.avail(accAny), w.capacity); l >= 0 {
-			s.Free.Worker = max(s.Free.Worker, min(1<<l, w.Accelerators))
-		}
+		s.Free.Worker = max(s.Free.Worker, w.largestBlock())
 	}
 	for _, ws := range d.sorted {
 		d.summarize(ws, &s)
--- a/pkg/sched/warm.go
+++ b/pkg/sched/warm.go
@@ -20,7 +20,7 @@
 }
 
 // kept returns the slots of the part that are not lent now.
-func (p *part) kept() int { return max(p.warm.peak, p.warm.last) - p.warm.used }
+func (p *part) kept() int { return max(0, max(p.warm.peak, p.warm.last)-p.warm.used) }
 
 // warmEntry is a part whose window ends at until.
 type warmEntry struct {
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -35,7 +35,7 @@
 	tasks   []*job
 	bad     bool // quarantined
 	drained bool // by the policy
-	slow    bool // ran stragglers lately
+	health  health
 
 	counted    [2]int
 	bucket     [viewCount]int
@@ -181,8 +181,5 @@
 	if w.slots(slotAny) <= bits.OnesCount64(w.avail(accAny)) {
 		b += rackClasses
 	}
-	if w.slow {
-		b += 2 * rackClasses
-	}
 	return b
 }
