--- a/pkg/policy/diff.go
+++ b/pkg/policy/diff.go
@@ -50,13 +50,31 @@
 	}
 	var changes []Change
 	for _, p := range sortedKeys(paths) {
-		if c := (Change{Path: p, Old: before[p], New: after[p]}); c.Old != c.New {
+		c := Change{Path: p, Old: before[p], New: after[p]}
+		if c.Old != c.New && !filled(p, before, after) && !filled(p, after, before) {
 			changes = append(changes, redact(c))
 		}
 	}
 	return changes
 }
 
+// filled reports whether the object at path is empty on one side and has
+// fields on the other, which are changes of their own.
+func filled(path string, empty, full map[string]string) bool {
+	if empty[path] != emptyObject {
+		return false
+	}
+	for p := range full {
+		if strings.HasPrefix(p, path+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// emptyObject is the text of an object without fields.
+const emptyObject = "{}"
+
 func redact(c Change) Change {
 	if !strings.Contains(c.Path, "tokenHash") {
 		return c
@@ -116,7 +134,7 @@
 	switch v := value.(type) {
 	case map[string]any:
 		if len(v) == 0 && strings.Contains(path, ".") {
-			out[path] = "{}"
+			out[path] = emptyObject
 		}
 		for key, child := range v {
 			flattenValue(out, path+"."+key, child)
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -85,10 +85,12 @@
 	next.Workspaces["lautoka"] = Workspace{TokenHashes: []string{HashToken("secret")}, Weight: 2}
 	next.Drained = map[string]Drain{"w1": {}}
 	delete(next.Operators, "ann")
+	old.Workspaces["empty"], next.Workspaces["empty"] = Workspace{}, Workspace{Quota: Quota{Slots: 1}}
 	want := []Change{
 		{Path: "drained.w1", New: "{}"},
 		{Path: "operators.ann.role", Old: "admin"},
 		{Path: "operators.ann.tokenHash", Old: "(redacted)"},
+		{Path: "workspaces.empty.quota.slots", New: "1"},
 		{Path: "workspaces.lautoka.quota", New: "{}"},
 		{Path: "workspaces.lautoka.tokenHashes[0]", New: "(redacted, new)"},
 		{Path: "workspaces.lautoka.weight", New: "2"},
