--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -17,6 +17,10 @@
 	DefaultConnections = 64
 )
 
+// IdentityRetention is how long a target remembers the identity of a task that
+// was started, at least. After that time a tombstone of Fence proves nothing.
+const IdentityRetention = 10 * time.Minute
+
 // TaskState is the state of a task at a target.
 type TaskState string
 
@@ -42,6 +46,9 @@
 	Epoch        int64         `json:"epoch"`
 	Accelerators []int         `json:"accelerators,omitempty"`
 	TTL          time.Duration `json:"ttl"`
+	// Meta is kept with the task and returned in its status, so that a new owner
+	// of the failure domain can adopt the task.
+	Meta json.RawMessage `json:"meta,omitempty"`
 	// Start begins the task in the same call; for single repeatable tasks.
 	Start *StartRequest `json:"start,omitempty"`
 }
@@ -74,6 +81,9 @@
 	Result       json.RawMessage `json:"result,omitempty"`
 	Error        string          `json:"error,omitempty"`
 	Throttled    bool            `json:"throttled,omitempty"`
+	// Meta is that of the reserve request; present in answers of Fence and of a
+	// Sync with Since 0.
+	Meta json.RawMessage `json:"meta,omitempty"`
 }
 
 // SyncRequest renews the leases of all tasks on the worker that the failure
