plan, gate, ctl: keep a proposer's ID, note effects that had nothing left to do

Cause: the owner of a failure domain finds a held action by the ID that it gave it, but the gate replaced the ID, so that a confirmed proposal ended as not_found and counted as done.

Change: the gate keeps a given ID. A plan's record notes every effect for which nothing was left to do. Operators' commands read CARAWAYUSHER_OPERATOR_TOKEN.

--- a/pkg/ctl/operator.go
+++ b/pkg/ctl/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"os"
 
 	"github.com/spf13/cobra"
 
@@ -23,10 +24,22 @@
 		newReportCommand(conn), newTokenHashCommand(),
 	} {
 		cmd.GroupID = group
+		cmd.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error { return conn.completeOperator(cmd) }
 		root.AddCommand(cmd)
 	}
 }
 
+// envOperatorToken stands in for --token in the operators' commands, so that
+// one shell can act for a workspace and for an operator.
+const envOperatorToken = "CARAWAYUSHER_OPERATOR_TOKEN"
+
+func (c *connection) completeOperator(cmd *cobra.Command) error {
+	if token := os.Getenv(envOperatorToken); token != "" && !cmd.Flags().Changed("token") {
+		c.token = token
+	}
+	return c.complete()
+}
+
 // get asks the administration API for path, which is below admin.Prefix.
 func (c *connection) get(ctx context.Context, path string, query url.Values, out any) error {
 	return c.call(ctx, client.Request{Method: http.MethodGet, Path: admin.Prefix + path, Query: query, Idempotent: true}, out)
--- a/pkg/ctl/operator_test.go
+++ b/pkg/ctl/operator_test.go
@@ -102,12 +102,19 @@
 		Gaps:       []timeline.Gap{{VM: "vm-1", From: 3, To: 4, Before: at}},
 		Unanswered: []string{"vm-2"},
 	}
+	t.Setenv(envOperatorToken, "operator-secret")
 	_, out, errOut := run(t, "timeline", "--job", "j1-x", "--type", "started,ended")
 	want := "-- 2 events of vm-1 are missing (3 to 4)\n2026-01-02T03:04:05.000Z vm-1 started job=j1-x worker=w1\n"
 	if out != want || !strings.Contains(errOut, "no answer from vm-2") || s.route != "GET /admin/v1/events?job=j1-x&limit=1000&type=started&type=ended" {
 		t.Errorf("%s\n%s\n%s", s.route, out, errOut)
 	}
-	_, lines, _ := run(t, "timeline", "-o", "json")
+	if s.token != "Bearer operator-secret" {
+		t.Errorf("token %q", s.token)
+	}
+	_, lines, _ := run(t, "timeline", "-o", "json", "--token", "flag")
+	if s.token != "Bearer flag" {
+		t.Errorf("token %q in spite of the flag", s.token)
+	}
 	dir := t.TempDir()
 	saved, page := filepath.Join(dir, "saved.jsonl"), filepath.Join(dir, "out.html")
 	if err := os.WriteFile(saved, []byte(lines), 0o600); err != nil {
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -131,6 +131,15 @@
 	if n := len(g.Proposals()); n != 10 {
 		t.Errorf("%d proposals after PutBack", n)
 	}
+	for range 2 {
+		g.Allow(Move, "a", Proposal{ID: "r/a/move/j1-x", Job: "j1-x"})
+	}
+	if _, ok := g.Take("r/a/move/j1-x"); !ok {
+		t.Error("the proposer's own ID is lost")
+	}
+	if _, ok := g.Take("r/a/move/j1-x"); ok {
+		t.Error("a proposal with its own ID is listed twice")
+	}
 	src.hold(t, nil)
 	g.PutBack(p)
 	if n := len(g.Proposals()); n != 0 {
--- a/pkg/gate/service.go
+++ b/pkg/gate/service.go
@@ -78,7 +78,8 @@
 
 // Allow reports whether an action of the kind may be taken for the workspace
 // (empty for an action on the whole system). While automation is held it
-// records p as a proposal and returns false. It also returns false, without a
+// records p as a proposal and returns false; p.ID, if set, is kept as the
+// identity by which the proposer finds the action again. It also returns false, without a
 // proposal, while no document is in force, because the hold state is then
 // unknown, and when the rate after a resume is used up; the caller decides
 // anew later.
@@ -191,7 +192,9 @@
 
 // propose adds p or refreshes the one with the same identity.
 func (g *Gate) propose(p Proposal, now time.Time) {
-	p.ID = proposalID(p)
+	if p.ID == "" {
+		p.ID = proposalID(p)
+	}
 	if old, ok := g.proposals[p.ID]; ok {
 		p.At = old.At
 		g.proposals[p.ID] = p
@@ -214,7 +217,7 @@
 	g.order = slices.DeleteFunc(g.order, func(other string) bool { return other == id })
 }
 
-// proposalID derives the identity from what the action is and whom it
+// proposalID derives the identity of a proposal without one from what the action is and whom it
 // concerns, so that a decision that is made again does not add a second entry.
 func proposalID(p Proposal) string {
 	key := strings.Join([]string{string(p.Kind), p.Workspace, string(p.Job), p.Worker, p.Domain}, "\x00")
--- a/pkg/plan/actions.go
+++ b/pkg/plan/actions.go
@@ -105,33 +105,35 @@
 	}
 }
 
-// execute carries a confirmed action plan out and returns what failed. The
-// kind not_found counts as done: the job has ended or the proposal was taken.
-func (p *Planner) execute(ctx context.Context, made *Plan) []string {
+// execute carries a confirmed action plan out and notes in rec what failed and
+// for what nothing was left to do: the job has ended, or the proposal was taken
+// or no longer fits the state (kind not_found).
+func (p *Planner) execute(ctx context.Context, rec *Record) {
+	rec.Failures, rec.Notes = nil, nil
+	made := &rec.Plan
 	switch spec := made.Intent.Spec.(type) {
 	case *Reclaim:
-		return failures(p.opts.Executor.Reclaim(ctx, made.ID, spec.Workspace, spec.FailureDomain))
+		rec.note("reclaim", p.opts.Executor.Reclaim(ctx, made.ID, spec.Workspace, spec.FailureDomain))
+		return
 	case *Defragment:
-		return failures(p.opts.Executor.Defragment(ctx, made.ID, spec.FailureDomain))
+		rec.note("defragment", p.opts.Executor.Defragment(ctx, made.ID, spec.FailureDomain))
+		return
 	}
-	var failed []string
 	for _, e := range made.Effects {
-		var err error
 		if e.Proposal != "" {
-			err = p.opts.Executor.ConfirmProposal(ctx, e.Proposal)
+			rec.note("proposal "+e.Proposal, p.opts.Executor.ConfirmProposal(ctx, e.Proposal))
 		} else {
-			err = p.opts.Executor.CancelJob(ctx, e.Job, "cancelled by plan "+made.ID)
-		}
-		if err != nil && !errkind.Is(err, errkind.NotFound) {
-			failed = append(failed, string(e.Job)+e.Proposal+": "+err.Error())
+			rec.note("job "+string(e.Job), p.opts.Executor.CancelJob(ctx, e.Job, "cancelled by plan "+made.ID))
 		}
 	}
-	return failed
 }
 
-func failures(err error) []string {
-	if err == nil {
-		return nil
+func (r *Record) note(what string, err error) {
+	switch {
+	case err == nil:
+	case errkind.Is(err, errkind.NotFound):
+		r.Notes = append(r.Notes, what+": nothing left to do: "+errkind.As(err).Message)
+	default:
+		r.Failures = append(r.Failures, what+": "+err.Error())
 	}
-	return []string{err.Error()}
 }
--- a/pkg/plan/confirm.go
+++ b/pkg/plan/confirm.go
@@ -132,7 +132,7 @@
 		}
 		p.announce(&rec.Plan, actor.Name)
 	}
-	rec.Failures = p.execute(ctx, &rec.Plan)
+	p.execute(ctx, &rec)
 	if len(rec.Failures) > 0 {
 		return rec, nil // stays confirmed, so that confirming again repeats what failed
 	}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -108,6 +108,8 @@
 	Revision int64 `json:"revision,omitempty"`
 	// Failures are the effects that could not be carried out, with the reason.
 	Failures []string `json:"failures,omitempty"`
+	// Notes name effects for which there was nothing left to do.
+	Notes []string `json:"notes,omitempty"`
 }
 
 // at returns the record with the state that it has at time now.
--- a/pkg/plan/ports.go
+++ b/pkg/plan/ports.go
@@ -52,7 +52,7 @@
 
 // Executor carries confirmed plans out. Each method must be idempotent for the
 // same plan, because a VM that failed half-way is followed by another. The kind
-// not_found from CancelJob and ConfirmProposal counts as done.
+// not_found says that nothing is left to do; the plan's record notes it.
 type Executor interface {
 	CancelJob(ctx context.Context, job api.JobID, reason string) error
 	// Reclaim and Defragment act in the given failure domain, or in all if empty.
--- a/pkg/plan/render.go
+++ b/pkg/plan/render.go
@@ -22,7 +22,8 @@
 		fmt.Fprintf(&b, "Lost work: %s accelerator time (estimate)\n", p.LostWork.Round(time.Second))
 	}
 	renderList(&b, "Warnings", p.Warnings, asIs)
-	renderList(&b, "Failures", rec.Failures, asIs)
+	renderList(&b, "Failures (confirm again to repeat)", rec.Failures, asIs)
+	renderList(&b, "Notes", rec.Notes, asIs)
 	if rec.State == StateOpen {
 		fmt.Fprintf(&b, "Nothing has changed yet. To carry it out: carawayctl confirm %s\n", p.ID)
 	}
--- a/pkg/report/jobs.go
+++ b/pkg/report/jobs.go
@@ -66,8 +66,8 @@
 			j.started = at
 		}
 	case timeline.Ended:
-		// Without a status, an end counts as a success unless its reason says otherwise.
-		j.ended, j.succeeded = at, !strings.Contains(e.Reason, string(api.OutcomeFailed))
+		// The reason of an end begins with the state.
+		j.ended, j.succeeded = at, e.Reason == "" || strings.HasPrefix(e.Reason, string(api.StateSucceeded))
 	case timeline.CancelledEvent, timeline.Refused:
 		j.ended, j.succeeded = at, false
 	}
