plan, daemon: an impossible guarantee elsewhere no longer refuses a plan

Cause: on the local system every plan was refused, because each failure domain checked the guarantees of all domains against its own workers. Besides, a guarantee that a lost rack made impossible would have refused a drain or hold.

Change: a domain checks its own guarantees; a plan is refused only for a guarantee that it makes impossible itself, or one in an unknown domain.

--- a/pkg/daemon/local.go
+++ b/pkg/daemon/local.go
@@ -10,6 +10,7 @@
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/gate"
 	"github.com/carawayusher/carawayusher/pkg/plan"
+	"github.com/carawayusher/carawayusher/pkg/policy"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 )
 
@@ -47,13 +48,24 @@
 		v := d.Preview(doc)
 		p.Effects = append(effects(d.Name(), plan.EffectPreempt, v.Preempt), effects(d.Name(), plan.EffectRefuse, v.Refuse)...)
 		p.Unmeetable = v.Unmeetable
-		if err := sched.CheckGuarantees(doc, map[string][]sched.Worker{d.Name(): d.Equipment()}); err != nil {
+		if err := sched.CheckGuarantees(guaranteesIn(doc, d.Name()), map[string][]sched.Worker{d.Name(): d.Equipment()}); err != nil {
 			p.Impossible = []string{errkind.As(err).Message}
 		}
 	}
 	return p
 }
 
+// guaranteesIn returns doc with the guarantees of one failure domain only,
+// because CheckGuarantees refuses those of a domain whose workers it is not given.
+func guaranteesIn(doc *policy.Document, name string) *policy.Document {
+	c := doc.Clone()
+	for id, ws := range c.Workspaces {
+		ws.Guarantees = slices.DeleteFunc(ws.Guarantees, func(g policy.Guarantee) bool { return g.FailureDomain != name })
+		c.Workspaces[id] = ws
+	}
+	return c
+}
+
 func effects(name string, kind plan.EffectKind, actions []sched.Action) []plan.Effect {
 	var out []plan.Effect
 	for _, a := range actions {
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -367,6 +367,7 @@
 		"contradiction":       {guarantee(policy.Guarantee{Cells: 9, Accelerators: 8, Adjacency: "worker", FailureDomain: "r/a"}), ann, errkind.InvalidConfig, "raise the quota"},
 		"no power of two":     {guarantee(policy.Guarantee{Cells: 1, Accelerators: 6, Adjacency: "worker", FailureDomain: "r/a"}), ann, errkind.InvalidConfig, "use a power of two"},
 		"impossible":          {guarantee(policy.Guarantee{Cells: 1, Accelerators: 64, Adjacency: "rack", FailureDomain: "r/a"}), ann, errkind.GuaranteeUnmeetable, "add workers"},
+		"unknown domain":      {guarantee(policy.Guarantee{Cells: 1, Accelerators: 8, Adjacency: "rack", FailureDomain: "r/z"}), ann, errkind.GuaranteeUnmeetable, "carawayctl domains"},
 		"hold in the past":    {&Hold{Reason: "x", Until: time.Unix(1, 0)}, ann, errkind.InvalidRequest, "give a later end"},
 		"hold without reason": {&Hold{}, ann, errkind.InvalidRequest, "say why"},
 		"nothing to resume":   {&Resume{}, ann, errkind.InvalidRequest, "nothing to change"},
@@ -391,6 +392,7 @@
 			w := newWorld()
 			if c.want == errkind.GuaranteeUnmeetable {
 				w.previews = []DomainPreview{{Domain: "r/a", Impossible: []string{"postbud: 64 in one rack"}}}
+				w.present = []DomainPreview{{Domain: "r/a"}}
 			}
 			p, _ := w.vm(Options{})
 			_, err := p.Make(t.Context(), c.actor, NewIntent(c.spec))
@@ -404,6 +406,17 @@
 	}
 }
 
+// Guards against a lost rack that makes every later change impossible.
+func TestImpossibleGuaranteeDoesNotStopOtherChanges(t *testing.T) {
+	w := newWorld()
+	w.previews = []DomainPreview{{Domain: "r/a", Impossible: []string{"postbud: 2 x 8"}}}
+	p, _ := w.vm(Options{})
+	made, err := p.Make(t.Context(), bob, NewIntent(&Drain{Worker: "w1"}))
+	if err != nil || len(made.Unmeetable) != 1 {
+		t.Errorf("plan = %+v, %v", made, err)
+	}
+}
+
 // Guards against plans that fill the store, and against an open plan that is
 // dropped to make room.
 func TestPlansAreBounded(t *testing.T) {
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -181,23 +181,20 @@
 	return p.preview(ctx, made, PreviewRequest{Next: next})
 }
 
+// preview adds the effects of req to the plan.
 func (p *Planner) preview(ctx context.Context, made *Plan, req PreviewRequest) error {
 	domains, err := p.opts.Previewer.Preview(ctx, req)
 	if err != nil {
 		return err
 	}
 	for _, d := range domains {
-		if len(d.Impossible) > 0 {
-			return errkind.New(errkind.GuaranteeUnmeetable, "in failure domain %s no state of the fleet can meet: %v; lower the guarantee or add workers",
-				d.Domain, d.Impossible)
-		}
 		if d.Error != "" {
 			made.Warnings = append(made.Warnings, "the effects in failure domain "+d.Domain+" are not known: "+d.Error)
 		}
 		made.Effects = append(made.Effects, d.Effects...)
 		made.Unmeetable = append(made.Unmeetable, d.Unmeetable...)
 	}
-	return nil
+	return p.checkGuarantees(ctx, made, req, domains)
 }
 
 func (p *Planner) record(t timeline.Type, made *Plan, by string) {
