plan: show overtaken plans as outdated

Cause: plan list showed plans as open that can no longer be confirmed.

Change: an open plan on an older revision is shown as outdated.

Measured: go test -race of pkg/plan and pkg/admin passes.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -352,6 +352,10 @@
 	if code != http.StatusConflict || lost.Kind != errkind.PlanOutdated || len(lost.Changed) != 1 || lost.Fresh == nil || lost.Fresh.Base != 4 {
 		t.Errorf("outdated: status %d, %+v", code, lost)
 	}
+	var shown plan.Record
+	if s.call(t, "viewer", http.MethodGet, "/plans/"+second.ID, "", &shown); shown.State != plan.StateOutdated {
+		t.Errorf("overtaken plan is shown as %s", shown.State)
+	}
 	var list Page[plan.Record]
 	if s.call(t, "viewer", http.MethodGet, "/plans?limit=2", "", &list); len(list.Items) != 2 || list.Next == "" {
 		t.Errorf("plans: %+v", list)
--- a/pkg/plan/apply.go
+++ b/pkg/plan/apply.go
@@ -115,7 +115,7 @@
 	if _, ok := doc.Drained[key]; ok {
 		return nothingToDo("%s is already drained", key)
 	}
-	doc.Drained[key] = policy.Drain{Reason: s.Reason, Since: at}
+	doc.Drained[key] = policy.Drain{Reason: s.Reason, Since: at.Truncate(time.Second)}
 	return nil
 }
 
@@ -154,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	doc.Holds[key] = policy.Hold{Reason: s.Reason, By: by, Since: at, Until: s.Until}
+	doc.Holds[key] = policy.Hold{Reason: s.Reason, By: by, Since: at.Truncate(time.Second), Until: s.Until}
 	return nil
 }
 
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -95,7 +95,9 @@
 	StateOpen      State = "open"
 	StateConfirmed State = "confirmed"
 	StateApplied   State = "applied"
-	StateExpired   State = "expired" // shown only, never stored
+	// StateExpired and StateOutdated are shown for open plans and never stored.
+	StateExpired  State = "expired"
+	StateOutdated State = "outdated" // another change came first
 )
 
 // Record is a plan with what became of it, as it is kept in the store.
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -79,7 +79,16 @@
 // Get returns a plan with its state, or not_found.
 func (p *Planner) Get(ctx context.Context, id string) (Record, error) {
 	rec, _, err := p.load(ctx, id)
-	return rec.at(time.Now()), err
+	return p.shown(rec), err
+}
+
+// shown returns the record with the state that an operator sees.
+func (p *Planner) shown(rec Record) Record {
+	rec = rec.at(time.Now())
+	if doc := p.opts.Source.Current(); doc != nil && rec.State == StateOpen && doc.Revision > rec.Plan.Base {
+		rec.State = StateOutdated
+	}
+	return rec
 }
 
 // List returns the plans in the store, the newest first.
@@ -92,7 +101,7 @@
 	for _, s := range stored {
 		var rec Record
 		if json.Unmarshal(s.Data, &rec) == nil {
-			records = append(records, rec.at(time.Now()))
+			records = append(records, p.shown(rec))
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return b.Plan.MadeAt.Compare(a.Plan.MadeAt) })
--- a/pkg/plan/render.go
+++ b/pkg/plan/render.go
@@ -37,6 +37,8 @@
 		fmt.Fprintf(b, "State: open until %s\n", rec.Plan.ExpiresAt.Format(time.RFC3339))
 	case StateExpired:
 		fmt.Fprintf(b, "State: expired at %s\n", rec.Plan.ExpiresAt.Format(time.RFC3339))
+	case StateOutdated:
+		fmt.Fprintf(b, "State: outdated, another change came first\n")
 	default:
 		fmt.Fprintf(b, "State: %s, confirmed by %s at %s", rec.State, rec.ConfirmedBy, rec.ConfirmedAt.Format(time.RFC3339))
 		if rec.Revision > 0 {
