--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -95,7 +95,9 @@
 	StateOpen      State = "open"
 	StateConfirmed State = "confirmed"
 	StateApplied   State = "applied"
-	StateExpired   State = "expired" // shown only, never stored
+	// StateExpired and StateOutdated are shown for open plans and never stored.
+	StateExpired  State = "expired"
+	StateOutdated State = "outdated" // another change came first
 )
 
 // Record is a plan with what became of it, as it is kept in the store.
@@ -108,6 +110,8 @@
 	Revision int64 `json:"revision,omitempty"`
 	// Failures are the effects that could not be carried out, with the reason.
 	Failures []string `json:"failures,omitempty"`
+	// Notes name effects for which there was nothing left to do.
+	Notes []string `json:"notes,omitempty"`
 }
 
 // at returns the record with the state that it has at time now.
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -79,7 +79,16 @@
 // Get returns a plan with its state, or not_found.
 func (p *Planner) Get(ctx context.Context, id string) (Record, error) {
 	rec, _, err := p.load(ctx, id)
-	return rec.at(time.Now()), err
+	return p.shown(rec), err
+}
+
+// shown returns the record with the state that an operator sees.
+func (p *Planner) shown(rec Record) Record {
+	rec = rec.at(time.Now())
+	if doc := p.opts.Source.Current(); doc != nil && rec.State == StateOpen && doc.Revision > rec.Plan.Base {
+		rec.State = StateOutdated
+	}
+	return rec
 }
 
 // List returns the plans in the store, the newest first.
@@ -92,7 +101,7 @@
 	for _, s := range stored {
 		var rec Record
 		if json.Unmarshal(s.Data, &rec) == nil {
-			records = append(records, rec.at(time.Now()))
+			records = append(records, p.shown(rec))
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return b.Plan.MadeAt.Compare(a.Plan.MadeAt) })
@@ -181,23 +190,20 @@
 	return p.preview(ctx, made, PreviewRequest{Next: next})
 }
 
+// preview adds the effects of req to the plan.
 func (p *Planner) preview(ctx context.Context, made *Plan, req PreviewRequest) error {
 	domains, err := p.opts.Previewer.Preview(ctx, req)
 	if err != nil {
 		return err
 	}
 	for _, d := range domains {
-		if len(d.Impossible) > 0 {
-			return errkind.New(errkind.GuaranteeUnmeetable, "in failure domain %s no state of the fleet can meet: %v; lower the guarantee or add workers",
-				d.Domain, d.Impossible)
-		}
 		if d.Error != "" {
 			made.Warnings = append(made.Warnings, "the effects in failure domain "+d.Domain+" are not known: "+d.Error)
 		}
 		made.Effects = append(made.Effects, d.Effects...)
 		made.Unmeetable = append(made.Unmeetable, d.Unmeetable...)
 	}
-	return nil
+	return p.checkGuarantees(ctx, made, req, domains)
 }
 
 func (p *Planner) record(t timeline.Type, made *Plan, by string) {
