--- a/pkg/sched/hedge.go
+++ b/pkg/sched/hedge.go
@@ -26,7 +26,11 @@
 func (h watches) Len() int           { return len(h) }
 func (h watches) Less(i, k int) bool { return h[i].at.Before(h[k].at) }
 func (h watches) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
-func (h *watches) Push(x any)        { *h = append(*h, x.(watch)) }
+
+// Push implements heap.Interface.
+func (h *watches) Push(x any) { *h = append(*h, x.(watch)) }
+
+// Pop implements heap.Interface.
 func (h *watches) Pop() any {
 	old := *h
 	x := old[len(old)-1]
