--- a/pkg/controlwatch/controlwatch.go
+++ b/pkg/controlwatch/controlwatch.go
@@ -101,6 +101,9 @@
 		case listed && errkind.Is(err, errkind.Conflict):
 			listed = false // the store no longer has the history
 		case ctx.Err() == nil:
+			// A list answers at once when the store is back; a watch would answer
+			// only with the next change.
+			listed = false
 			w.health(false)
 			w.opts.Log.V(1).Info("control watch interrupted", "error", err.Error())
 			sleep(ctx, retry.NextBackOff())
