ownership: test a lease that lapsed during a pause; keep peertest off zero timers

Cause: under the race detector go1.26.8 crashed in the runtime (maybeRunChan below selectgo) in 3 of 18 runs of the ownership tests, in a select on a timer of a synctest bubble that was due already. Change: the in-memory network makes no timer without a delay.

--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -308,6 +308,34 @@
 	}
 }
 
+// TestLeaseLapsedWhilePaused guards against a VM that goes on with shards which
+// others took over while it was paused.
+func TestLeaseLapsedWhilePaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		time.Sleep(6 * time.Second)
+		v := c.vms["vm1"]
+		held, _ := v.Held()
+		v.store.cut.Store(true) // nothing of a paused VM reaches the others
+		c.net.SetDown("vm1", true)
+		time.Sleep(10 * time.Second)
+		v.skew.Store(int64(10 * time.Second))
+		v.store.cut.Store(false)
+		c.net.SetDown("vm1", false)
+		for s := range held {
+			if o, ok := v.Owner(Shard(s)); ok && o.Self {
+				t.Errorf("%s counts as owned right after the pause", s)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		if n := v.host.calls("stop", "lost=true"); n != len(held) {
+			t.Errorf("%d of %d shards were given up", n, len(held))
+		}
+		time.Sleep(10 * time.Second)
+		c.complete("after the pause", true)
+	})
+}
+
 // TestLostAnswersOfClaims guards against a shard that has a key but no server
 // because the answer to its creation or deletion was lost.
 func TestLostAnswersOfClaims(t *testing.T) {
--- a/pkg/peer/peertest/net.go
+++ b/pkg/peer/peertest/net.go
@@ -92,10 +92,8 @@
 	if h == nil {
 		return errkind.New(errkind.NotFound, "method %q is not known", method)
 	}
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
-		return errkind.Wrap(ctx.Err(), errkind.Timeout, "peer %s did not answer in time", address)
+	if err := wait(ctx, delay); err != nil {
+		return errkind.Wrap(err, errkind.Timeout, "peer %s did not answer in time", address)
 	}
 	answer, err := h(ctx, func(into any) error { return cbor.Unmarshal(body, into) })
 	if err != nil {
@@ -112,3 +110,19 @@
 	}
 	return cbor.Unmarshal(body, resp)
 }
+
+// wait makes no timer without a delay: under the race detector, go1.26.8 can
+// crash in a select on a timer of a synctest bubble that is due already.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
