--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -375,3 +375,42 @@
 		}
 	})
 }
+
+// TestReuseWithoutSnapshot shows the loss that the rule on slots prevents: with
+// the rule switched off the ring overwrites entries that no snapshot covers.
+func TestReuseWithoutSnapshot(t *testing.T) {
+	store := newStore()
+	log, _ := open(t, store, 1)
+	j := log.(*journal)
+	for i := range RingSlots + 1 {
+		j.mu.Lock()
+		j.snapshotting, j.state.head.Seq = true, j.state.last
+		j.mu.Unlock()
+		mustAppend(t, log, fmt.Sprint(i))
+	}
+	if _, _, err := Open(background, Options{Store: store, Epoch: 2}); !errkind.Is(err, errkind.Internal) {
+		t.Fatalf("journal with overwritten entries was read: %v", err)
+	}
+}
+
+// blindStore hides what the store holds from a writer that reads back.
+type blindStore struct{ platform.Store }
+
+func (blindStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{Version: 1 << 40}, nil
+}
+
+// TestLostAnswerWithoutReadBack shows that a durable record would be reported
+// as failed without the comparison of the writer token.
+func TestLostAnswerWithoutReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		log, _ := open(t, blindStore{store}, 1)
+		store.SetFaults(memory.Faults{LoseNext: 1})
+		err := log.Append(background, PriorityAccept, []byte("a"))
+		_, rec := open(t, store, 2)
+		if err == nil || records(rec) != "a" {
+			t.Fatalf("append: %v, recovered %q", err, records(rec))
+		}
+	})
+}
