--- a/Makefile
+++ b/Makefile
@@ -50,4 +50,5 @@
 
 ## bench: decision time and memory of the scheduler by fleet size, with slopes.
 bench:
-	@$(GO) run ./cmd/measure bench
+	@{ $(GO) test -run '^$$' -bench 'Small|Backlog|Gang' -benchtime 2000x ./pkg/sched && \
+		$(GO) test -run '^$$' -bench State -benchtime 1x ./pkg/sched; } | $(GO) run ./cmd/measure slopes
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -26,6 +26,7 @@
 	cmd.Flags().StringVar(&o.without, "without", "", "switch one rule off")
 	cmd.Flags().BoolVar(&o.ablate, "ablate", false, "compare the rules in use with each rule switched off instead of with the baselines")
 	cmd.Flags().IntVar(&o.parallel, "parallel", 3, "simulations at a time")
+	cmd.AddCommand(slopesCommand())
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -104,8 +105,8 @@
 				m.name, name, o.seed, c.name, base, ours, ratio)
 		}
 	}
-	if r := results[0]; r.unfinished > 0 {
-		fmt.Fprintf(w, "note load=%s unfinished=%d\n", name, r.unfinished)
+	if r := results[0]; r.unfinished > 0 || r.unmeetable {
+		fmt.Fprintf(w, "note load=%s seed=%d unfinished=%d guarantee_unmeetable_for_a_time=%v\n", name, o.seed, r.unfinished, r.unmeetable)
 	}
 	return nil
 }
--- a/cmd/measure/metrics.go
+++ b/cmd/measure/metrics.go
@@ -26,6 +26,7 @@
 	fragmentation, crestService             float64
 	deadlinesMissed, unfinished             int
 	attempts                                int
+	unmeetable                              bool
 }
 
 const urgentBound = 6100 * time.Millisecond
@@ -34,7 +35,7 @@
 func (s *sim) measure() result {
 	var completion, short []time.Duration
 	var urgent, inTime float64
-	out := result{fragmentation: s.frag.value()}
+	out := result{fragmentation: s.frag.value(), unmeetable: s.unmeetable}
 	for _, r := range s.order {
 		if r.canceled {
 			continue
--- a/cmd/measure/sim.go
+++ b/cmd/measure/sim.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"hash/fnv"
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -75,22 +76,23 @@
 
 // sim drives one scheduler per failure domain through one load.
 type sim struct {
-	load    *load
-	seed    uint64
-	domains []scheduler
-	free    []map[string]uint64 // by domain: free accelerators of each worker
-	slots   []map[string]int
-	racks   []map[string]string
-	failing map[string]bool
-	down    map[string]bool
-	runs    map[api.JobID]*run
-	order   []*run
-	queue   events
-	seq     int
-	now     time.Duration
-	wakes   []time.Duration
-	gangs   []int // waiting gangs by domain
-	frag    average
+	load       *load
+	seed       uint64
+	domains    []scheduler
+	free       []map[string]uint64 // by domain: free accelerators of each worker
+	slots      []map[string]int
+	racks      []map[string]string
+	failing    map[string]bool
+	down       map[string]bool
+	runs       map[api.JobID]*run
+	order      []*run
+	queue      events
+	seq        int
+	now        time.Duration
+	wakes      []time.Duration
+	gangs      []int // waiting gangs by domain
+	frag       average
+	unmeetable bool // an urgent workspace's guarantee had no place for a time
 }
 
 func (s *sim) at(at time.Duration, f func()) {
@@ -180,6 +182,9 @@
 
 func (s *sim) decide(domain int) {
 	d := s.domains[domain]
+	if r, ok := d.(*sched.Domain); ok && s.load.rackLost > 0 && domain == 0 && s.now >= s.load.rackLost && s.now < s.load.rackLost+outage+crestLength {
+		s.unmeetable = s.unmeetable || slices.Contains(r.Summary(s.clock()).Unmeetable, "court")
+	}
 	for _, a := range d.Decide(s.clock()) {
 		s.act(domain, a)
 	}
--- a/pkg/sched/admit.go
+++ b/pkg/sched/admit.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"math"
+	"math/bits"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -18,12 +20,58 @@
 	if q := ws.quota.Queued; q > 0 && ws.queued >= q {
 		return errkind.New(errkind.QuotaExceeded, "workspace %s has %d jobs waiting, its quota", ws.name, q).WithRetryAfter(overloadRetry)
 	}
-	if d.queued >= d.opts.MaxQueued {
-		return errkind.New(errkind.Overloaded, "%d jobs wait in failure domain %s", d.queued, d.name).WithRetryAfter(overloadRetry)
+	return d.admitLoad(in)
+}
+
+// Shares of the queue after which work is refused: what can wait is refused
+// first, and urgent work last.
+const (
+	shedSheddable = 0.25
+	shedLong      = 0.75
+	shedShort     = 0.9
+	maxRetryAfter = 5 * time.Minute
+)
+
+// admitLoad refuses work when the queue holds more than its class may wait for.
+func (d *Domain) admitLoad(in Job) error {
+	c, share := d.class(in.Class), shedLong
+	switch {
+	case !d.rules.Shed || c.StartWithin > 0:
+		share = 1
+	case c.Sheddable:
+		share = shedSheddable
+	case c.Short:
+		share = shedShort
+	}
+	if limit := int(share * float64(d.opts.MaxQueued)); d.queued >= limit {
+		return errkind.New(errkind.Overloaded, "%d jobs wait in failure domain %s and work of class %s is accepted up to %d; it was not run",
+			d.queued, d.name, in.Class, limit).WithRetryAfter(d.drainTime(limit))
 	}
 	return nil
 }
 
+// drainTime estimates when the queue is shorter than limit, by the rate at which
+// waiting jobs were placed lately.
+func (d *Domain) drainTime(limit int) time.Duration {
+	if d.placeRate <= 0 {
+		return overloadRetry
+	}
+	wait := time.Duration(float64(d.queued-limit+1) / d.placeRate * float64(time.Second))
+	return min(max(wait, overloadRetry), maxRetryAfter)
+}
+
+// notePlaced keeps the rate of placements, averaged over about a minute.
+func (d *Domain) notePlaced(now time.Time) {
+	if dt := now.Sub(d.placedAt).Seconds(); dt > 0 {
+		keep := math.Exp(-dt / rateWindow.Seconds())
+		d.placeRate = d.placeRate*keep + float64(d.placedCount)*(1-keep)/dt
+		d.placedAt, d.placedCount = now, 0
+	}
+	d.placedCount++
+}
+
+const rateWindow = time.Minute
+
 // possible reports whether an empty fleet could run the job. A domain that
 // knows no workers yet accepts everything.
 func (d *Domain) possible(ws *workspace, in Job) error {
@@ -33,12 +81,49 @@
 	if len(d.workers) == 0 {
 		return nil
 	}
-	size := d.largest()
+	size := &d.size
 	_, loose := adjacencyLevels(in.Adjacency, in.RelaxAdjacency)
 	if in.Accelerators > size[loose] {
 		return errkind.New(errkind.Impossible, "the job needs %d adjacent accelerators and the largest %s of failure domain %s has %d",
 			in.Accelerators, levelNames[loose], d.name, size[loose])
 	}
+	if in.AtMostOnce && in.Accelerators > 0 {
+		return d.possibleFirm(ws, in, loose)
+	}
+	return nil
+}
+
+// possibleFirm reports whether work that cannot be preempted has a place outside
+// the cells of other workspaces.
+func (d *Domain) possibleFirm(ws *workspace, in Job, loose int) error {
+	d.settlePins()
+	total, best := 0, 0
+	for _, r := range d.racks {
+		rack := 0
+		for _, w := range r.workers {
+			m := w.capacity &^ w.pinned
+			for _, p := range w.parts {
+				if p.cell.ws == ws {
+					m |= p.mask
+				}
+			}
+			n := bits.OnesCount64(m)
+			rack += n
+			if bestBlock(m, w.capacity, in.Accelerators) != 0 {
+				best = max(best, in.Accelerators)
+			}
+		}
+		if loose >= levelRack {
+			best = max(best, rack)
+		}
+		total += rack
+	}
+	if loose == levelDomain {
+		best = max(best, total)
+	}
+	if best < in.Accelerators {
+		return errkind.New(errkind.Impossible, "the job may not be preempted, and no %d adjacent accelerators lie outside the guarantees of other workspaces", in.Accelerators)
+	}
 	return nil
 }
 
@@ -46,8 +131,8 @@
 
 // largest returns the accelerators of the largest worker, the largest rack and
 // the failure domain.
-func (d *Domain) largest() (size [3]int) {
-	for _, r := range d.racks {
+func largest(racks []*rack) (size [3]int) {
+	for _, r := range racks {
 		size[levelRack] = max(size[levelRack], r.capacity)
 		size[levelDomain] += r.capacity
 		for _, w := range r.workers {
--- a/pkg/sched/cells.go
+++ b/pkg/sched/cells.go
@@ -111,7 +111,7 @@
 func (d *Domain) resettle(w *worker) {
 	w.slotsFirm = 0
 	for _, p := range w.parts {
-		p.slotsUsed, p.warm.used = 0, 0
+		p.slotsUsed, p.warm.now = 0, use{}
 	}
 	w.eachSpot(func(j *job, s *spot) {
 		s.kind, s.part, s.warm = slotBorrows, nil, false
@@ -119,7 +119,7 @@
 			s.kind, s.part = slotOfCell, p
 			p.slotsUsed++
 			if s.warm = j.class.Short && d.rules.KeepWarm; s.warm {
-				p.warm.used++
+				p.warm.add(1, s.mask)
 			}
 		}
 	})
--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -39,9 +39,6 @@
 func (d *Domain) pass(now time.Time, out *[]Action) {
 	all := d.freed
 	d.freed = false
-	if all {
-		d.firmWanted = false
-	}
 	for _, g := range d.order(now) {
 		if !all && !g.dirty {
 			continue
@@ -51,7 +48,6 @@
 			continue
 		}
 		if len(g.jobs) > 0 {
-			d.firmWanted = d.firmWanted || g.amo
 			d.reserve(now, g.jobs[0])
 		}
 	}
--- a/pkg/sched/domain.go
+++ b/pkg/sched/domain.go
@@ -43,11 +43,14 @@
 	chunk         []Placement
 	warmQueue     []warmEntry
 	learned       learner
+	size          [3]int  // accelerators of the largest worker, the largest rack and the domain
+	placeRate     float64 // placements a second
+	placedAt      time.Time
+	placedCount   int
 	reservations  []*reservation
 	watches       watches
 	hedges        int
 	suspects, out []*worker // about to be and in quarantine
-	firmWanted    bool      // work waits that can use no borrowed capacity
 }
 
 // workspace is a workspace's use of the domain.
@@ -182,14 +185,16 @@
 		d.workers = append(d.workers, w)
 	} else if w.Worker == in {
 		return
-	} else if w.rack != nil {
+	} else {
 		d.leaveRack(w)
+		d.size = largest(d.racks)
 	}
 	w.Worker = in
 	w.capacity = lowMask(in.Accelerators)
 	w.free = w.capacity
 	w.eachSpot(func(_ *job, s *spot) { w.free &^= s.mask })
 	d.joinRack(w)
+	d.size = [3]int{max(d.size[levelWorker], w.Accelerators), max(d.size[levelRack], w.rack.capacity), d.size[levelDomain] + w.Accelerators}
 	d.applyDrain(w)
 	d.resettle(w)
 	d.pinsStale, d.freed = true, true
--- a/pkg/sched/hedge.go
+++ b/pkg/sched/hedge.go
@@ -1,9 +1,6 @@
 package sched
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 const (
 	// hedgeFactor times the 99th percentile of its kind makes a run a straggler.
@@ -21,18 +18,40 @@
 	attempt int
 }
 
+// watches is a heap by time. It is written out, because container/heap allocates
+// for each element and every start of small work passes here.
 type watches []watch
 
-func (h watches) Len() int           { return len(h) }
-func (h watches) Less(i, k int) bool { return h[i].at.Before(h[k].at) }
-func (h watches) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
-func (h *watches) Push(x any)        { *h = append(*h, x.(watch)) }
-func (h *watches) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	old[len(old)-1] = watch{}
-	*h = old[:len(old)-1]
-	return x
+func (h *watches) push(x watch) {
+	s := append(*h, x)
+	*h = s
+	for i := len(s) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !s[i].at.Before(s[parent].at) {
+			return
+		}
+		s[i], s[parent] = s[parent], s[i]
+		i = parent
+	}
+}
+
+func (h *watches) pop() watch {
+	s := *h
+	top, last := s[0], len(s)-1
+	s[0], s[last] = s[last], watch{}
+	s = s[:last]
+	*h = s
+	for i := 0; ; {
+		c := 2*i + 1
+		if c+1 < last && s[c+1].at.Before(s[c].at) {
+			c++
+		}
+		if c >= last || !s[c].at.Before(s[i].at) {
+			return top
+		}
+		s[i], s[c] = s[c], s[i]
+		i = c
+	}
 }
 
 // watchRun plans the check of a started run that may be hedged.
@@ -41,7 +60,7 @@
 		return
 	}
 	if l := d.learned.of(j); l != nil && l.runs >= hedgeRuns {
-		heap.Push(&d.watches, watch{now.Add(time.Duration(hedgeFactor * float64(l.q99))), j, j.Attempt})
+		d.watches.push(watch{now.Add(time.Duration(hedgeFactor * float64(l.q99))), j, j.Attempt})
 	}
 }
 
@@ -50,10 +69,10 @@
 // first copy, the first success wins, and Ended frees both.
 func (d *Domain) hedge(now time.Time, out *[]Action) {
 	for len(d.watches) > 0 && !now.Before(d.watches[0].at) {
-		x := heap.Pop(&d.watches).(watch)
+		x := d.watches.pop()
 		if j := x.j; d.jobs[j.ID] == j && j.phase == phasePlaced && len(j.spots) == 1 && j.Attempt == x.attempt {
 			if !d.hedgeJob(now, j, false, out) {
-				heap.Push(&d.watches, watch{now.Add(hedgeRetry), j, j.Attempt})
+				d.watches.push(watch{now.Add(hedgeRetry), j, j.Attempt})
 			}
 		}
 	}
--- a/pkg/sched/options.go
+++ b/pkg/sched/options.go
@@ -20,8 +20,6 @@
 	// Aging orders by waiting time, deadline slack and attained service instead
 	// of strictly by class.
 	Aging bool
-	// SpareFirm leaves capacity outside guarantees to work that cannot borrow.
-	SpareFirm bool
 	// Reserve keeps accelerators for a gang that waits; Backfill uses them until then.
 	Reserve  bool
 	Backfill bool
@@ -31,6 +29,8 @@
 	Learn bool
 	// Hedge starts a second copy of stragglers.
 	Hedge bool
+	// Shed refuses work that can wait before the queue is full.
+	Shed bool
 	// Quarantine takes workers out that fail everything.
 	Quarantine bool
 }
@@ -38,8 +38,8 @@
 // DefaultRules returns the rules in use.
 func DefaultRules() Rules {
 	return Rules{
-		Lend: true, Reclaim: true, OwnReclaim: true, KeepWarm: true, Shortcut: true, Aging: true, SpareFirm: true,
-		Reserve: true, Backfill: true, Move: true, Learn: true, Hedge: true, Quarantine: true,
+		Lend: true, Reclaim: true, OwnReclaim: true, KeepWarm: true, Shortcut: true, Aging: true,
+		Reserve: true, Backfill: true, Move: true, Learn: true, Hedge: true, Shed: true, Quarantine: true,
 	}
 }
 
@@ -59,7 +59,7 @@
 	// DefaultGrace leaves two seconds of the urgent bound of 6.1 s for the
 	// decision, the stop itself and the start of the urgent work.
 	DefaultGrace            = 4 * time.Second
-	DefaultMaxQueued        = 100_000
+	DefaultMaxQueued        = 20_000
 	DefaultReclaimPerSecond = 512
 )
 
@@ -100,12 +100,12 @@
 		{"keep_warm", &r.KeepWarm},
 		{"shortcut", &r.Shortcut},
 		{"aging", &r.Aging},
-		{"spare_firm", &r.SpareFirm},
 		{"reserve", &r.Reserve},
 		{"backfill", &r.Backfill},
 		{"move", &r.Move},
 		{"learn", &r.Learn},
 		{"hedge", &r.Hedge},
+		{"shed", &r.Shed},
 		{"quarantine", &r.Quarantine},
 	}
 }
--- a/pkg/sched/place.go
+++ b/pkg/sched/place.go
@@ -29,18 +29,7 @@
 // mayBorrow reports whether the job may use idle cells of other workspaces.
 func (d *Domain) mayBorrow(j *job) bool { return d.rules.Lend && j.preemptible() }
 
-// borrowsFirst reports whether the job leaves capacity that no guarantee covers
-// to waiting work that can use no other.
-func (d *Domain) borrowsFirst(j *job) bool {
-	return d.rules.SpareFirm && d.firmWanted && !j.class.Short && d.mayBorrow(j)
-}
-
 func (d *Domain) findSlot(j *job) bool {
-	if d.borrowsFirst(j) {
-		if w := d.pick(j, slotAny, 0); w != nil {
-			return j.single(w, 0)
-		}
-	}
 	if w := d.pick(j, slotFirm, 0); w != nil {
 		return j.single(w, 0)
 	}
@@ -61,13 +50,19 @@
 // kept for a waiting gang counts as free, since the owner of a cell comes first.
 func (w *worker) physicalSlots() int { return w.Slots - w.slotsUsed - w.slotsClaimed }
 
-func (d *Domain) findWorker(j *job) bool {
-	n := j.Accelerators
-	if d.borrowsFirst(j) {
-		if w := d.pick(j, accAny, n); w != nil {
-			return j.single(w, bestBlock(w.avail(accAny), w.capacity, n))
+// lendable returns the free slots that no owner of another cell keeps back.
+func (w *worker) lendable(ws *workspace) int {
+	n := w.physicalSlots()
+	for _, p := range w.parts {
+		if p.cell.ws != ws {
+			n -= p.kept()
 		}
 	}
+	return n
+}
+
+func (d *Domain) findWorker(j *job) bool {
+	n := j.Accelerators
 	if w := d.pick(j, accFirm, n); w != nil {
 		return j.single(w, bestBlock(w.avail(accFirm), w.capacity, n))
 	}
@@ -201,6 +196,7 @@
 	for i := range j.spots {
 		d.takeSpot(now, j, i)
 	}
+	d.notePlaced(now)
 	j.phase, j.savedAt = phasePlaced, now
 	j.ws.accelerators += j.Accelerators
 	j.ws.slots += len(j.spots)
@@ -215,7 +211,7 @@
 	w.tasks = append(w.tasks, j)
 	s.settle(j.ws)
 	if s.warm = s.kind == slotOfCell && j.class.Short && d.rules.KeepWarm; s.warm {
-		d.warmStart(now, s.part)
+		d.warmStart(now, s.part, s.mask)
 	}
 	d.refresh(w)
 }
@@ -251,7 +247,7 @@
 		case slotOfCell:
 			s.part.slotsUsed--
 			if s.warm {
-				s.part.warmEnd(s.mask)
+				s.part.warm.add(-1, s.mask)
 			}
 		case slotOfFree:
 			w.slotsFirm--
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -104,6 +104,10 @@
 	}
 }
 
+// keptGroups is how many shapes are remembered without a waiting job, which
+// saves small work an allocation.
+const keptGroups = 4096
+
 // enqueue puts the job into the queue of its shape.
 func (d *Domain) enqueue(j *job) {
 	k := groupKey{j.Workspace, j.Class, j.class.Rank, j.Accelerators, j.Adjacency, j.RelaxAdjacency, j.AtMostOnce}
@@ -133,7 +137,12 @@
 
 // order sorts the groups with waiting jobs by what goes first and drops empty ones.
 func (d *Domain) order(now time.Time) []*group {
-	d.active = slices.DeleteFunc(d.active, func(g *group) bool { return len(g.jobs) == 0 })
+	d.active = slices.DeleteFunc(d.active, func(g *group) bool {
+		if len(g.jobs) == 0 && len(d.groups) > keptGroups {
+			delete(d.groups, g.groupKey)
+		}
+		return len(g.jobs) == 0
+	})
 	if !d.rules.Aging {
 		slices.SortFunc(d.active, compareGroups)
 		return d.active
--- a/pkg/sched/report.go
+++ b/pkg/sched/report.go
@@ -53,7 +53,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.settlePins()
-	size := d.largest()
+	size := d.size
 	s := Summary{
 		Domain: d.name, Workers: len(d.workers), Accelerators: size[levelDomain],
 		LargestRack: size[levelRack], LargestWorker: size[levelWorker],
@@ -203,7 +203,7 @@
 			if len(c.parts) == 0 {
 				return errkind.New(errkind.GuaranteeUnmeetable,
 					"workspace %s: no place in failure domain %s for a cell of %d accelerators adjacent in one %s; all guarantees sum to %d of %d accelerators",
-					ws.name, d.name, c.shape.accelerators, levelName(c.shape.adjacency), sum, d.largest()[levelDomain])
+					ws.name, d.name, c.shape.accelerators, levelName(c.shape.adjacency), sum, d.size[levelDomain])
 			}
 		}
 	}
--- a/pkg/sched/reserve.go
+++ b/pkg/sched/reserve.go
@@ -12,21 +12,25 @@
 // the last that stands in the gang's way. There are few reservations at a time,
 // each complete, so two gangs never hold half of what the other needs.
 type reservation struct {
-	j     *job
-	spots []spot
-	made  time.Time
-	ready time.Time // estimate
-	moved bool      // its blockers were moved
+	j        *job
+	spots    []spot
+	made     time.Time
+	ready    time.Time // estimate
+	moved    bool      // its blockers were moved
+	clearing bool      // backfill is being stopped and no more is let in
 }
 
 const (
 	// reserveAfter is how long a gang waits before it gets a reservation, so
 	// that gaps of seconds need none.
-	reserveAfter = 5 * time.Second
+	reserveAfter = 15 * time.Second
 	// reserveRenew is when a reservation that is not ready as estimated is planned anew.
 	reserveRenew = time.Minute
 	// racksPerReservation bounds the reservations by the number of racks.
 	racksPerReservation = 4
+	// backfillGain is the run time that makes up for the preemption of
+	// checkpointable backfill.
+	backfillGain = 3 * checkpointCost
 	// pinnedPenalty keeps reservations off the cells of other workspaces.
 	pinnedPenalty = 5 * time.Minute
 )
@@ -36,10 +40,10 @@
 // reserve gives a reservation to a gang that could not be placed.
 func (d *Domain) reserve(now time.Time, j *job) {
 	aged := now.Sub(j.queuedAt) >= starveAfter
-	if !d.rules.Reserve || j.reservation != nil || j.Accelerators < 2 && !aged || !j.ws.allows(j.Accelerators, 1) {
+	if !d.rules.Reserve || j.reservation != nil || j.Accelerators == 0 || j.Accelerators < 2 && !aged || !j.ws.allows(j.Accelerators, 1) {
 		return
 	}
-	if len(d.reservations) >= d.maxReservations() {
+	if len(d.reservations) >= d.maxReservations() && (!aged || !d.giveWay(now)) {
 		return
 	}
 	if due := j.queuedAt.Add(reserveAfter); now.Before(due) {
@@ -58,6 +62,18 @@
 	}
 }
 
+// giveWay drops the latest reservation of a gang that has not waited long, in
+// favor of work that has.
+func (d *Domain) giveWay(now time.Time) bool {
+	for _, r := range slices.Backward(d.reservations) {
+		if now.Sub(r.j.queuedAt) < starveAfter {
+			d.dropReservation(r)
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Domain) dropReservation(r *reservation) {
 	d.reservations = slices.DeleteFunc(d.reservations, func(o *reservation) bool { return o == r })
 	r.j.reservation = nil
@@ -211,11 +227,11 @@
 			return false
 		}
 		w := s.w
-		if w.physicalSlots() <= 0 {
+		if w.lendable(r.j.ws) <= 0 {
 			return false
 		}
 		for _, p := range w.parts {
-			if p.cell.ws != r.j.ws && s.mask&p.mask&p.warm.mask != 0 {
+			if p.cell.ws != r.j.ws && s.mask&p.keptMask() != 0 {
 				return false
 			}
 		}
@@ -231,7 +247,7 @@
 	var victims []*job
 	for _, s := range r.spots {
 		for _, v := range s.w.tasks {
-			if !v.uses(s.w, s.mask) || slices.Contains(victims, v) {
+			if !v.uses(s.w, s.mask) || slices.Contains(victims, v) || r.clearing && v.phase == phaseStopping {
 				continue
 			}
 			if v.backfillOf != r.j.ID || v.phase == phaseStopping {
@@ -240,6 +256,7 @@
 			victims = append(victims, v)
 		}
 	}
+	r.clearing = true
 	d.stopFor(now, r.j, victims, ActionPreempt, "the reservation of a waiting gang is ready but for this backfill", out)
 }
 
@@ -275,8 +292,12 @@
 		return false
 	}
 	left := d.remaining(now, j)
+	if j.Checkpointable {
+		// A preemption costs it little, so it may run until the gang needs the place.
+		left = min(left, backfillGain)
+	}
 	for _, r := range d.reservations {
-		if r.j == j || now.Add(left).After(r.ready) {
+		if r.j == j || r.clearing || now.Add(left).After(r.ready) {
 			continue
 		}
 		for _, s := range r.spots {
@@ -284,13 +305,13 @@
 			m := s.mask & w.free &^ w.claimed
 			for _, p := range w.parts {
 				if p.cell.ws != j.ws {
-					m &^= p.warm.mask
+					m &^= p.keptMask()
 				}
 			}
 			if !d.rules.Lend {
 				m &^= w.pinned
 			}
-			if w.physicalSlots() <= 0 || w.slots(slotAny)+w.slotsReserved <= 0 || j.avoids(w) {
+			if w.lendable(j.ws) <= 0 || j.avoids(w) {
 				continue
 			}
 			if b := bestBlock(m, w.capacity, j.Accelerators); b != 0 {
--- /dev/null
+++ b/pkg/sched/starve_test.go
@@ -0,0 +1,73 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/carawayusher/carawayusher/pkg/api"
+)
+
+// The stated bound: a job that fits the fleet starts within starveAfter plus
+// four times the longest run plus a renewed reservation, however much other
+// work that is not urgent arrives.
+func starveBound(longest time.Duration) time.Duration {
+	return starveAfter + 4*longest + 2*reserveRenew
+}
+
+// starveCheck keeps the queue full of other work and requires that one large or
+// late-class job starts within the bound.
+func starveCheck(rules Rules) func(*rapid.T) {
+	return func(t *rapid.T) {
+		const longest = time.Minute
+		d := fleet(rapid.SampledFrom([]int{2, 4, 8, 16}).Draw(t, "workers"), nil, rules)
+		racks := d.racks
+		sizes := []int{0, 1, 8, len(racks[0].workers) * 8}
+		target := Job{
+			ID: "target", Workspace: "own", Class: rapid.SampledFrom([]string{"long", "archive"}).Draw(t, "class"),
+			Accelerators: rapid.SampledFrom(sizes).Draw(t, "n"), Adjacency: api.AdjacencyRack, AtMostOnce: rapid.Bool().Draw(t, "once"),
+		}
+		if err := d.Enqueue(t0, target); err != nil {
+			t.Fatal(err)
+		}
+		other := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 50, 50).Draw(t, "others")
+		ends := map[api.JobID]time.Time{}
+		next := 0
+		for now := t0; now.Sub(t0) <= starveBound(longest); now = now.Add(time.Second) {
+			for _, id := range slices.Sorted(maps.Keys(ends)) {
+				if !now.Before(ends[id]) {
+					d.Ended(now, id, 0, EndSucceeded, "")
+					delete(ends, id)
+				}
+			}
+			for d.queued < 30 {
+				x := other[next%len(other)] + next
+				_ = d.Enqueue(now, Job{
+					ID: api.JobID(fmt.Sprint("o", next)), Workspace: fmt.Sprint("w", x%3), Class: []string{"short", "long"}[x%2],
+					Accelerators: []int{0, 1, 2, 8}[x/2%4], AtMostOnce: x%5 == 0, Checkpointable: x%3 == 0,
+				})
+				next++
+			}
+			for _, a := range d.Decide(now) {
+				switch {
+				case a.Type == ActionPlace && a.Job == "target":
+					return
+				case a.Type == ActionPlace:
+					d.Started(now, a.Job, 0)
+					ends[a.Job] = now.Add(time.Duration(1+other[len(a.Job)%50]%60) * time.Second)
+				case a.Type == ActionPreempt || a.Type == ActionMove:
+					ends[a.Job] = now.Add(time.Second)
+				}
+			}
+		}
+		t.Fatalf("starved: %+v did not start within %v", target, starveBound(longest))
+	}
+}
+
+// Guards against a large gang that small work passes for ever, and against a late
+// class that earlier classes keep out.
+func TestNoJobStarves(t *testing.T) { rapid.Check(t, starveCheck(DefaultRules())) }
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -81,7 +81,7 @@
 		return 0
 	}
 	for _, p := range w.parts {
-		m &^= p.warm.mask
+		m &^= p.keptMask()
 	}
 	return m
 }
