partition: place a job elsewhere when the owner of its domain does not answer

Cause: a job stayed with the failure domain that was chosen first. When the owner of that domain had died during a store outage, it has no successor, and short work waited for the whole outage. Before: test/cluster TestKillOwnerDuringStoreOutage: short requests at the two remaining VMs were not served within 5 s. After: served, the test passes.

--- a/pkg/partition/choose.go
+++ b/pkg/partition/choose.go
@@ -23,6 +23,9 @@
 	}
 	best, bestScore := "", 0.0
 	for _, s := range fit {
+		if s.Domain == j.shunned && len(fit) > 1 {
+			continue
+		}
 		score := p.score(s, j) + rand.Float64()*0.1 // ties are broken at random
 		if best == "" || score > bestScore {
 			best, bestScore = s.Domain, score
--- a/pkg/partition/dispatch.go
+++ b/pkg/partition/dispatch.go
@@ -30,6 +30,7 @@
 		return
 	}
 	if err == nil {
+		j.unanswered, j.shunned = time.Time{}, ""
 		j.offeredEpoch, j.offeredAt = epoch, time.Now()
 		return
 	}
@@ -96,9 +97,29 @@
 	case errkind.Overloaded, errkind.QuotaExceeded:
 		p.deferOrRefuse(j, name, err)
 	default:
-		// The owner is being replaced or out of reach. The offer may have been
-		// taken; the same attempt is offered to the same domain again.
-		j.notBefore = time.Now().Add(offerRetry)
+		p.offerUnanswered(j, name, time.Now())
+	}
+}
+
+// offerUnanswered handles an owner that is being replaced or out of reach. The
+// offer may have been taken, so the same attempt is offered to the same domain
+// again. After a while another domain gets a new attempt, which tells a run of
+// the former apart; during a store outage a dead owner has no successor.
+func (p *Partition) offerUnanswered(j *job, name string, now time.Time) {
+	j.notBefore = now.Add(offerRetry)
+	if j.unanswered.IsZero() {
+		j.unanswered = now
+	}
+	if j.claim != nil || now.Sub(j.unanswered) < rerouteAfter {
+		return
+	}
+	for _, s := range candidates(p.opts.Summaries(), j) {
+		if s.Domain != name {
+			p.event(timeline.Queued, j, "the owner of failure domain "+name+" does not answer")
+			j.shunned = name
+			j.nextAttempt(now)
+			return
+		}
 	}
 }
 
--- a/pkg/partition/job.go
+++ b/pkg/partition/job.go
@@ -50,6 +50,10 @@
 	retryPending bool // another attempt waits for the automation gate
 	offeredAt    time.Time
 	notBefore    time.Time
+	// unanswered is since when offers to the chosen domain get no answer; shunned
+	// is the last domain that was given up for it.
+	unanswered time.Time
+	shunned    string
 	refusedBy    map[string]*errkind.Error // domains that cannot run the job
 }
 
@@ -106,6 +110,7 @@
 	j.status.Allocations = nil
 	j.offeredEpoch = 0
 	j.withdrawing = false
+	j.unanswered = time.Time{}
 	j.notBefore = notBefore
 }
 
