--- a/pkg/partition/job.go
+++ b/pkg/partition/job.go
@@ -46,9 +46,14 @@
 	offeredEpoch int64 // epoch of the domain's owner that took the offer; 0: none
 	offering     bool
 	withdrawing  bool
+	unsure       bool // recovered; a domain that has not answered may hold an attempt
 	retryPending bool // another attempt waits for the automation gate
 	offeredAt    time.Time
 	notBefore    time.Time
+	// unanswered is since when offers to the chosen domain get no answer; shunned
+	// is the last domain that was given up for it.
+	unanswered time.Time
+	shunned    string
 	refusedBy    map[string]*errkind.Error // domains that cannot run the job
 }
 
@@ -105,6 +110,7 @@
 	j.status.Allocations = nil
 	j.offeredEpoch = 0
 	j.withdrawing = false
+	j.unanswered = time.Time{}
 	j.notBefore = notBefore
 }
 
