--- a/pkg/daemon/local.go
+++ b/pkg/daemon/local.go
@@ -48,19 +48,23 @@
 		v := d.Preview(doc)
 		p.Effects = append(effects(d.Name(), plan.EffectPreempt, v.Preempt), effects(d.Name(), plan.EffectRefuse, v.Refuse)...)
 		p.Unmeetable = v.Unmeetable
-		if err := sched.CheckGuarantees(guaranteesIn(doc, d.Name()), map[string][]sched.Worker{d.Name(): d.Equipment()}); err != nil {
+		if err := sched.CheckGuarantees(l.guaranteesHere(doc, d.Name()), map[string][]sched.Worker{d.Name(): d.Equipment()}); err != nil {
 			p.Impossible = []string{errkind.As(err).Message}
 		}
 	}
 	return p
 }
 
-// guaranteesIn returns doc with the guarantees of one failure domain only,
-// because CheckGuarantees refuses those of a domain whose workers it is not given.
-func guaranteesIn(doc *policy.Document, name string) *policy.Document {
+// guaranteesHere returns the document with the guarantees of one failure domain
+// and those of failure domains that have no workers: the former are checked
+// against the domain's equipment, the latter are impossible everywhere.
+func (l localPlans) guaranteesHere(doc *policy.Document, name string) *policy.Document {
+	known := l.d.vms.domains()
 	c := doc.Clone()
 	for id, ws := range c.Workspaces {
-		ws.Guarantees = slices.DeleteFunc(ws.Guarantees, func(g policy.Guarantee) bool { return g.FailureDomain != name })
+		ws.Guarantees = slices.DeleteFunc(ws.Guarantees, func(g policy.Guarantee) bool {
+			return g.FailureDomain != name && slices.Contains(known, g.FailureDomain)
+		})
 		c.Workspaces[id] = ws
 	}
 	return c
