admin: gauges for the alerts of the operations page

Cause: the design names a metric for a guarantee that cannot be met; none existed.

Change: admin.Metrics collects guarantees, configuration, holds, proposals and members from memory; the daemon registers it.

Measured: go test -race of pkg/admin passes.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -18,6 +18,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/goleak"
 	"go.yaml.in/yaml/v3"
 
@@ -90,7 +91,9 @@
 
 func (s *system) Self() membership.Member { return membership.Member{ID: "vm-1"} }
 
-func (s *system) Summaries() []sched.Summary      { return []sched.Summary{{Domain: "r/a"}} }
+func (s *system) Summaries() []sched.Summary {
+	return []sched.Summary{{Domain: "r/a", Unmeetable: []string{"postbud", "postbud"}}}
+}
 func (s *system) LeavingTargets() map[string]bool { return nil }
 func (s *system) Preview(context.Context, plan.PreviewRequest) ([]plan.DomainPreview, error) {
 	return nil, nil
@@ -435,6 +438,27 @@
 	}
 }
 
+// Guards against an alert without its gauge, and a collection that fails when a
+// workspace has several guarantees that cannot be met.
+func TestMetrics(t *testing.T) {
+	s := newSystem()
+	s.doc.Holds = map[string]policy.Hold{"*": {}, "postbud": {Until: time.Unix(1, 0)}}
+	err := testutil.CollectAndCompare(Metrics{Source: s, View: s, Gate: gate.New(gate.Options{Source: s})}, strings.NewReader(`
+# HELP carawayusher_automation_held 1 for each hold in effect; the workspace * is the whole system.
+# TYPE carawayusher_automation_held gauge
+carawayusher_automation_held{workspace="*"} 1
+# HELP carawayusher_config_behind Revisions by which this VM is behind the highest that it knows of.
+# TYPE carawayusher_config_behind gauge
+carawayusher_config_behind 0
+# HELP carawayusher_guarantee_unmeetable 1 for each workspace whose guarantee cannot be met now, by failure domain.
+# TYPE carawayusher_guarantee_unmeetable gauge
+carawayusher_guarantee_unmeetable{failure_domain="r/a",workspace="postbud"} 1
+`), "carawayusher_automation_held", "carawayusher_config_behind", "carawayusher_guarantee_unmeetable")
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a long poll that misses an event, returns before there is one
 // or never returns.
 func TestFollowEvents(t *testing.T) {
--- a/pkg/daemon/parts.go
+++ b/pkg/daemon/parts.go
@@ -263,6 +263,7 @@
 		Proposals: d.cluster, Executor: d.cluster, Recorder: d.events,
 	})
 	d.samples = admin.NewSampler(d.members.Summaries)
+	d.registry.MustRegister(admin.Metrics{Source: d.config, View: d.members, Gate: d.gate})
 	d.admin = admin.New(admin.Options{
 		Source: d.config, Planner: d.planner, Proposals: d.cluster, Jobs: d.router, Explain: d.router,
 		Workers: list, View: d.members, Events: d.collect, Samples: d.samples, Log: d.log.WithName("admin"),
