--- a/pkg/plan/render.go
+++ b/pkg/plan/render.go
@@ -17,6 +17,9 @@
 	renderState(&b, rec)
 	renderList(&b, "Configuration", p.Changes, func(c policy.Change) string { return c.String() })
 	renderList(&b, "Jobs", p.Effects, renderEffect)
+	if len(p.Effects) == 0 {
+		b.WriteString("Jobs: none is affected\n")
+	}
 	renderList(&b, "Guarantees that could not be met", p.Unmeetable, asIs)
 	if p.LostWork > 0 {
 		fmt.Fprintf(&b, "Lost work: %s accelerator time (estimate)\n", p.LostWork.Round(time.Second))
