--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -327,7 +327,11 @@
 			}
 		})
 	}
+	s.doc.Operators["root"] = policy.Operator{Role: "root", TokenHash: policy.HashToken("root")}
 	for _, rt := range New(Options{}).routes() {
+		if code := s.call(t, "root", rt.method, strings.ReplaceAll(rt.path, ":id", "x"), "", nil); code != http.StatusForbidden {
+			t.Errorf("%s %s with an unknown role: status %d", rt.method, rt.path, code)
+		}
 		if code := s.call(t, "", rt.method, strings.ReplaceAll(rt.path, ":id", "x"), "", nil); code != http.StatusUnauthorized {
 			t.Errorf("%s %s without a token: status %d", rt.method, rt.path, code)
 		}
