plan: reclaim and defragment act on the listed jobs only

Cause: on the local system a reclaim plan that listed no job could be confirmed after jobs had started, and would have preempted them.

Change: the confirmation asks the failure domains again and answers plan_outdated if a job would be affected that the plan does not list. A plan without anything to do is refused.

Measured: go test -race of pkg/plan passes.

--- a/pkg/plan/actions.go
+++ b/pkg/plan/actions.go
@@ -23,14 +23,42 @@
 	case *Proposals:
 		return p.fillProposals(ctx, made, spec)
 	case *Reclaim:
-		return p.preview(ctx, made, PreviewRequest{Next: doc, Action: KindReclaim, Workspace: spec.Workspace, Domain: spec.FailureDomain})
+		return p.fillOrder(ctx, made, PreviewRequest{Next: doc, Action: KindReclaim, Workspace: spec.Workspace, Domain: spec.FailureDomain})
 	case *Defragment:
-		return p.preview(ctx, made, PreviewRequest{Next: doc, Action: KindDefragment, Domain: spec.FailureDomain})
+		return p.fillOrder(ctx, made, PreviewRequest{Next: doc, Action: KindDefragment, Domain: spec.FailureDomain})
 	default:
 		return errkind.New(errkind.Internal, "no planning for the intent kind %q", made.Intent.Kind)
 	}
 }
 
+// fillOrder asks what an order to the failure domains would do now.
+func (p *Planner) fillOrder(ctx context.Context, made *Plan, req PreviewRequest) error {
+	if err := p.preview(ctx, made, req); err != nil {
+		return err
+	}
+	if len(made.Effects) == 0 && len(made.Warnings) == 0 {
+		return nothingToDo("no job stands in the way at present")
+	}
+	return nil
+}
+
+// outgrown reports whether an order to the failure domains would now affect a
+// job that the plan does not list. Other kinds act on the listed jobs only.
+func (p *Planner) outgrown(ctx context.Context, made *Plan, doc *policy.Document) (bool, error) {
+	if made.Intent.Kind != KindReclaim && made.Intent.Kind != KindDefragment {
+		return false, nil
+	}
+	now := &Plan{Intent: made.Intent, MadeAt: time.Now()}
+	if err := p.fillAction(ctx, now, doc); err != nil && !errkind.Is(err, errkind.InvalidRequest) {
+		return false, err
+	}
+	listed := map[api.JobID]bool{}
+	for _, e := range made.Effects {
+		listed[e.Job] = true
+	}
+	return slices.ContainsFunc(now.Effects, func(e Effect) bool { return !listed[e.Job] }), nil
+}
+
 func (p *Planner) fillCancel(ctx context.Context, made *Plan, spec *Cancel) error {
 	req := partition.ListRequest{Workspace: spec.Workspace, Class: spec.Class, State: spec.State, Limit: listPage}
 	for {
--- a/pkg/plan/confirm.go
+++ b/pkg/plan/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -57,7 +58,7 @@
 		return Record{}, err
 	}
 	if doc.Revision != made.Base {
-		return Record{}, p.outdated(ctx, actor, made)
+		return Record{}, p.outdated(ctx, actor, made, overtaken(made))
 	}
 	next, err := nextDocument(made, spec, doc)
 	if err != nil {
@@ -86,7 +87,7 @@
 	if again, _, err := p.load(ctx, rec.Plan.ID); err == nil && again.State == StateApplied {
 		return again, nil
 	}
-	return Record{}, p.outdated(ctx, actor, &rec.Plan)
+	return Record{}, p.outdated(ctx, actor, &rec.Plan, overtaken(&rec.Plan))
 }
 
 // appliedAs returns the revision that the plan produced, as far as this VM has
@@ -120,7 +121,14 @@
 			return Record{}, err
 		}
 		if doc.Revision != rec.Plan.Base {
-			return Record{}, p.outdated(ctx, actor, &rec.Plan)
+			return Record{}, p.outdated(ctx, actor, &rec.Plan, overtaken(&rec.Plan))
+		}
+		more, err := p.outgrown(ctx, &rec.Plan, doc)
+		if err != nil {
+			return Record{}, err
+		}
+		if more {
+			return Record{}, p.outdated(ctx, actor, &rec.Plan, "would now affect jobs that it does not list")
 		}
 		rec.State, rec.ConfirmedBy, rec.ConfirmedAt = StateConfirmed, actor.Name, time.Now().UTC()
 		version, err = p.save(ctx, rec, version)
@@ -186,11 +194,14 @@
 	}
 }
 
+func overtaken(made *Plan) string {
+	return fmt.Sprintf("rests on revision %d, which is no longer in force", made.Base)
+}
+
 // outdated returns plan_outdated with what changed and a fresh plan.
-func (p *Planner) outdated(ctx context.Context, actor Actor, made *Plan) error {
+func (p *Planner) outdated(ctx context.Context, actor Actor, made *Plan, why string) error {
 	out := &OutdatedError{
-		err: errkind.New(errkind.PlanOutdated, "plan %s rests on revision %d, which is no longer in force; look at the fresh plan and confirm that",
-			made.ID, made.Base),
+		err:     errkind.New(errkind.PlanOutdated, "plan %s %s; look at the fresh plan and confirm that", made.ID, why),
 		Changed: p.history.after(made.Base),
 	}
 	fresh, err := p.Make(ctx, actor, made.Intent)
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// Guards against a reclaim that preempts a job which the plan does not list,
+// and against one that is refused because there is less to do than planned.
+func TestReclaimActsOnListedJobsOnly(t *testing.T) {
+	w := newWorld()
+	p, _ := w.vm(Options{})
+	made, err := p.Make(t.Context(), bob, NewIntent(&Reclaim{Workspace: "postbud"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.previews = []DomainPreview{{Domain: "r/a", Effects: []Effect{{Kind: EffectPreempt, Job: "j0-b"}, {Kind: EffectPreempt, Job: "j0-a"}}}}
+	var outdated *OutdatedError
+	if _, err := p.Confirm(t.Context(), bob, made.ID, ""); !errors.As(err, &outdated) || outdated.Fresh == nil || len(outdated.Fresh.Effects) != 2 {
+		t.Fatalf("err = %v", err)
+	}
+	if _, done := w.effects(); done != "" {
+		t.Fatalf("effects = %q", done)
+	}
+	w.previews = []DomainPreview{{Domain: "r/a", Effects: []Effect{{Kind: EffectPreempt, Job: "j0-a"}}}}
+	if rec, err := p.Confirm(t.Context(), bob, outdated.Fresh.ID, ""); err != nil || rec.State != StateApplied {
+		t.Errorf("less to do: %+v, %v", rec, err)
+	}
+	w.previews = []DomainPreview{{Domain: "r/a"}}
+	if _, err := p.Make(t.Context(), bob, NewIntent(&Defragment{})); !errkind.Is(err, errkind.InvalidRequest) {
+		t.Errorf("nothing to do: %v", err)
+	}
+}
+
 // Guards against a confirmation that is lost when an effect fails half-way or
 // the store fails after the change.
 func TestConfirmationResumesAfterFailures(t *testing.T) {
--- a/pkg/plan/world_test.go
+++ b/pkg/plan/world_test.go
@@ -175,6 +175,9 @@
 	if req.Next.Revision == w.doc.Revision && w.present != nil {
 		return w.present, nil
 	}
+	if req.Action != "" && w.previews == nil {
+		return []DomainPreview{{Domain: "r/a", Effects: []Effect{{Kind: EffectPreempt, Job: "j0-b"}}}}, nil
+	}
 	return w.previews, nil
 }
 
