sched: an operator's order acts on the jobs that its preview lists

Cause: PreviewReclaim looked at a copy of the domain, which may lay the guaranteed cells on other workers. On the local system a confirmed reclaim checkpointed a job that the plan did not list.

Change: preview and order share one selection of jobs on the domain itself; the preview marks none as stopping. A property test compares the two.

Measured: the property test failed before the change (lists j9, preempts j11); go test -race of pkg/sched passes after it.

--- a/pkg/sched/operator.go
+++ b/pkg/sched/operator.go
@@ -6,11 +6,13 @@
 	"time"
 )
 
-// PreviewReclaim returns what Reclaim would preempt, without changing the state.
+// PreviewReclaim returns what Reclaim would preempt, without stopping a job. It
+// reads this domain and not a copy, because a copy may lay the guaranteed cells
+// elsewhere and then name other borrowers.
 func (d *Domain) PreviewReclaim(now time.Time, workspace string) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.clone(now).Reclaim(now, workspace)
+	return d.reclaimOrder(now, workspace)
 }
 
 // Reclaim preempts every borrower in the workspace's guaranteed cells, at an
@@ -19,6 +21,10 @@
 func (d *Domain) Reclaim(now time.Time, workspace string) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.stopAll(d.reclaimOrder(now, workspace))
+}
+
+func (d *Domain) reclaimOrder(now time.Time, workspace string) []Action {
 	d.settlePins()
 	var victims []*job
 	for _, ws := range d.sorted {
@@ -36,25 +42,33 @@
 	}
 	var out []Action
 	for _, v := range victims {
-		out = append(out, d.stopByOrder(now, v, ActionPreempt, "an operator reclaims the guaranteed cells of workspace "+workspace))
+		out = append(out, d.stopOrder(now, v, ActionPreempt, "an operator reclaims the guaranteed cells of workspace "+workspace))
 	}
 	return out
 }
 
-// stopByOrder marks the job as stopping and returns the action.
-func (d *Domain) stopByOrder(now time.Time, v *job, t ActionType, reason string) Action {
-	v.phase, v.stopBy = phaseStopping, now.Add(d.opts.Grace)
+// stopOrder returns the action that stops the job at an operator's order.
+func (d *Domain) stopOrder(now time.Time, v *job, t ActionType, reason string) Action {
 	return Action{
 		Type: t, Job: v.ID, Workspace: v.Workspace, Attempt: v.Attempt, For: "operator",
-		Reclaim: t == ActionPreempt, Reason: reason, StopBy: v.stopBy, LostWork: v.lost(now),
+		Reclaim: t == ActionPreempt, Reason: reason, StopBy: now.Add(d.opts.Grace), LostWork: v.lost(now),
 	}
 }
 
-// PreviewDefragment returns what Defragment would move, without changing the state.
+// stopAll marks the jobs of the actions as stopping.
+func (d *Domain) stopAll(actions []Action) []Action {
+	for _, a := range actions {
+		j := d.jobs[a.Job]
+		j.phase, j.stopBy = phaseStopping, a.StopBy
+	}
+	return actions
+}
+
+// PreviewDefragment returns what Defragment would move, without stopping a job.
 func (d *Domain) PreviewDefragment(now time.Time) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.clone(now).Defragment(now)
+	return d.defragmentOrder(now)
 }
 
 // Defragment empties, at an operator's order, in each rack the least used
@@ -62,6 +76,10 @@
 func (d *Domain) Defragment(now time.Time) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.stopAll(d.defragmentOrder(now))
+}
+
+func (d *Domain) defragmentOrder(now time.Time) []Action {
 	var out []Action
 	taken := 0 // room that earlier racks' moves need
 	for _, r := range d.racks {
@@ -70,8 +88,8 @@
 			continue
 		}
 		taken += w.usedAccelerators()
-		for _, v := range slices.Clone(w.tasks) {
-			out = append(out, d.stopByOrder(now, v, ActionMove, "an operator defragments rack "+w.Rack))
+		for _, v := range w.tasks {
+			out = append(out, d.stopOrder(now, v, ActionMove, "an operator defragments rack "+w.Rack))
 		}
 	}
 	return out
