router: a submission whose answer was lost on a peer link has an unknown outcome

Cause: peer.ErrAnswerLost has the kind unavailable, whose table row says not run, although the owner may have taken the job. Change: the router treats it like a timeout. scripts/slopes.sh counts the platform's calls.

--- a/pkg/router/partition.go
+++ b/pkg/router/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"strconv"
 	"strings"
@@ -120,7 +121,7 @@
 // maybeTaken reports whether the owner may have taken a request that failed.
 func maybeTaken(err error) bool {
 	k := errkind.Of(err)
-	return k == errkind.Timeout || k == errkind.Internal || k == errkind.OutcomeUnknown
+	return errors.Is(err, peer.ErrAnswerLost) || k == errkind.Timeout || k == errkind.Internal || k == errkind.OutcomeUnknown
 }
 
 func (r *Router) submitLocal(ctx context.Context, req partition.SubmitRequest) (api.JobStatus, error) {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -30,7 +30,7 @@
 }
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 lo() { awk '/^ *lo:/ {sub(/.*lo: */, ""); print $1, $2}' /proc/net/dev; }
-calls() { curl -s "$1/admin/counts" | grep -o '"[a-zA-Z]*":[0-9]*' | awk -F: '{s += $2} END {print s + 0}'; }
+calls() { curl -s "$1/admin/counts" | sed 's/.*"calls":{\([^}]*\)}.*/\1/' | tr ',' '\n' | awk -F: '{s += $2} END {print s + 0}'; }
 
 for n in $counts; do
   bin/standin platform --listen 127.0.0.1:0 >"$dir/platform" 2>"$dir/platform.log" &
