errkind: the end of a context has the kind timeout or cancelled

Cause: a handler that ended with its deadline answered the kind internal; when that answer and the caller's own deadline came at the same time, the caller saw internal. TestCancel of pkg/peer failed in about one of 30 runs. Excluded: the caller's side, which maps its own context correctly. Change: errkind.As maps context errors.

--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -4,6 +4,7 @@
 package errkind
 
 import (
+	"context"
 	stderrors "errors"
 	"fmt"
 	"net/http"
@@ -148,7 +149,8 @@
 	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...), cause: errors.WithStack(cause)}
 }
 
-// As returns err as an *Error; an error without a kind becomes Internal.
+// As returns err as an *Error. The end of a context becomes Timeout or
+// Cancelled, any other error without a kind Internal.
 func As(err error) *Error {
 	if err == nil {
 		return nil
@@ -157,6 +159,12 @@
 	if stderrors.As(err, &e) {
 		return e
 	}
+	switch {
+	case stderrors.Is(err, context.DeadlineExceeded):
+		return &Error{Kind: Timeout, Message: "no answer in time", cause: err}
+	case stderrors.Is(err, context.Canceled):
+		return &Error{Kind: Cancelled, Message: "the call was given up", cause: err}
+	}
 	return &Error{Kind: Internal, Message: "unexpected error", cause: err}
 }
 
--- a/pkg/errkind/errkind_test.go
+++ b/pkg/errkind/errkind_test.go
@@ -1,6 +1,7 @@
 package errkind
 
 import (
+	"context"
 	"fmt"
 	"testing"
 )
@@ -22,6 +23,16 @@
 	}
 }
 
+// Guards against the end of a context that reaches the caller as an internal error.
+func TestEndOfContextHasKind(t *testing.T) {
+	if got := Of(fmt.Errorf("call: %w", context.DeadlineExceeded)); got != Timeout {
+		t.Errorf("deadline: kind = %s", got)
+	}
+	if got := Of(context.Canceled); got != Cancelled {
+		t.Errorf("cancel: kind = %s", got)
+	}
+}
+
 // Guards against a wrapped error losing its kind on the way to the answer.
 func TestKindSurvivesWrapping(t *testing.T) {
 	err := fmt.Errorf("while placing: %w", New(Overloaded, "queue full"))
