benchcluster: measure the system as real processes

Cause: rates, added latency, takeover, loss and cost of the whole system had not been measured. Change: make bench-cluster runs 9 VMs and 50 workers under the work of both deployments and prints key=value lines with the goals; SHORT=1 takes less than a minute.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN           := bin
 export PATH   := $(shell $(GO) env GOPATH)/bin:$(PATH)
 
-.PHONY: all build run test unit lint fmt fmt-check tools measure bench clean
+.PHONY: all build run test unit lint fmt fmt-check tools measure bench bench-cluster clean
 
 all: build
 
@@ -51,3 +51,7 @@
 ## bench: decision time and memory of the scheduler by fleet size, with slopes.
 bench:
 	@$(GO) run ./cmd/measure bench
+
+## bench-cluster: measure 9 VMs and 50 workers as real processes (SEED=n, SHORT=1 for less than a minute).
+bench-cluster:
+	@$(GO) run ./cmd/benchcluster -seed $(SEED) $(if $(SHORT),-short)
--- a/internal/cluster/operator.go
+++ b/internal/cluster/operator.go
@@ -58,15 +58,9 @@
 	return out, err
 }
 
-// SetWeight changes the weight of a workspace through a plan and returns the
-// revision that it produced.
-func (o *Operator) SetWeight(ctx context.Context, workspace string, weight float64) (int64, error) {
-	made, err := o.Plan(ctx, plan.Intent{Kind: plan.KindPriority, Spec: &plan.Priority{Workspace: workspace, Weight: &weight}})
-	if err != nil {
-		return 0, err
-	}
-	rec, err := o.Confirm(ctx, made)
-	return rec.Revision, err
+// PlanWeight makes a plan for the weight of a workspace.
+func (o *Operator) PlanWeight(ctx context.Context, workspace string, weight float64) (plan.Plan, error) {
+	return o.Plan(ctx, plan.Intent{Kind: plan.KindPriority, Spec: &plan.Priority{Workspace: workspace, Weight: &weight}})
 }
 
 // AwaitRevision waits until each of the VMs itself has the revision in force.
--- a/internal/cluster/workers.go
+++ b/internal/cluster/workers.go
@@ -79,3 +79,17 @@
 	}
 	return out, nil
 }
+
+// Since returns the starts that are not in an earlier collection.
+func (s Starts) Since(before Starts) Starts {
+	out := Starts{ByJob: map[api.JobID][]memory.StartRecord{}, ByClass: map[string]int{}, Dropped: s.Dropped}
+	for id, records := range s.ByJob {
+		if n := len(before.ByJob[id]); n < len(records) {
+			out.ByJob[id] = records[n:]
+		}
+	}
+	for class, n := range s.ByClass {
+		out.ByClass[class] = n - before.ByClass[class]
+	}
+	return out
+}
--- a/pkg/partition/job.go
+++ b/pkg/partition/job.go
@@ -54,7 +54,7 @@
 	// is the last domain that was given up for it.
 	unanswered time.Time
 	shunned    string
-	refusedBy    map[string]*errkind.Error // domains that cannot run the job
+	refusedBy  map[string]*errkind.Error // domains that cannot run the job
 }
 
 func newJob(id api.JobID, spec api.JobSpec, submitted time.Time) *job {
--- a/test/cluster/config_test.go
+++ b/test/cluster/config_test.go
@@ -19,7 +19,7 @@
 	for i, vm := range vms[:2] {
 		o, err := s.Operator(vm)
 		s.must(err)
-		p, err := o.Plan(s.ctx, plan.Intent{Kind: plan.KindPriority, Spec: &plan.Priority{Workspace: cluster.Lautoka, Weight: &weight}})
+		p, err := o.PlanWeight(s.ctx, cluster.Lautoka, weight)
 		s.must(err)
 		wg.Go(func() { records[i], errs[i] = o.Confirm(s.ctx, p) })
 		weight++
--- a/test/cluster/main_test.go
+++ b/test/cluster/main_test.go
@@ -38,7 +38,7 @@
 		fmt.Println(err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }() // a leftover in the temporary directory does no harm
 	if binaries, err = cluster.Build(context.Background(), dir); err != nil {
 		fmt.Println(err)
 		return 1
