--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN           := bin
 export PATH   := $(shell $(GO) env GOPATH)/bin:$(PATH)
 
-.PHONY: all build run test unit lint fmt fmt-check tools measure bench clean
+.PHONY: all build run test unit lint fmt fmt-check tools measure bench bench-cluster clean
 
 all: build
 
@@ -52,3 +52,7 @@
 bench:
 	@{ $(GO) test -run '^$$' -bench 'Small|Backlog|Gang' -benchtime 2000x ./pkg/sched && \
 		$(GO) test -run '^$$' -bench State -benchtime 1x ./pkg/sched; } | $(GO) run ./cmd/measure slopes
+
+## bench-cluster: measure 9 VMs and 50 workers as real processes (SEED=n, SHORT=1 for less than a minute).
+bench-cluster:
+	@$(GO) run ./cmd/benchcluster -seed $(SEED) $(if $(SHORT),-short)
