sched: wait a little before preempting; fill racks first; fix timed retries

Cause: jobs that waited for a time (retry of a reclaim, reservation) were only tried again after another event; two claims on one worker could count the same victim; an owner's task beside its cell could hold the slot of the cell. Change: a wake tries every queue; a plan adds victims until a slot is really free; an owner's task without another slot uses its cell's. New rules patience and pack_racks.

--- a/pkg/sched/cells.go
+++ b/pkg/sched/cells.go
@@ -131,6 +131,13 @@
 			}
 		})
 	}
+	// What is left of the owner's tasks uses the slots of its cells.
+	w.eachSpot(func(j *job, s *spot) {
+		if p := w.ownPart(j.ws, 0); s.kind == slotBorrows && p != nil {
+			s.kind, s.part = slotOfCell, p
+			p.slotsUsed++
+		}
+	})
 	d.refresh(w)
 }
 
--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -14,7 +14,10 @@
 func (d *Domain) DecideInto(now time.Time, out []Action) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.wake = time.Time{}
+	if !d.wake.IsZero() && !now.Before(d.wake) {
+		// What waited for this time stands in any of the queues.
+		d.wake, d.freed = time.Time{}, true
+	}
 	d.settlePins()
 	d.cool(now)
 	d.settleClaims(now, &out)
--- a/pkg/sched/options.go
+++ b/pkg/sched/options.go
@@ -12,6 +12,10 @@
 	// OwnReclaim lets work with a start bound take back cells that its own
 	// workspace fills with work of a later class.
 	OwnReclaim bool
+	// Patience waits a little for capacity that becomes free before it preempts.
+	Patience bool
+	// PackRacks fills racks before it looks for the smallest block.
+	PackRacks bool
 	// KeepWarm does not lend the slots that the owner's short work used lately.
 	KeepWarm bool
 	// Shortcut lets a job that waits for its victims start on other capacity that
@@ -38,7 +42,7 @@
 // DefaultRules returns the rules in use.
 func DefaultRules() Rules {
 	return Rules{
-		Lend: true, Reclaim: true, OwnReclaim: true, KeepWarm: true, Shortcut: true, Aging: true,
+		Lend: true, Reclaim: true, OwnReclaim: true, Patience: true, PackRacks: true, KeepWarm: true, Shortcut: true, Aging: true,
 		Reserve: true, Backfill: true, Move: true, Learn: true, Hedge: true, Shed: true, Quarantine: true,
 	}
 }
@@ -97,6 +101,8 @@
 		{"lend", &r.Lend},
 		{"reclaim", &r.Reclaim},
 		{"own_reclaim", &r.OwnReclaim},
+		{"patience", &r.Patience},
+		{"pack_racks", &r.PackRacks},
 		{"keep_warm", &r.KeepWarm},
 		{"shortcut", &r.Shortcut},
 		{"aging", &r.Aging},
--- a/pkg/sched/place.go
+++ b/pkg/sched/place.go
@@ -107,14 +107,18 @@
 // with n zero, for a slot.
 func (d *Domain) pick(j *job, v view, n int) *worker {
 	x := &d.idx[v]
-	from := levelFor(n) * rackClasses
-	if n == 0 {
-		from = 0
-	}
-	if from > 63 {
-		return nil
+	set := x.bits
+	if n > 0 {
+		if levelFor(n) > maxLevel {
+			return nil
+		}
+		if d.rules.PackRacks {
+			set &= fromLevel[levelFor(n)]
+		} else {
+			set &^= 1<<(levelFor(n)*rackClasses) - 1
+		}
 	}
-	for set := x.bits &^ (1<<from - 1); set != 0; set &= set - 1 {
+	for ; set != 0; set &= set - 1 {
 		for w := x.heads[bits.TrailingZeros64(set)]; w != nil; w = w.next[v] {
 			if !j.avoids(w) && (n == 0 || bits.OnesCount64(w.avail(v)) >= n) {
 				return w
@@ -124,6 +128,16 @@
 	return nil
 }
 
+// fromLevel[l] selects the buckets of workers with a free block of level l or more.
+var fromLevel = func() (m [maxLevel + 1]uint64) {
+	for l := range m {
+		for class := range rackClasses {
+			m[l] |= (1<<levels - 1) >> l << l << (class * levels)
+		}
+	}
+	return m
+}()
+
 func (j *job) avoids(w *worker) bool {
 	return len(j.AvoidWorkers) > 0 && slices.Contains(j.AvoidWorkers, w.ID)
 }
@@ -227,6 +241,9 @@
 	case w.slotsFirm < w.Slots-w.slotsPinned:
 		s.kind = slotOfFree
 		w.slotsFirm++
+	case w.ownPart(ws, 0) != nil:
+		s.kind, s.part = slotOfCell, w.ownPart(ws, 0)
+		s.part.slotsUsed++
 	default:
 		s.kind = slotBorrows
 	}
--- a/pkg/sched/reclaim.go
+++ b/pkg/sched/reclaim.go
@@ -23,6 +23,11 @@
 	// reclaimCooldown keeps a job that was itself preempted from preempting
 	// others at once, so that reclaims do not cascade.
 	reclaimCooldown = 30 * time.Second
+	// reclaimPatience is how long a job waits for capacity that becomes free by
+	// itself before others are preempted for it. Urgent work waits at most this
+	// part of its bound.
+	reclaimPatience = 2 * time.Second
+	urgentPatience  = 12
 	// deadlinePenalty makes a victim with a deadline the last choice.
 	deadlinePenalty = 24 * time.Hour
 	// victimCost is the restart of one task, added to the lost work.
@@ -37,7 +42,16 @@
 	if !d.rules.Reclaim || len(j.ws.parts) == 0 {
 		return false
 	}
-	if ready := j.queuedAt.Add(reclaimCooldown); j.Attempt > 1 && !j.urgent() && now.Before(ready) {
+	patience := reclaimPatience
+	switch {
+	case !d.rules.Patience && (j.urgent() || j.Attempt <= 1):
+		return true
+	case j.urgent():
+		patience = min(patience, j.class.StartWithin/urgentPatience)
+	case j.Attempt > 1:
+		patience = reclaimCooldown
+	}
+	if ready := j.queuedAt.Add(patience); now.Before(ready) {
 		d.wakeAt(ready)
 		return false
 	}
@@ -125,11 +139,16 @@
 		}
 		add(v, cost)
 	}
-	if own <= 0 && !d.addVictim(now, j, w, out, add, func(s spot) bool { return s.part == p }) {
-		return nil
+	for own <= 0 {
+		if !d.addVictim(now, j, w, out, add, func(s spot) bool { return s.part == p }) {
+			return nil
+		}
 	}
-	if physical <= 0 && !d.addVictim(now, j, w, out, add, func(s spot) bool { return s.kind != slotOfFree }) {
-		return nil
+	// Victims that stop for other claims count against the claimed slots.
+	for physical <= 0 {
+		if !d.addVictim(now, j, w, out, add, func(s spot) bool { return s.kind != slotOfFree }) {
+			return nil
+		}
 	}
 	return out
 }
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -86,8 +86,11 @@
 	return m
 }
 
+// Small work goes into the fullest rack first and there into the smallest block,
+// so that whole racks stay free for gangs.
 const (
 	rackClasses = 8
+	levels      = 8
 	unlinked    = -1
 )
 
@@ -162,7 +165,10 @@
 	for v := accFirm; v <= accAny; v++ {
 		b := unlinked
 		if l := largestLevel(w.avail(v), w.capacity); l >= 0 {
-			b = l*rackClasses + w.rack.class
+			b = w.rack.class*levels + l
+			if !d.rules.PackRacks {
+				b = l*rackClasses + w.rack.class
+			}
 		}
 		d.idx[v].link(w, v, b)
 	}
