--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"maps"
 	"testing"
@@ -16,7 +17,13 @@
 	"github.com/carawayusher/carawayusher/pkg/policy"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	// A fixed seed makes a failure repeatable; -rapid.seed on the command line replaces it.
+	if err := flag.Set("rapid.seed", "20260102"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
 
 // source is a configsync.Source with one document.
 type source struct {
@@ -131,6 +138,15 @@
 	if n := len(g.Proposals()); n != 10 {
 		t.Errorf("%d proposals after PutBack", n)
 	}
+	for range 2 {
+		g.Allow(Move, "a", Proposal{ID: "r/a/move/j1-x", Job: "j1-x"})
+	}
+	if _, ok := g.Take("r/a/move/j1-x"); !ok {
+		t.Error("the proposer's own ID is lost")
+	}
+	if _, ok := g.Take("r/a/move/j1-x"); ok {
+		t.Error("a proposal with its own ID is listed twice")
+	}
 	src.hold(t, nil)
 	g.PutBack(p)
 	if n := len(g.Proposals()); n != 0 {
--- a/pkg/plan/actions.go
+++ b/pkg/plan/actions.go
@@ -23,14 +23,42 @@
 	case *Proposals:
 		return p.fillProposals(ctx, made, spec)
 	case *Reclaim:
-		return p.preview(ctx, made, PreviewRequest{Next: doc, Action: KindReclaim, Workspace: spec.Workspace, Domain: spec.FailureDomain})
+		return p.fillOrder(ctx, made, PreviewRequest{Next: doc, Action: KindReclaim, Workspace: spec.Workspace, Domain: spec.FailureDomain})
 	case *Defragment:
-		return p.preview(ctx, made, PreviewRequest{Next: doc, Action: KindDefragment, Domain: spec.FailureDomain})
+		return p.fillOrder(ctx, made, PreviewRequest{Next: doc, Action: KindDefragment, Domain: spec.FailureDomain})
 	default:
 		return errkind.New(errkind.Internal, "no planning for the intent kind %q", made.Intent.Kind)
 	}
 }
 
+// fillOrder asks what an order to the failure domains would do now.
+func (p *Planner) fillOrder(ctx context.Context, made *Plan, req PreviewRequest) error {
+	if err := p.preview(ctx, made, req); err != nil {
+		return err
+	}
+	if len(made.Effects) == 0 && len(made.Warnings) == 0 {
+		return nothingToDo("no job stands in the way at present")
+	}
+	return nil
+}
+
+// outgrown reports whether an order to the failure domains would now affect a
+// job that the plan does not list. Other kinds act on the listed jobs only.
+func (p *Planner) outgrown(ctx context.Context, made *Plan, doc *policy.Document) (bool, error) {
+	if made.Intent.Kind != KindReclaim && made.Intent.Kind != KindDefragment {
+		return false, nil
+	}
+	now := &Plan{Intent: made.Intent, MadeAt: time.Now()}
+	if err := p.fillAction(ctx, now, doc); err != nil && !errkind.Is(err, errkind.InvalidRequest) {
+		return false, err
+	}
+	listed := map[api.JobID]bool{}
+	for _, e := range made.Effects {
+		listed[e.Job] = true
+	}
+	return slices.ContainsFunc(now.Effects, func(e Effect) bool { return !listed[e.Job] }), nil
+}
+
 func (p *Planner) fillCancel(ctx context.Context, made *Plan, spec *Cancel) error {
 	req := partition.ListRequest{Workspace: spec.Workspace, Class: spec.Class, State: spec.State, Limit: listPage}
 	for {
@@ -105,33 +133,35 @@
 	}
 }
 
-// execute carries a confirmed action plan out and returns what failed. The
-// kind not_found counts as done: the job has ended or the proposal was taken.
-func (p *Planner) execute(ctx context.Context, made *Plan) []string {
+// execute carries a confirmed action plan out and notes in rec what failed and
+// for what nothing was left to do: the job has ended, or the proposal was taken
+// or no longer fits the state (kind not_found).
+func (p *Planner) execute(ctx context.Context, rec *Record) {
+	rec.Failures, rec.Notes = nil, nil
+	made := &rec.Plan
 	switch spec := made.Intent.Spec.(type) {
 	case *Reclaim:
-		return failures(p.opts.Executor.Reclaim(ctx, made.ID, spec.Workspace, spec.FailureDomain))
+		rec.note("reclaim", p.opts.Executor.Reclaim(ctx, made.ID, spec.Workspace, spec.FailureDomain))
+		return
 	case *Defragment:
-		return failures(p.opts.Executor.Defragment(ctx, made.ID, spec.FailureDomain))
+		rec.note("defragment", p.opts.Executor.Defragment(ctx, made.ID, spec.FailureDomain))
+		return
 	}
-	var failed []string
 	for _, e := range made.Effects {
-		var err error
 		if e.Proposal != "" {
-			err = p.opts.Executor.ConfirmProposal(ctx, e.Proposal)
+			rec.note("proposal "+e.Proposal, p.opts.Executor.ConfirmProposal(ctx, e.Proposal))
 		} else {
-			err = p.opts.Executor.CancelJob(ctx, e.Job, "cancelled by plan "+made.ID)
-		}
-		if err != nil && !errkind.Is(err, errkind.NotFound) {
-			failed = append(failed, string(e.Job)+e.Proposal+": "+err.Error())
+			rec.note("job "+string(e.Job), p.opts.Executor.CancelJob(ctx, e.Job, "cancelled by plan "+made.ID))
 		}
 	}
-	return failed
 }
 
-func failures(err error) []string {
-	if err == nil {
-		return nil
+func (r *Record) note(what string, err error) {
+	switch {
+	case err == nil:
+	case errkind.Is(err, errkind.NotFound):
+		r.Notes = append(r.Notes, what+": nothing left to do: "+errkind.As(err).Message)
+	default:
+		r.Failures = append(r.Failures, what+": "+err.Error())
 	}
-	return []string{err.Error()}
 }
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// Guards against a reclaim that preempts a job which the plan does not list,
+// and against one that is refused because there is less to do than planned.
+func TestReclaimActsOnListedJobsOnly(t *testing.T) {
+	w := newWorld()
+	p, _ := w.vm(Options{})
+	made, err := p.Make(t.Context(), bob, NewIntent(&Reclaim{Workspace: "postbud"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.previews = []DomainPreview{{Domain: "r/a", Effects: []Effect{{Kind: EffectPreempt, Job: "j0-b"}, {Kind: EffectPreempt, Job: "j0-a"}}}}
+	var outdated *OutdatedError
+	if _, err := p.Confirm(t.Context(), bob, made.ID, ""); !errors.As(err, &outdated) || outdated.Fresh == nil || len(outdated.Fresh.Effects) != 2 {
+		t.Fatalf("err = %v", err)
+	}
+	if _, done := w.effects(); done != "" {
+		t.Fatalf("effects = %q", done)
+	}
+	w.previews = []DomainPreview{{Domain: "r/a", Effects: []Effect{{Kind: EffectPreempt, Job: "j0-a"}}}}
+	if rec, err := p.Confirm(t.Context(), bob, outdated.Fresh.ID, ""); err != nil || rec.State != StateApplied {
+		t.Errorf("less to do: %+v, %v", rec, err)
+	}
+	w.previews = []DomainPreview{{Domain: "r/a"}}
+	if _, err := p.Make(t.Context(), bob, NewIntent(&Defragment{})); !errkind.Is(err, errkind.InvalidRequest) {
+		t.Errorf("nothing to do: %v", err)
+	}
+}
+
 // Guards against a confirmation that is lost when an effect fails half-way or
 // the store fails after the change.
 func TestConfirmationResumesAfterFailures(t *testing.T) {
@@ -367,6 +394,7 @@
 		"contradiction":       {guarantee(policy.Guarantee{Cells: 9, Accelerators: 8, Adjacency: "worker", FailureDomain: "r/a"}), ann, errkind.InvalidConfig, "raise the quota"},
 		"no power of two":     {guarantee(policy.Guarantee{Cells: 1, Accelerators: 6, Adjacency: "worker", FailureDomain: "r/a"}), ann, errkind.InvalidConfig, "use a power of two"},
 		"impossible":          {guarantee(policy.Guarantee{Cells: 1, Accelerators: 64, Adjacency: "rack", FailureDomain: "r/a"}), ann, errkind.GuaranteeUnmeetable, "add workers"},
+		"unknown domain":      {guarantee(policy.Guarantee{Cells: 1, Accelerators: 8, Adjacency: "rack", FailureDomain: "r/z"}), ann, errkind.GuaranteeUnmeetable, "carawayctl domains"},
 		"hold in the past":    {&Hold{Reason: "x", Until: time.Unix(1, 0)}, ann, errkind.InvalidRequest, "give a later end"},
 		"hold without reason": {&Hold{}, ann, errkind.InvalidRequest, "say why"},
 		"nothing to resume":   {&Resume{}, ann, errkind.InvalidRequest, "nothing to change"},
@@ -391,6 +419,7 @@
 			w := newWorld()
 			if c.want == errkind.GuaranteeUnmeetable {
 				w.previews = []DomainPreview{{Domain: "r/a", Impossible: []string{"postbud: 64 in one rack"}}}
+				w.present = []DomainPreview{{Domain: "r/a"}}
 			}
 			p, _ := w.vm(Options{})
 			_, err := p.Make(t.Context(), c.actor, NewIntent(c.spec))
@@ -404,6 +433,17 @@
 	}
 }
 
+// Guards against a lost rack that makes every later change impossible.
+func TestImpossibleGuaranteeDoesNotStopOtherChanges(t *testing.T) {
+	w := newWorld()
+	w.previews = []DomainPreview{{Domain: "r/a", Impossible: []string{"postbud: 2 x 8"}}}
+	p, _ := w.vm(Options{})
+	made, err := p.Make(t.Context(), bob, NewIntent(&Drain{Worker: "w1"}))
+	if err != nil || len(made.Unmeetable) != 1 {
+		t.Errorf("plan = %+v, %v", made, err)
+	}
+}
+
 // Guards against plans that fill the store, and against an open plan that is
 // dropped to make room.
 func TestPlansAreBounded(t *testing.T) {
--- a/pkg/plan/render.go
+++ b/pkg/plan/render.go
@@ -17,12 +17,16 @@
 	renderState(&b, rec)
 	renderList(&b, "Configuration", p.Changes, func(c policy.Change) string { return c.String() })
 	renderList(&b, "Jobs", p.Effects, renderEffect)
+	if len(p.Effects) == 0 {
+		b.WriteString("Jobs: none is affected\n")
+	}
 	renderList(&b, "Guarantees that could not be met", p.Unmeetable, asIs)
 	if p.LostWork > 0 {
 		fmt.Fprintf(&b, "Lost work: %s accelerator time (estimate)\n", p.LostWork.Round(time.Second))
 	}
 	renderList(&b, "Warnings", p.Warnings, asIs)
-	renderList(&b, "Failures", rec.Failures, asIs)
+	renderList(&b, "Failures (confirm again to repeat)", rec.Failures, asIs)
+	renderList(&b, "Notes", rec.Notes, asIs)
 	if rec.State == StateOpen {
 		fmt.Fprintf(&b, "Nothing has changed yet. To carry it out: carawayctl confirm %s\n", p.ID)
 	}
@@ -36,6 +40,8 @@
 		fmt.Fprintf(b, "State: open until %s\n", rec.Plan.ExpiresAt.Format(time.RFC3339))
 	case StateExpired:
 		fmt.Fprintf(b, "State: expired at %s\n", rec.Plan.ExpiresAt.Format(time.RFC3339))
+	case StateOutdated:
+		fmt.Fprintf(b, "State: outdated, another change came first\n")
 	default:
 		fmt.Fprintf(b, "State: %s, confirmed by %s at %s", rec.State, rec.ConfirmedBy, rec.ConfirmedAt.Format(time.RFC3339))
 		if rec.Revision > 0 {
--- a/pkg/sched/cells.go
+++ b/pkg/sched/cells.go
@@ -56,12 +56,17 @@
 	m := w.capacity &^ w.pinned
 	fixed := 0
 	for _, j := range w.tasks {
-		if j.preemptible() || j.ws == ws {
+		if j.preemptible() {
 			continue
 		}
 		for _, s := range j.spots {
-			if s.w == w {
+			if s.w != w {
+				continue
+			}
+			if j.ws != ws {
 				m &^= s.mask
+			}
+			if s.kind != slotOfCell {
 				fixed++
 			}
 		}
@@ -106,15 +111,15 @@
 func (d *Domain) resettle(w *worker) {
 	w.slotsFirm = 0
 	for _, p := range w.parts {
-		p.slotsUsed, p.warm.used = 0, 0
+		p.slotsUsed, p.warm.now = 0, use{}
 	}
 	w.eachSpot(func(j *job, s *spot) {
-		s.kind, s.part = slotBorrows, nil
+		s.kind, s.part, s.warm = slotBorrows, nil, false
 		if p := w.ownPart(j.ws, s.mask); p != nil {
 			s.kind, s.part = slotOfCell, p
 			p.slotsUsed++
-			if j.class.Short && d.rules.KeepWarm {
-				p.warm.used++
+			if s.warm = j.class.Short && d.rules.KeepWarm; s.warm {
+				p.warm.add(1, s.mask)
 			}
 		}
 	})
@@ -126,6 +131,13 @@
 			}
 		})
 	}
+	// What is left of the owner's tasks uses the slots of its cells.
+	w.eachSpot(func(j *job, s *spot) {
+		if p := w.ownPart(j.ws, 0); s.kind == slotBorrows && p != nil {
+			s.kind, s.part = slotOfCell, p
+			p.slotsUsed++
+		}
+	})
 	d.refresh(w)
 }
 
--- /dev/null
+++ b/pkg/sched/hedge.go
@@ -0,0 +1,120 @@
+package sched
+
+import "time"
+
+const (
+	// hedgeFactor times the 99th percentile of its kind makes a run a straggler.
+	hedgeFactor = 1.5
+	// hedgeShare bounds the second copies by the running jobs.
+	hedgeShare = 0.02
+	hedgeRuns  = 50 // runs before a quantile decides about a hedge
+	hedgeRetry = 5 * time.Second
+)
+
+// watch is a run to look at when it would be a straggler.
+type watch struct {
+	at      time.Time
+	j       *job
+	attempt int
+}
+
+// watches is a heap by time. It is written out, because container/heap allocates
+// for each element and every start of small work passes here.
+type watches []watch
+
+func (h *watches) push(x watch) {
+	s := append(*h, x)
+	*h = s
+	for i := len(s) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !s[i].at.Before(s[parent].at) {
+			return
+		}
+		s[i], s[parent] = s[parent], s[i]
+		i = parent
+	}
+}
+
+func (h *watches) pop() watch {
+	s := *h
+	top, last := s[0], len(s)-1
+	s[0], s[last] = s[last], watch{}
+	s = s[:last]
+	*h = s
+	for i := 0; ; {
+		c := 2*i + 1
+		if c+1 < last && s[c+1].at.Before(s[c].at) {
+			c++
+		}
+		if c >= last || !s[c].at.Before(s[i].at) {
+			return top
+		}
+		s[i], s[c] = s[c], s[i]
+		i = c
+	}
+}
+
+// watchRun plans the check of a started run that may be hedged.
+func (d *Domain) watchRun(now time.Time, j *job) {
+	if !d.rules.Hedge || j.AtMostOnce || len(j.spots) != 1 {
+		return
+	}
+	if l := d.learned.of(j); l != nil && l.runs >= hedgeRuns {
+		d.watches.push(watch{now.Add(time.Duration(hedgeFactor * float64(l.q99))), j, j.Attempt})
+	}
+}
+
+// hedge starts second copies of stragglers on capacity that nothing waits for.
+// The copy belongs to the same attempt: its task indexes follow those of the
+// first copy, the first success wins, and Ended frees both.
+func (d *Domain) hedge(now time.Time, out *[]Action) {
+	for len(d.watches) > 0 && !now.Before(d.watches[0].at) {
+		x := d.watches.pop()
+		if j := x.j; d.jobs[j.ID] == j && j.phase == phasePlaced && len(j.spots) == 1 && j.Attempt == x.attempt {
+			if !d.hedgeJob(now, j, false, out) {
+				d.watches.push(watch{now.Add(hedgeRetry), j, j.Attempt})
+			}
+		}
+	}
+	if len(d.watches) > 0 {
+		d.wakeAt(d.watches[0].at)
+	}
+}
+
+// hedgeJob reports false when the hedge should be tried again later.
+func (d *Domain) hedgeJob(now time.Time, j *job, confirmed bool, out *[]Action) bool {
+	if float64(d.hedges) >= 1+hedgeShare*float64(len(d.jobs)) || !j.ws.allows(j.Accelerators, 1) {
+		return false
+	}
+	a := Action{Type: ActionHedge, Job: j.ID, Workspace: j.Workspace, Attempt: j.Attempt, Reason: "the run takes far longer than others of its kind"}
+	if _, held := d.doc.Held(j.Workspace, now); held && !confirmed {
+		if j.proposedAt.IsZero() || now.Sub(j.proposedAt) >= proposalInterval {
+			j.proposedAt, a.Proposal = now, true
+			*out = append(*out, a)
+		}
+		return false
+	}
+	v := accAny
+	if j.Accelerators == 0 {
+		v = slotAny
+	}
+	w := d.pick(j, v, j.Accelerators)
+	if w == nil || w == j.spots[0].w {
+		return false
+	}
+	var mask uint64
+	if j.Accelerators > 0 {
+		if mask = bestBlock(w.avail(accAny), w.capacity, j.Accelerators); mask == 0 {
+			return false
+		}
+	}
+	j.spots = append([]spot{j.spots[0]}, spot{w: w, mask: mask})
+	d.takeSpot(now, j, 1)
+	j.ws.accelerators += j.Accelerators
+	j.ws.slots++
+	j.hedged = true
+	d.hedges++
+	a.Placements = []Placement{{Worker: w.ID, Accelerators: listOf(mask)}}
+	*out = append(*out, a)
+	return true
+}
--- a/pkg/sched/operator.go
+++ b/pkg/sched/operator.go
@@ -1,25 +1,140 @@
 package sched
 
-import "time"
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
 
-// PreviewReclaim returns what Reclaim would preempt, without changing the state.
+// PreviewReclaim returns what Reclaim would preempt, without stopping a job. It
+// reads this domain and not a copy, because a copy may lay the guaranteed cells
+// elsewhere and then name other borrowers.
 func (d *Domain) PreviewReclaim(now time.Time, workspace string) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.clone(now).Reclaim(now, workspace)
+	return d.reclaimOrder(now, workspace)
 }
 
 // Reclaim preempts every borrower in the workspace's guaranteed cells, at an
-// operator's order.
-func (d *Domain) Reclaim(_ time.Time, _ string) []Action { return nil }
+// operator's order. Borrowers can always be preempted, since a job that must
+// not run again never borrows.
+func (d *Domain) Reclaim(now time.Time, workspace string) []Action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopAll(d.reclaimOrder(now, workspace))
+}
 
-// PreviewDefragment returns what Defragment would move, without changing the state.
+func (d *Domain) reclaimOrder(now time.Time, workspace string) []Action {
+	d.settlePins()
+	var victims []*job
+	for _, ws := range d.sorted {
+		if ws.name != workspace {
+			continue
+		}
+		for _, p := range ws.parts {
+			p.w.eachSpot(func(v *job, s *spot) {
+				borrows := v.ws != ws && s.mask&p.mask != 0
+				if borrows && v.preemptible() && v.phase == phasePlaced && !slices.Contains(victims, v) {
+					victims = append(victims, v)
+				}
+			})
+		}
+	}
+	var out []Action
+	for _, v := range victims {
+		out = append(out, d.stopOrder(now, v, ActionPreempt, "an operator reclaims the guaranteed cells of workspace "+workspace))
+	}
+	return out
+}
+
+// stopOrder returns the action that stops the job at an operator's order.
+func (d *Domain) stopOrder(now time.Time, v *job, t ActionType, reason string) Action {
+	return Action{
+		Type: t, Job: v.ID, Workspace: v.Workspace, Attempt: v.Attempt, For: "operator",
+		Reclaim: t == ActionPreempt, Reason: reason, StopBy: now.Add(d.opts.Grace), LostWork: v.lost(now),
+	}
+}
+
+// stopAll marks the jobs of the actions as stopping.
+func (d *Domain) stopAll(actions []Action) []Action {
+	for _, a := range actions {
+		j := d.jobs[a.Job]
+		j.phase, j.stopBy = phaseStopping, a.StopBy
+	}
+	return actions
+}
+
+// PreviewDefragment returns what Defragment would move, without stopping a job.
 func (d *Domain) PreviewDefragment(now time.Time) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.clone(now).Defragment(now)
+	return d.defragmentOrder(now)
+}
+
+// Defragment empties, at an operator's order, in each rack the least used
+// worker whose jobs can all be moved to other partly used workers of the domain.
+func (d *Domain) Defragment(now time.Time) []Action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopAll(d.defragmentOrder(now))
+}
+
+func (d *Domain) defragmentOrder(now time.Time) []Action {
+	var out []Action
+	taken := 0 // room that earlier racks' moves need
+	for _, r := range d.racks {
+		w := d.emptiable(r.workers, taken)
+		if w == nil {
+			continue
+		}
+		taken += w.usedAccelerators()
+		for _, v := range w.tasks {
+			out = append(out, d.stopOrder(now, v, ActionMove, "an operator defragments rack "+w.Rack))
+		}
+	}
+	return out
+}
+
+// emptiable returns the least used worker that can be emptied, or nil.
+func (d *Domain) emptiable(workers []*worker, taken int) *worker {
+	var best *worker
+	for _, w := range workers {
+		used := w.usedAccelerators()
+		if used == 0 || !w.usable() || !w.movable() || d.partlyFree(w) < used+taken {
+			continue
+		}
+		if best == nil || used < best.usedAccelerators() {
+			best = w
+		}
+	}
+	return best
 }
 
-// Defragment moves jobs that can be checkpointed so that larger blocks become
-// free, at an operator's order.
-func (d *Domain) Defragment(_ time.Time) []Action { return nil }
+// movable reports whether all jobs of the worker can be checkpointed and run
+// on it alone.
+func (w *worker) movable() bool {
+	for _, v := range w.tasks {
+		if !v.Checkpointable || !v.preemptible() || v.phase != phasePlaced || len(v.spots) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *worker) usedAccelerators() int {
+	n := 0
+	w.eachSpot(func(_ *job, s *spot) { n += bits.OnesCount64(s.mask) })
+	return n
+}
+
+// partlyFree returns the free accelerators on other workers that are in use
+// already: a move to an idle worker would gain nothing.
+func (d *Domain) partlyFree(except *worker) int {
+	n := 0
+	for _, w := range d.workers {
+		if w != except && w.usable() && w.usedAccelerators() > 0 {
+			n += bits.OnesCount64(w.avail(accAny))
+		}
+	}
+	return n
+}
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -35,7 +35,7 @@
 	tasks   []*job
 	bad     bool // quarantined
 	drained bool // by the policy
-	slow    bool // ran stragglers lately
+	health  health
 
 	counted    [2]int
 	bucket     [viewCount]int
@@ -81,13 +81,16 @@
 		return 0
 	}
 	for _, p := range w.parts {
-		m &^= p.warm.mask
+		m &^= p.keptMask()
 	}
 	return m
 }
 
+// Small work goes into the fullest rack first and there into the smallest block,
+// so that whole racks stay free for gangs.
 const (
 	rackClasses = 8
+	levels      = 8
 	unlinked    = -1
 )
 
@@ -162,7 +165,10 @@
 	for v := accFirm; v <= accAny; v++ {
 		b := unlinked
 		if l := largestLevel(w.avail(v), w.capacity); l >= 0 {
-			b = l*rackClasses + w.rack.class
+			b = w.rack.class*levels + l
+			if !d.rules.PackRacks {
+				b = l*rackClasses + w.rack.class
+			}
 		}
 		d.idx[v].link(w, v, b)
 	}
@@ -181,8 +187,5 @@
 	if w.slots(slotAny) <= bits.OnesCount64(w.avail(accAny)) {
 		b += rackClasses
 	}
-	if w.slow {
-		b += 2 * rackClasses
-	}
 	return b
 }
