domain: blame one worker for a refused gang and let it rest

Cause: the first refusal of a gang cancels its other reservations, and each of them counted as a refused connection: healthy workers got no new work until their long poll ended, up to 5 s. The worker with the lowest index was blamed, not the one that refused, and it was chosen again at once. Change: only the first failure counts. The refusing worker rests longer than the attempt's first pause, with jitter. A refused connection ends the long poll, so that the worker is asked again within the backoff. Result: a gang of two with one refusing worker of three starts on the two others within 1.5 s; 20 silent workers get at most 1,200 calls a minute in all and at most 4 in one instant.

--- a/pkg/domain/backoff.go
+++ b/pkg/domain/backoff.go
@@ -20,11 +20,18 @@
 	// retryMax bounds how late the return of a worker is noticed.
 	retryMax    = 2 * time.Second
 	retryJitter = 0.5
+	// A worker that refused a placement rests longer than the first pause of the
+	// attempt, which thus goes to another worker, and at most as long as the start
+	// bound of urgent work (6.1 s) allows.
+	restMin = 4 * retryMin
+	restMax = 3 * time.Second
 )
 
-func newBackoff() *backoff.ExponentialBackOff {
+func newBackoff() *backoff.ExponentialBackOff { return backoffBetween(retryMin, retryMax) }
+
+func backoffBetween(least, most time.Duration) *backoff.ExponentialBackOff {
 	b := &backoff.ExponentialBackOff{
-		InitialInterval: retryMin, MaxInterval: retryMax, Multiplier: 2, RandomizationFactor: retryJitter,
+		InitialInterval: least, MaxInterval: most, Multiplier: 2, RandomizationFactor: retryJitter,
 	}
 	b.Reset()
 	return b
@@ -53,7 +60,7 @@
 		return
 	}
 	if w.refusals == nil {
-		w.refusals = newBackoff()
+		w.refusals = backoffBetween(restMin, restMax)
 	}
 	w.restUntil = time.Now().Add(w.refusals.NextBackOff())
 	d.updateState(w)
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -100,23 +101,19 @@
 	d.mu.Unlock()
 	g, ctx := errgroup.WithContext(d.ctx)
 	g.SetLimit(gangConcurrency)
-	blamed := make([]string, len(c.tasks))
-	for i, t := range c.tasks {
+	var first sync.Once // the calls that the first failure cancels blame nobody
+	blamed := ""
+	for _, t := range c.tasks {
 		g.Go(func() error {
-			if err := d.reserve(ctx, a, t, meta, start); err != nil {
-				blamed[i] = t.worker.id
-				return err
+			err := d.reserve(ctx, a, t, meta, start)
+			if err != nil {
+				first.Do(func() { blamed = t.worker.id })
 			}
-			return nil
+			return err
 		})
 	}
 	err := g.Wait()
-	for _, id := range blamed {
-		if id != "" && err != nil {
-			return id, err
-		}
-	}
-	return "", err
+	return blamed, err
 }
 
 func (d *Domain) reserve(ctx context.Context, a *attempt, t *task, about taskMeta, start bool) error {
@@ -137,7 +134,9 @@
 	defer cancel()
 	res, err := d.conn(t).Reserve(callCtx, req)
 	if err != nil {
-		d.noteRefusal(t.worker, err)
+		if ctx.Err() == nil { // not cancelled by the failure of another reservation
+			d.noteRefusal(t.worker, err)
+		}
 		return err
 	}
 	d.mu.Lock()
@@ -173,7 +172,10 @@
 	case errkind.StaleEpoch:
 		d.noteFenced(w, err)
 	case errkind.Unavailable:
-		w.failing = true // the sync loop finds out whether it is back
+		w.failing = true
+		if w.interrupt != nil {
+			w.interrupt() // the sync loop finds out at once whether it is back
+		}
 		d.updateState(w)
 	}
 	d.mu.Unlock()
--- a/pkg/domain/place_test.go
+++ b/pkg/domain/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -227,3 +228,52 @@
 		}
 	})
 }
+
+// One refusing worker must not keep the others of its gang out of use.
+func TestRefusalBlamesOneWorker(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world, d *Domain) {
+		var mu sync.Mutex
+		refused := ""
+		w.hook(func(id, method string) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if method == "reserve" && (refused == "" || refused == id) {
+				refused = id
+				return errkind.New(errkind.CapacityExceeded, "refused by the test")
+			}
+			return nil
+		}, nil)
+		mustOffer(t, d, offerOf(gang("1ms")))
+		time.Sleep(1500 * time.Millisecond)
+		if r := w.part.outcome(testJob); r.Outcome != api.OutcomeSucceeded {
+			t.Errorf("outcome %q, want succeeded on the two other workers", r.Outcome)
+		}
+	})
+}
+
+// Guards against a storm of retries: a worker that refuses all connections for
+// a minute is called a bounded number of times, and not in step with others.
+func TestSilentWorkersAreBackedOff(t *testing.T) {
+	inWorld(t, 20, func(t *testing.T, w *world, d *Domain) {
+		var mu sync.Mutex
+		calls, at := 0, map[time.Time]int{}
+		w.hook(func(string, string) error {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+			at[time.Now()]++
+			return lost()
+		}, nil)
+		time.Sleep(time.Minute)
+		mu.Lock()
+		defer mu.Unlock()
+		if limit := 20 * 60; calls > limit {
+			t.Errorf("%d calls in a minute to 20 silent workers, want at most %d", calls, limit)
+		}
+		for when, n := range at {
+			if n > 4 {
+				t.Errorf("%d workers were called in the same instant, %v", n, when)
+			}
+		}
+	})
+}
--- a/pkg/domain/worker.go
+++ b/pkg/domain/worker.go
@@ -34,7 +34,8 @@
 	leaving     bool // by the target's own word, the list or another member
 	listed      bool
 	state       sched.WorkerState
-	reported    bool // state has been told to the scheduler
+	interrupt   context.CancelFunc // ends the present long poll
+	reported    bool               // state has been told to the scheduler
 	// givenUp names the tasks that were reported as lost while the worker did not
 	// answer. The worker may still run them when it is back.
 	givenUp map[api.TaskID]bool
@@ -157,9 +158,10 @@
 	}
 	sent := time.Now()
 	conn := w.conn
-	d.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, req.Wait+d.opts.CallTimeout)
 	defer cancel()
+	w.interrupt = cancel
+	d.mu.Unlock()
 	resp, err := conn.Sync(callCtx, req)
 	if ctx.Err() != nil {
 		return false
