daemon: renew leases of a failure domain whose owner died in a store outage

Change: each VM looks every sixth of the task lease. The first living ready member in the shard's order renews with RenewOnly, from the death of the last known owner in a store outage until there is a living owner.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -114,6 +114,7 @@
 	d.run(func() { logEnd(p.log, "control watch", p.watch.Run(ctx)) })
 	d.run(func() { logEnd(p.log, "configuration", p.config.Run(ctx)) })
 	d.run(func() { logEnd(p.log, "ownership", p.owners.Run(ctx)) })
+	d.run(func() { newCaretaker(p).run(ctx) })
 	d.run(func() { p.collect.Run(ctx) })
 	d.run(func() { p.samples.Run(ctx) })
 	p.members.SetReady(true)
