domain, partition: Prometheus metrics

Cause: outcomes, waits, preemptions, reclaim times, adoptions and claims could not be seen from outside. Change: one set of metrics per VM for all its domains and one for all its partitions, registered in pkg/daemon. Result: tests of pkg/domain, pkg/partition and pkg/daemon pass under -race.

--- a/pkg/daemon/host.go
+++ b/pkg/daemon/host.go
@@ -15,7 +15,9 @@
 // host serves the shards that this VM owns. It implements ownership.Host and
 // router.Local.
 type host struct {
-	d *parts
+	d                *parts
+	partitionMetrics *partition.Metrics
+	domainMetrics    *domain.Metrics
 
 	mu         sync.RWMutex
 	partitions map[int]*partition.Partition
@@ -23,7 +25,10 @@
 }
 
 func newHost(d *parts) *host {
-	return &host{d: d, partitions: map[int]*partition.Partition{}, domains: map[string]*domain.Domain{}}
+	return &host{
+		d: d, partitionMetrics: partition.NewMetrics(d.registry), domainMetrics: domain.NewMetrics(d.registry),
+		partitions: map[int]*partition.Partition{}, domains: map[string]*domain.Domain{},
+	}
 }
 
 // Partition returns the partition if this VM owns it.
@@ -79,7 +84,7 @@
 		Domains:        h.d.router, Summaries: h.d.members.Summaries, DomainNames: h.d.vms.domains,
 		DomainEpoch: h.domainEpoch, Config: h.d.config, Gate: h.d.gate, Retries: h.d.retries,
 		Recorder: h.d.events, Log: h.d.log.WithName("partition"), Retention: h.d.settings.Jobs.ResultRetention,
-		ResultMax: h.d.settings.Jobs.ResultMax,
+		ResultMax: h.d.settings.Jobs.ResultMax, Metrics: h.partitionMetrics,
 	})
 	h.mu.Lock()
 	h.partitions[n] = p
@@ -110,7 +115,7 @@
 		Log: h.d.log.WithName("domain"), VMs: h.d.vms.last,
 		LeavingTargets: h.d.members.LeavingTargets, ReportLeaving: h.d.members.ReportLeaving,
 		LeaseTTL: h.d.settings.Targets.LeaseTTL, CallTimeout: h.d.settings.Targets.StartTimeout,
-		ResultMax: h.d.settings.Jobs.ResultMax,
+		ResultMax: h.d.settings.Jobs.ResultMax, Metrics: h.domainMetrics,
 		// The answer does not name the newer epoch; any above the own one will do.
 		OnFenced: func() { h.d.owners.SawEpoch(ownership.DomainShard(name), epoch+1) },
 	})
--- a/pkg/domain/adopt.go
+++ b/pkg/domain/adopt.go
@@ -25,6 +25,7 @@
 	if meta.Index >= len(c.tasks) {
 		return
 	}
+	d.opts.Metrics.adopted.Inc()
 	t := c.tasks[meta.Index]
 	t.worker, t.status, t.lost = w, st, false
 	c.started = c.started || st.Started
--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -39,6 +39,8 @@
 type preemption struct {
 	stopBy   time.Time // zero: a stop without a checkpoint would only lose work
 	reason   string
+	since    time.Time
+	reclaim  bool // gives a guaranteed cell back
 	stopping bool
 	before   map[api.TaskID]string // checkpoints when it began
 }
--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -47,6 +47,8 @@
 	// OnFenced is called once when a target shows that the failure domain has a
 	// newer owner; nil ignores it.
 	OnFenced func()
+	// Metrics may be shared by several domains; nil counts nothing that is shown.
+	Metrics *Metrics
 }
 
 // Timings derived from the task lease: a renewal may fail twice before the
@@ -86,6 +88,9 @@
 // New returns a domain that is not yet running.
 func New(opts Options) *Domain {
 	ctx, cancel := context.WithCancel(context.Background())
+	if opts.Metrics == nil {
+		opts.Metrics = NewMetrics(nil)
+	}
 	return &Domain{
 		opts: opts, ctx: ctx, cancel: cancel,
 		wake:      make(chan struct{}, 1),
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -195,9 +195,11 @@
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, d.opts.LeaseTTL/2)
 	defer cancel()
-	return d.opts.Reporter.Claim(ctx, partition, Claim{
+	err := d.opts.Reporter.Claim(ctx, partition, Claim{
 		Job: a.offer.Job, Attempt: a.offer.Attempt, Domain: d.opts.Name, Places: places, Epoch: d.opts.Epoch,
 	})
+	d.opts.Metrics.claims.WithLabelValues(resultLabel(err)).Inc()
+	return err
 }
 
 // claimFailed gives all reservations back. No start was sent, so the attempt
@@ -293,6 +295,7 @@
 	now := time.Now()
 	d.opts.Sched.Started(now, a.offer.Job, a.offer.Attempt)
 	a.state, a.startedAt = api.StateRunning, now
+	d.opts.Metrics.queueWait.WithLabelValues(a.offer.Spec.Class).Observe(now.Sub(a.offeredAt).Seconds())
 	d.event(timeline.Started, a, "")
 	d.sendState(a)
 }
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -185,6 +185,10 @@
 		}
 	}
 	a.ended = true
+	d.opts.Metrics.attempts.WithLabelValues(string(o)).Inc()
+	if a.preempt != nil && a.preempt.reclaim {
+		d.opts.Metrics.reclaim.Observe(time.Since(a.preempt.since).Seconds())
+	}
 	d.stopCopies(a) // what the outcome does not need
 	r := a.newReport(d.opts.Name, d.opts.Epoch)
 	r.State, r.Outcome, r.Reason = "", o, reason
@@ -236,7 +240,12 @@
 		a.preempt.tighten(act.StopBy)
 		return
 	}
-	a.preempt = &preemption{stopBy: act.StopBy, reason: act.Reason, before: map[api.TaskID]string{}}
+	kind, _ := gateKind(act)
+	d.opts.Metrics.preemptions.WithLabelValues(string(kind)).Inc()
+	a.preempt = &preemption{
+		stopBy: act.StopBy, reason: act.Reason, before: map[api.TaskID]string{},
+		since: time.Now(), reclaim: act.Reclaim,
+	}
 	reason := act.Reason
 	if act.For != "" {
 		reason += " (for " + act.For + ")"
--- a/pkg/partition/dispatch.go
+++ b/pkg/partition/dispatch.go
@@ -148,6 +148,12 @@
 // Claim journals the places of an at-most-once attempt. Only nil permits the
 // start. Claims of another attempt, domain or a cancelled job are refused.
 func (p *Partition) Claim(ctx context.Context, c domain.Claim) error {
+	err := p.journalClaim(ctx, c)
+	p.opts.Metrics.claims.WithLabelValues(resultLabel(err)).Inc()
+	return err
+}
+
+func (p *Partition) journalClaim(ctx context.Context, c domain.Claim) error {
 	if err := p.ready(ctx); err != nil {
 		return err
 	}
--- a/pkg/partition/partition.go
+++ b/pkg/partition/partition.go
@@ -82,6 +82,8 @@
 	// ResultMax is the largest result that is kept; a larger one fails the job.
 	// Zero means no limit.
 	ResultMax int64
+	// Metrics may be shared by several partitions; nil counts nothing that is shown.
+	Metrics *Metrics
 }
 
 // Partition owns the jobs of one partition under one epoch.
@@ -108,6 +110,9 @@
 // New returns a partition that is not yet running.
 func New(opts Options) *Partition {
 	ctx, cancel := context.WithCancel(context.Background())
+	if opts.Metrics == nil {
+		opts.Metrics = NewMetrics(nil)
+	}
 	if opts.RetainedBytes <= 0 {
 		opts.RetainedBytes = DefaultRetainedBytes
 	}
--- a/pkg/partition/report.go
+++ b/pkg/partition/report.go
@@ -104,6 +104,7 @@
 
 // applyOutcome ends the job or prepares its next attempt.
 func (p *Partition) applyOutcome(j *job, r domain.Report) {
+	p.opts.Metrics.outcomes.WithLabelValues(string(r.Outcome)).Inc()
 	if r.Checkpoint != "" {
 		j.checkpoint, j.attained = r.Checkpoint, r.Attained
 	}
@@ -299,6 +300,7 @@
 
 // end makes the end known, durably for a durable job; the caller holds the lock.
 func (p *Partition) end(j *job) {
+	p.opts.Metrics.ended.WithLabelValues(string(j.status.State)).Inc()
 	p.event(timeline.Ended, j, string(j.status.State)+": "+j.status.Reason)
 	final := j.status
 	if !j.durable {
--- a/pkg/partition/retain.go
+++ b/pkg/partition/retain.go
@@ -90,6 +90,7 @@
 	(*queue)[0] = nil
 	*queue = (*queue)[1:]
 	p.ended.bytes -= j.size()
+	p.opts.Metrics.shed.Inc()
 	if !j.status.Spec.AtMostOnce {
 		p.remove(j)
 		return true
