--- a/pkg/router/partition.go
+++ b/pkg/router/partition.go
@@ -112,7 +112,9 @@
 		sent = sent || err != nil && maybeTaken(err)
 		return s, err
 	})
-	if err != nil && sent && errkind.Lookup(errkind.Of(err)).Ran == errkind.NotRun && retryable(err) {
+	// A refusal for load or ownership by the successor says nothing about what the
+	// former owner did; one of the request itself holds for both.
+	if sent && errkind.Retryable(err) && errkind.Lookup(errkind.Of(err)).Ran == errkind.NotRun {
 		err = errkind.Wrap(err, errkind.Timeout, "the job may have been accepted; ask for job %s or repeat with the same Idempotency-Key", req.ID)
 	}
 	return status, err
