domain: report adopted attempts as running; spare the tick settled gangs

Cause: an attempt that a new owner adopted kept the report "reserved" without its places, so a partition that asked what the domain holds lost both, and a cancelled one could be answered as not run. A superseded owner still answered Held. Each tick parsed the task IDs of all attempts to find adopted ones. Change: adoption reports the state; Held of a superseded or stopped owner is stale_epoch; copies carry whether they are adopted and not yet known to run whole; tasks are searched for moves only while a worker is leaving.

--- a/pkg/domain/adopt.go
+++ b/pkg/domain/adopt.go
@@ -34,6 +34,7 @@
 		if a.startedAt.IsZero() || st.StartedAt.Before(a.startedAt) {
 			a.startedAt = st.StartedAt
 		}
+		d.sendState(a)
 	}
 	if a.withdrawn != "" {
 		d.stopCopies(a)
@@ -87,7 +88,7 @@
 			return c
 		}
 	}
-	c := &placedCopy{places: meta.Places, hedge: meta.Hedge}
+	c := &placedCopy{places: meta.Places, hedge: meta.Hedge, adopted: true}
 	for i, p := range meta.Places {
 		w := d.workers[p.Worker]
 		if w == nil {
@@ -119,7 +120,7 @@
 // partially.
 func (d *Domain) checkAdopted(now time.Time) {
 	for _, a := range d.attempts {
-		if a.ended || a.placing || len(a.copies) == 0 || !d.formerEpoch(a.copies[0].tasks[0].id) {
+		if a.ended || a.placing || len(a.copies) == 0 || !a.copies[0].adopted {
 			continue
 		}
 		d.settleAdopted(a, now)
@@ -153,6 +154,7 @@
 		}
 	}
 	if reserved == 0 {
+		c.adopted = false
 		d.advance(a)
 		return
 	}
--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -58,6 +58,7 @@
 	tasks   []*task
 	started bool
 	hedge   bool
+	adopted bool // found at the targets, and not yet known to run whole
 }
 
 // task is one task at one target.
--- a/pkg/domain/automatic.go
+++ b/pkg/domain/automatic.go
@@ -165,6 +165,9 @@
 func (d *Domain) movable() []sched.Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.anyLeaving() { // most of the time: spares the tasks
+		return nil
+	}
 	var out []sched.Action
 	seen := map[*attempt]bool{nil: true}
 	for _, t := range d.byTask {
@@ -183,3 +186,12 @@
 	}
 	return out
 }
+
+func (d *Domain) anyLeaving() bool {
+	for _, w := range d.workers {
+		if w.leaving {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/domain/offer.go
+++ b/pkg/domain/offer.go
@@ -17,7 +17,7 @@
 	d.mu.Lock()
 	if d.stopped || d.fenced {
 		d.mu.Unlock()
-		return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
+		return d.errStale()
 	}
 	if a, ok := d.attempts[o.Job]; ok {
 		err := d.reoffer(a, o)
@@ -80,7 +80,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stopped || d.fenced {
-		return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
+		return d.errStale()
 	}
 	a, ok := d.attempts[job]
 	if !ok || a.offer.Attempt != number {
@@ -108,11 +108,15 @@
 }
 
 // Held returns the attempts that belong to the partition, once the workers have
-// told which tasks a former owner left.
-func (d *Domain) Held(ctx context.Context, partition int) []Held {
+// told which tasks a former owner left. An owner that has a newer one refuses
+// with stale_epoch: what it holds may be out of date.
+func (d *Domain) Held(ctx context.Context, partition int) ([]Held, error) {
 	d.awaitAdopted(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.stopped || d.fenced {
+		return nil, d.errStale()
+	}
 	var out []Held
 	for _, a := range d.attempts {
 		if a.offer.Partition == partition {
@@ -120,7 +124,11 @@
 			out = append(out, Held{Offer: a.offer, Report: a.report})
 		}
 	}
-	return out
+	return out, nil
+}
+
+func (d *Domain) errStale() *errkind.Error {
+	return errkind.New(errkind.StaleEpoch, "this VM no longer owns failure domain %s", d.opts.Name)
 }
 
 // adoptTasks takes over tasks that the former owner of the domain placed; the
--- a/pkg/domain/place_test.go
+++ b/pkg/domain/place_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
@@ -277,3 +278,20 @@
 		}
 	})
 }
+
+// A result above the limit must fail the job and not reach the partition.
+func TestResultMax(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		w.resultMax = 1000
+		d := w.start()
+		time.Sleep(time.Second)
+		mustOffer(t, d, offerOf(api.JobSpec{Payload: []byte(`{"size":1000}`)}))
+		time.Sleep(time.Second)
+		r := w.part.outcome(testJob)
+		if r.Outcome != api.OutcomeFailed || r.Kind != string(errkind.TooLarge) || len(r.Result) != 0 {
+			t.Errorf("outcome %q, kind %q, %d bytes", r.Outcome, r.Kind, len(r.Result))
+		}
+	})
+}
--- a/pkg/domain/takeover_test.go
+++ b/pkg/domain/takeover_test.go
@@ -138,6 +138,12 @@
 		if err := old.Offer(t.Context(), late); !errkind.Is(err, errkind.StaleEpoch) {
 			t.Errorf("offer to the former owner: %v, want stale_epoch", err)
 		}
+		if held, err := old.Held(t.Context(), 0); !errkind.Is(err, errkind.StaleEpoch) {
+			t.Errorf("the former owner says that it holds %v, %v", held, err)
+		}
+		if held, err := next.Held(t.Context(), 0); err != nil || len(held) != 1 || held[0].Report.State != api.StateRunning {
+			t.Errorf("the new owner says that it holds %v, %v", held, err)
+		}
 		time.Sleep(30 * time.Second)
 		if r := w.part.outcome(testJob); r.Outcome != "" {
 			t.Fatalf("outcome %q (%s) while the gang runs", r.Outcome, r.Reason)
--- a/pkg/domain/world_test.go
+++ b/pkg/domain/world_test.go
@@ -59,6 +59,7 @@
 	// call, before it is done or after it was.
 	before, after func(worker, method string) error
 	domains       []*Domain
+	resultMax     int64
 }
 
 func newWorld(t fixtureT, workers int) *world {
@@ -88,7 +89,7 @@
 		Name: testName, Epoch: int64(len(w.domains) + 1), Sched: sched.NewDomain(testName, sched.Options{}),
 		Dialer: &w.dialer, Reporter: w.part, Gate: w.gate, Recorder: timeline.Discard{}, Log: logr.Discard(),
 		VMs: w.listVMs, LeavingTargets: w.listLeaving, ReportLeaving: w.reportLeaving,
-		LeaseTTL: testTTL, CallTimeout: time.Second,
+		LeaseTTL: testTTL, CallTimeout: time.Second, ResultMax: w.resultMax,
 	})
 	w.domains = append(w.domains, d)
 	d.Start()
--- a/pkg/router/domain.go
+++ b/pkg/router/domain.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return d.Held(ctx, req.Partition), nil
+	return d.Held(ctx, req.Partition)
 }
 
 // Explain says in one sentence why a queued job waits.
