sched: take own cells whole; drop firm promises when cells move

Cause: the property test found guarantees that could not be met because a gang of the owner had taken pieces of two of its cells, and at-most-once work that was promised a place in what became another's cell. Change: a gang takes one whole cell when one is large enough; borrowed blocks never cut own cells; claims and reservations of at-most-once work are dropped on a repin.

--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -33,10 +34,27 @@
 func (d *Domain) settlePins() {
 	if d.pinsStale {
 		d.pinsStale = false
+		d.dropFirmPromises()
 		d.repin()
 	}
 }
 
+// dropFirmPromises queues work again that cannot be preempted and waits for a
+// promised place, because cells may be pinned there now.
+func (d *Domain) dropFirmPromises() {
+	for _, c := range slices.Clone(d.claims) {
+		if !c.j.preemptible() {
+			d.dropClaim(c)
+			d.enqueue(c.j)
+		}
+	}
+	for _, r := range slices.Clone(d.reservations) {
+		if !r.j.preemptible() {
+			d.dropReservation(r)
+		}
+	}
+}
+
 // pass tries the waiting jobs in order. When nothing became free since the last
 // pass, only queues with a new job are tried.
 func (d *Domain) pass(now time.Time, out *[]Action) {
--- a/pkg/sched/hedge.go
+++ b/pkg/sched/hedge.go
@@ -104,7 +104,7 @@
 	}
 	var mask uint64
 	if j.Accelerators > 0 {
-		if mask = bestBlock(w.avail(accAny), w.capacity, j.Accelerators); mask == 0 {
+		if mask = bestBlock(j.lent(w, accAny), w.capacity, j.Accelerators); mask == 0 {
 			return false
 		}
 	}
--- a/pkg/sched/place.go
+++ b/pkg/sched/place.go
@@ -12,14 +12,16 @@
 	if j.Accelerators == 0 {
 		return d.findSlot(j)
 	}
-	tight, loose := adjacencyLevels(j.Adjacency, j.RelaxAdjacency)
+	_, loose := adjacencyLevels(j.Adjacency, j.RelaxAdjacency)
 	if d.findWorker(j) {
 		return true
 	}
 	if loose == levelWorker {
 		return false
 	}
-	_ = tight
+	if len(j.ws.cells) > 0 && d.findOwnCell(j) {
+		return true
+	}
 	if d.findRack(j) {
 		return true
 	}
@@ -71,7 +73,7 @@
 	}
 	if d.mayBorrow(j) {
 		if w := d.pick(j, accAny, n); w != nil {
-			return j.single(w, bestBlock(w.avail(accAny), w.capacity, n))
+			return j.single(w, bestBlock(j.lent(w, accAny), w.capacity, n))
 		}
 	}
 	return false
@@ -120,7 +122,7 @@
 	}
 	for ; set != 0; set &= set - 1 {
 		for w := x.heads[bits.TrailingZeros64(set)]; w != nil; w = w.next[v] {
-			if !j.avoids(w) && (n == 0 || bits.OnesCount64(w.avail(v)) >= n) {
+			if !j.avoids(w) && (n == 0 || bits.OnesCount64(j.lent(w, v)) >= n && bestBlock(j.lent(w, v), w.capacity, n) != 0) {
 				return w
 			}
 		}
@@ -128,6 +130,20 @@
 	return nil
 }
 
+// lent returns the free accelerators of the worker in the view, without pieces of
+// the job's own cells: those are taken whole or, by single tasks, one at a time.
+func (j *job) lent(w *worker, v view) uint64 {
+	m := w.avail(v)
+	if v == accAny && len(j.ws.parts) > 0 {
+		for _, p := range w.parts {
+			if p.cell.ws == j.ws {
+				m &^= p.mask
+			}
+		}
+	}
+	return m
+}
+
 // fromLevel[l] selects the buckets of workers with a free block of level l or more.
 var fromLevel = func() (m [maxLevel + 1]uint64) {
 	for l := range m {
@@ -157,12 +173,21 @@
 	if j.avoids(w) {
 		return 0
 	}
+	v := accFirm
 	if borrow {
-		return w.avail(accAny)
+		v = accAny
+	}
+	m := w.avail(v)
+	if len(j.ws.parts) == 0 {
+		return m
 	}
-	m := w.avail(accFirm)
+	whole := j.hasCell()
 	for _, p := range w.parts {
-		if p.cell.ws == j.ws {
+		switch {
+		case p.cell.ws != j.ws:
+		case whole:
+			m &^= p.mask
+		case !borrow:
 			m |= p.freeMask()
 		}
 	}
--- a/pkg/sched/reclaim.go
+++ b/pkg/sched/reclaim.go
@@ -185,10 +185,13 @@
 // parts of own cells that cost least.
 func (d *Domain) planGang(now time.Time, j *job) *plan {
 	_, loose := adjacencyLevels(j.Adjacency, j.RelaxAdjacency)
-	switch loose {
-	case levelWorker:
+	if loose == levelWorker {
 		return nil
-	case levelDomain:
+	}
+	if j.hasCell() {
+		return d.planOwnCell(now, j)
+	}
+	if loose == levelDomain {
 		return d.planOver(now, j, d.workers)
 	}
 	var best *plan
