--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -41,6 +41,9 @@
 	LeaseTTL time.Duration
 	// CallTimeout bounds one call to a target other than Sync.
 	CallTimeout time.Duration
+	// ResultMax is the largest result of a job; a larger one fails it. Zero means
+	// no limit.
+	ResultMax int64
 	// OnFenced is called once when a target shows that the failure domain has a
 	// newer owner; nil ignores it.
 	OnFenced func()
@@ -72,8 +75,10 @@
 	round     int // numbers the placements of this epoch
 	drained   map[string]bool
 	proposals map[string]sched.Action
+	requeues  []requeued
 	postponed []sched.Action // refused by the gate; due again at the next tick
 	stopped   bool
+	listed    bool // the VM list has been read
 	fenced    bool // a target knows a newer owner: nothing more is decided or reported
 	started   time.Time
 }
@@ -165,7 +170,7 @@
 			return
 		case <-tick.C:
 			d.refreshWorkers()
-			d.checkLost(time.Now())
+			d.tick(time.Now())
 			d.moveFromLeaving()
 			d.retryPostponed()
 		case <-d.wake:
@@ -174,6 +179,21 @@
 	}
 }
 
+// tick does what is due by time.
+func (d *Domain) tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fenced {
+		return // the new owner decides
+	}
+	d.checkLost(now)
+	d.checkPreemptions(now)
+	d.checkAdopted(now)
+	d.checkPending()
+	d.wakeRested(now)
+	d.enqueueDue(now)
+}
+
 // decide carries out one round of decisions.
 func (d *Domain) decide() {
 	if d.isStopped() {
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/api"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target"
 	"github.com/carawayusher/carawayusher/pkg/timeline"
@@ -23,6 +25,10 @@
 			st.Accelerators = t.status.Accelerators
 		}
 		t.status = st
+		if !t.reserved { // the answer to its reservation was lost
+			t.reserved = true
+			t.copy.places[t.index].Incarnation = w.incarnation
+		}
 		a := d.attempts[t.job]
 		if a == nil {
 			continue
@@ -104,16 +110,21 @@
 }
 
 func (d *Domain) succeed(a *attempt, winner *placedCopy) {
-	for _, c := range a.copies {
-		if c != winner {
-			d.stopTasks(c)
-		}
+	result := winner.result()
+	if d.tooLarge(result) {
+		a.report.Kind = string(errkind.TooLarge)
+		d.finishAttempt(a, api.OutcomeFailed, sched.EndSucceeded, "", fmt.Sprintf("the result has %d bytes, more than %d", len(result), d.opts.ResultMax))
+		return
 	}
-	a.report.Result = winner.result()
+	a.report.Result = result
 	a.report.Allocations = slices.Clone(winner.places)
 	d.finishAttempt(a, api.OutcomeSucceeded, sched.EndSucceeded, "", "")
 }
 
+func (d *Domain) tooLarge(result []byte) bool {
+	return d.opts.ResultMax > 0 && int64(len(result)) > d.opts.ResultMax
+}
+
 // endBroken decides the outcome of a copy whose tasks are all over.
 func (d *Domain) endBroken(a *attempt, c *placedCopy) {
 	ran, lost, failed := false, false, (*task)(nil)
@@ -132,7 +143,9 @@
 	case !ran && !lost:
 		d.finishAttempt(a, api.OutcomeNotRun, sched.EndPlaceFailed, d.firstWorker(c), "the task was not started")
 	case failed != nil:
-		a.report.Result = failed.status.Result
+		if !d.tooLarge(failed.status.Result) {
+			a.report.Result = failed.status.Result
+		}
 		d.finishAttempt(a, api.OutcomeFailed, sched.EndFailed, failed.worker.id, failed.status.Error)
 	case lost:
 		reason := a.report.Reason
@@ -163,7 +176,16 @@
 	if a.ended {
 		return
 	}
+	if o == api.OutcomeNotRun || o == api.OutcomeRefused {
+		if d.withholds(a, pendingEnd{o, why, blame, reason}) {
+			return
+		}
+		if !d.provesNotRun(a) {
+			o, reason = api.OutcomeStopped, reason+"; a worker cannot be asked whether it ran"
+		}
+	}
 	a.ended = true
+	d.stopCopies(a) // what the outcome does not need
 	r := a.newReport(d.opts.Name, d.opts.Epoch)
 	r.State, r.Outcome, r.Reason = "", o, reason
 	r.Result, r.Checkpoint, r.Attained, r.Kind = a.report.Result, a.report.Checkpoint, a.report.Attained, a.report.Kind
