daemon: renew the task leases of a dead domain owner during a store outage

When the owner of a failure domain died during a store outage, nobody renewed the leases and the workers stopped what ran after 15 s; at-most-once work ended as unknown. Excluded: the new owner's adoption, which works after an outage of 5 s. Change: while the store is down, the member in turn renews the leases of a domain that no alive member serves, every third of the task lease, without an epoch. Before: test/cluster TestKillOwnerDuringLongStoreOutage: outcome_unknown. After: succeeded, each task started once.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -116,6 +116,7 @@
 	d.run(func() { logEnd(p.log, "ownership", p.owners.Run(ctx)) })
 	d.run(func() { p.collect.Run(ctx) })
 	d.run(func() { p.samples.Run(ctx) })
+	d.run(func() { newCaretaker(p).Run(ctx) })
 	p.members.SetReady(true)
 	p.log.Info("started", "vm", p.self.ID, "failureDomain", p.self.FailureDomain,
 		"address", d.Address(), "peerAddress", p.self.Address)
