--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -65,11 +65,22 @@
 	withdrawn []api.JobID
 	err       error
 	held      []domain.Held
+	silent    string // failure domain without an owner
 }
 
-func (f *fakeDomains) Offer(_ context.Context, _ string, o domain.Offer) error {
+// without sets the failure domain that has no owner.
+func (f *fakeDomains) without(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.silent = name
+}
+
+func (f *fakeDomains) Offer(_ context.Context, name string, o domain.Offer) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.silent {
+		return errkind.New(errkind.Unavailable, "no owner")
+	}
 	if f.err != nil {
 		return f.err
 	}
@@ -84,7 +95,14 @@
 	return nil
 }
 
-func (f *fakeDomains) Held(context.Context, string, int) ([]domain.Held, error) { return f.held, nil }
+func (f *fakeDomains) Held(_ context.Context, name string, _ int) ([]domain.Held, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.silent {
+		return nil, errkind.New(errkind.Unavailable, "no owner")
+	}
+	return f.held, nil
+}
 
 func (f *fakeDomains) Explain(context.Context, string, api.JobID) (string, error) { return "", nil }
 
@@ -128,10 +146,11 @@
 	gate    *fakeGate
 	storeUp atomic.Bool
 	epoch   atomic.Int64 // of the domain's owner
+	names   []string     // failure domains, all alike
 }
 
 func newFixture() *fixture {
-	f := &fixture{log: &fakeLog{}, domains: &fakeDomains{}, gate: &fakeGate{}}
+	f := &fixture{log: &fakeLog{}, domains: &fakeDomains{}, gate: &fakeGate{}, names: []string{testDomain}}
 	f.storeUp.Store(true)
 	f.epoch.Store(7)
 	return f
@@ -142,9 +161,7 @@
 	p := New(Options{
 		Number: 3, Epoch: epoch, OpenJournal: f.log.open(epoch),
 		StoreReachable: f.storeUp.Load, Domains: f.domains,
-		Summaries: func() []sched.Summary {
-			return []sched.Summary{{Domain: testDomain, Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8, FreeSlots: 64}}
-		},
+		Summaries:   f.summaries,
 		DomainEpoch: func(string) (int64, bool) { return f.epoch.Load(), true },
 		Config:      noConfig{}, Gate: f.gate, Retries: NewBudgetedRetries(),
 		Recorder: timeline.Discard{}, Log: logr.Discard(), Retention: time.Hour,
@@ -154,6 +171,14 @@
 	return p
 }
 
+func (f *fixture) summaries() []sched.Summary {
+	var out []sched.Summary
+	for _, name := range f.names {
+		out = append(out, sched.Summary{Domain: name, Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8, FreeSlots: 64})
+	}
+	return out
+}
+
 func submit(t *testing.T, p *Partition, spec api.JobSpec, key string) api.JobStatus {
 	t.Helper()
 	spec.Workspace = "postbud"
