--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -14,7 +14,10 @@
 func (d *Domain) DecideInto(now time.Time, out []Action) []Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.wake = time.Time{}
+	if !d.wake.IsZero() && !now.Before(d.wake) {
+		// What waited for this time stands in any of the queues.
+		d.wake, d.freed = time.Time{}, true
+	}
 	d.settlePins()
 	d.cool(now)
 	d.settleClaims(now, &out)
@@ -39,9 +42,6 @@
 func (d *Domain) pass(now time.Time, out *[]Action) {
 	all := d.freed
 	d.freed = false
-	if all {
-		d.firmWanted = false
-	}
 	for _, g := range d.order(now) {
 		if !all && !g.dirty {
 			continue
@@ -51,7 +51,6 @@
 			continue
 		}
 		if len(g.jobs) > 0 {
-			d.firmWanted = d.firmWanted || g.amo
 			d.reserve(now, g.jobs[0])
 		}
 	}
