--- a/pkg/sched/hedge.go
+++ b/pkg/sched/hedge.go
@@ -98,8 +98,10 @@
 	if j.Accelerators == 0 {
 		v = slotAny
 	}
+	j.besides = j.spots[0].w
 	w := d.pick(j, v, j.Accelerators)
-	if w == nil || w == j.spots[0].w {
+	j.besides = nil
+	if w == nil {
 		return false
 	}
 	var mask uint64
--- a/pkg/sched/job.go
+++ b/pkg/sched/job.go
@@ -55,6 +55,7 @@
 	reservation *reservation
 	backfillOf  api.JobID // the gang on whose reservation it runs
 	hedged      bool      // has a second copy
+	besides     *worker   // runs the first copy; the second goes elsewhere
 	seq         uint64
 }
 
--- a/pkg/sched/place.go
+++ b/pkg/sched/place.go
@@ -155,7 +155,7 @@
 }()
 
 func (j *job) avoids(w *worker) bool {
-	return len(j.AvoidWorkers) > 0 && slices.Contains(j.AvoidWorkers, w.ID)
+	return w == j.besides || len(j.AvoidWorkers) > 0 && slices.Contains(j.AvoidWorkers, w.ID)
 }
 
 // single places the job as one task.
@@ -259,6 +259,7 @@
 func (s *spot) settle(ws *workspace) {
 	w := s.w
 	inCell := s.mask&w.pinned != 0
+	s.part = nil
 	switch p := w.ownPart(ws, s.mask); {
 	case p != nil && (inCell || w.slotsFirm >= w.Slots-w.slotsPinned):
 		s.kind, s.part = slotOfCell, p
