partition: refuse a job as impossible only when every failure domain has said so

Cause: the summary of a failure domain goes with its dead owner. Excluded: the scheduler's own check, which was right for the domain asked. Change: the daemon adds an empty summary for each listed domain that has told none; the partition waits for such a domain, the ingress passes the job on. Result: go test -race ./test/cluster passes; TestImpossibleNeedsAllDomains fails without the change.

--- a/internal/cluster/audit.go
+++ b/internal/cluster/audit.go
@@ -34,7 +34,7 @@
 		if c.Job.AtMostOnce {
 			submitted[c.Job.Class]++
 		}
-		if out == Lost || out == Wrong {
+		if out != Complete {
 			a.fault(c, string(out))
 		}
 		a.checkStarts(c, out, starts.ByJob[c.Status.ID])
--- a/pkg/daemon/host.go
+++ b/pkg/daemon/host.go
@@ -76,7 +76,7 @@
 	p := partition.New(partition.Options{
 		Number: n, Epoch: epoch, OpenJournal: h.opener(n, epoch),
 		StoreReachable: func() bool { return !h.d.budget.Down() },
-		Domains:        h.d.router, Summaries: h.d.members.Summaries, DomainNames: h.d.vms.domains,
+		Domains:        h.d.router, Summaries: h.d.view.Summaries, DomainNames: h.d.vms.domains,
 		DomainEpoch: h.domainEpoch, Config: h.d.config, Gate: h.d.gate, Retries: h.d.retries,
 		Recorder: h.d.events, Log: h.d.log.WithName("partition"), Retention: h.d.settings.Jobs.ResultRetention,
 		ResultMax: h.d.settings.Jobs.ResultMax,
--- a/pkg/daemon/parts.go
+++ b/pkg/daemon/parts.go
@@ -56,6 +56,7 @@
 	collect *timeline.Collector
 	node    *peer.Node
 	members *membership.Membership
+	view    domainView
 	watch   *controlwatch.Watch
 	config  *configsync.Sync
 	gate    *gate.Gate
@@ -190,6 +191,7 @@
 		HeartbeatInterval: d.settings.Cluster.HeartbeatInterval, ListInterval: d.settings.Platform.VMListInterval,
 		Fanout: d.settings.Cluster.Fanout, Log: d.log.WithName("membership"), Recorder: d.events,
 	})
+	d.view = domainView{View: d.members, list: d.vms}
 	d.collect = &timeline.Collector{Buffer: d.events, Caller: d.node, Peers: d.otherVMs}
 	d.node.Handle(timeline.MethodSince, d.events.HandleSince)
 	return nil
@@ -251,7 +253,7 @@
 func (d *parts) buildInterfaces() {
 	list := workers{d}
 	d.ingress = ingress.New(ingress.Options{
-		Service: d.router, Workers: list, Config: d.config, Members: d.members, Owners: d.owners,
+		Service: d.router, Workers: list, Config: d.config, Members: d.view, Owners: d.owners,
 		Partitions: d.settings.Cluster.Partitions, Recorder: d.events, Log: d.log.WithName("ingress"),
 		Registerer: d.registry,
 		Limits:     ingress.Limits{MaxBody: d.settings.Jobs.MaxBody, MaxWait: d.settings.Jobs.MaxWait},
--- a/pkg/daemon/vmlist.go
+++ b/pkg/daemon/vmlist.go
@@ -5,7 +5,9 @@
 	"slices"
 	"sync"
 
+	"github.com/carawayusher/carawayusher/pkg/membership"
 	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/sched"
 )
 
 // vmCache passes on the platform's VM list and keeps the newest answer, so that
@@ -62,3 +64,23 @@
 	}
 	return own, all
 }
+
+// domainView is the membership with a summary for every listed failure domain.
+// The summary of a domain goes with its dead owner; without a placeholder, a
+// job that only this domain can hold would be refused as impossible for good.
+type domainView struct {
+	membership.View
+	list *vmCache
+}
+
+// Summaries returns the members' summaries, and one without workers for each
+// listed failure domain of which no member has told one.
+func (v domainView) Summaries() []sched.Summary {
+	known := v.View.Summaries()
+	for _, name := range v.list.domains() {
+		if !slices.ContainsFunc(known, func(s sched.Summary) bool { return s.Domain == name }) {
+			known = append(known, sched.Summary{Domain: name})
+		}
+	}
+	return known
+}
--- a/pkg/partition/choose.go
+++ b/pkg/partition/choose.go
@@ -16,7 +16,7 @@
 	all := p.opts.Summaries()
 	fit := candidates(all, j)
 	if len(fit) == 0 {
-		if len(all) == 0 || len(j.refusedBy) == 0 && !allKnown(all) {
+		if len(all) == 0 || !allKnown(all, j) {
 			return "", nil
 		}
 		return "", impossibleReason(j, all)
@@ -66,11 +66,12 @@
 	}
 }
 
-// allKnown reports whether the summaries describe domains that have workers; a
-// domain that has just changed its owner may not have seen them yet.
-func allKnown(all []sched.Summary) bool {
+// allKnown reports whether every failure domain has either refused the job or
+// told its equipment. A domain without an owner has not, and one that has just
+// changed its owner may not have seen its workers yet.
+func allKnown(all []sched.Summary, j *job) bool {
 	for _, s := range all {
-		if s.Workers == 0 {
+		if _, refused := j.refusedBy[s.Domain]; !refused && s.Workers == 0 {
 			return false
 		}
 	}
--- a/pkg/partition/partition.go
+++ b/pkg/partition/partition.go
@@ -62,7 +62,8 @@
 	// StoreReachable says whether new durable work may be accepted.
 	StoreReachable func() bool
 	Domains        domain.Service
-	// Summaries returns the newest summary of each failure domain.
+	// Summaries returns the newest summary of each failure domain; a listed domain
+	// that has told none has one without workers.
 	Summaries func() []sched.Summary
 	// DomainNames returns the failure domains that the platform lists; nil leaves
 	// it to Summaries.
--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -435,3 +435,35 @@
 		}
 	})
 }
+
+// Guards against a job that is refused for good as impossible while a failure
+// domain that might hold it has no owner.
+func TestImpossibleNeedsAllDomains(t *testing.T) {
+	refused := map[string]*errkind.Error{"r1/a": errkind.New(errkind.Impossible, "all cells are guaranteed to others")}
+	big := sched.Summary{Domain: "r1/a", Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8}
+	cases := map[string]struct {
+		summaries []sched.Summary
+		want      errkind.Kind
+	}{
+		"the other domain has no owner": {[]sched.Summary{big, {Domain: "r1/b"}}, ""},
+		"the other domain is too small": {[]sched.Summary{big, {Domain: "r1/b", Workers: 1, Accelerators: 4, LargestRack: 4, LargestWorker: 4}}, errkind.Impossible},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := New(Options{Summaries: func() []sched.Summary { return tc.summaries }})
+			j := newJob("j3-a", api.JobSpec{Accelerators: 8, Adjacency: api.AdjacencyWorker}, time.Now())
+			j.refusedBy = refused
+			chosen, err := p.choose(j)
+			if chosen != "" || errkind.Of(toError(err)) != tc.want {
+				t.Errorf("choose = %q, %v", chosen, err)
+			}
+		})
+	}
+}
+
+func toError(e *errkind.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
--- a/pkg/partition/recover_test.go
+++ b/pkg/partition/recover_test.go
@@ -36,7 +36,7 @@
 				if got, err := p.Cancel(t.Context(), "postbud", st.ID); err != nil || got.State.Terminal() {
 					t.Errorf("cancelled while its domain is silent: %+v, %v", got, err)
 				}
-				report := domain.Report{Job: st.ID, Attempt: 4, Domain: testDomain, State: api.StateRunning}
+				report := domain.Report{Job: st.ID, Attempt: 4, Domain: testDomain, State: api.StateRunning, Epoch: 7}
 				if err := settle(t.Context(), f, p, domain.Held{Offer: offered, Report: report}); err != nil {
 					t.Errorf("report of the next owner: %v", err)
 				}
