--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -65,11 +65,22 @@
 	withdrawn []api.JobID
 	err       error
 	held      []domain.Held
+	silent    string // failure domain without an owner
 }
 
-func (f *fakeDomains) Offer(_ context.Context, _ string, o domain.Offer) error {
+// without sets the failure domain that has no owner.
+func (f *fakeDomains) without(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.silent = name
+}
+
+func (f *fakeDomains) Offer(_ context.Context, name string, o domain.Offer) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.silent {
+		return errkind.New(errkind.Unavailable, "no owner")
+	}
 	if f.err != nil {
 		return f.err
 	}
@@ -84,7 +95,14 @@
 	return nil
 }
 
-func (f *fakeDomains) Held(context.Context, string, int) ([]domain.Held, error) { return f.held, nil }
+func (f *fakeDomains) Held(_ context.Context, name string, _ int) ([]domain.Held, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.silent {
+		return nil, errkind.New(errkind.Unavailable, "no owner")
+	}
+	return f.held, nil
+}
 
 func (f *fakeDomains) Explain(context.Context, string, api.JobID) (string, error) { return "", nil }
 
@@ -128,10 +146,11 @@
 	gate    *fakeGate
 	storeUp atomic.Bool
 	epoch   atomic.Int64 // of the domain's owner
+	names   []string     // failure domains, all alike
 }
 
 func newFixture() *fixture {
-	f := &fixture{log: &fakeLog{}, domains: &fakeDomains{}, gate: &fakeGate{}}
+	f := &fixture{log: &fakeLog{}, domains: &fakeDomains{}, gate: &fakeGate{}, names: []string{testDomain}}
 	f.storeUp.Store(true)
 	f.epoch.Store(7)
 	return f
@@ -147,9 +166,7 @@
 	opts := Options{
 		Number: 3, Epoch: epoch, OpenJournal: f.log.open(epoch),
 		StoreReachable: f.storeUp.Load, Domains: f.domains,
-		Summaries: func() []sched.Summary {
-			return []sched.Summary{{Domain: testDomain, Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8, FreeSlots: 64}}
-		},
+		Summaries:   f.summaries,
 		DomainEpoch: func(string) (int64, bool) { return f.epoch.Load(), true },
 		Config:      noConfig{}, Gate: f.gate, Retries: NewBudgetedRetries(),
 		Recorder: timeline.Discard{}, Log: logr.Discard(), Retention: time.Hour,
@@ -161,6 +178,14 @@
 	return p
 }
 
+func (f *fixture) summaries() []sched.Summary {
+	var out []sched.Summary
+	for _, name := range f.names {
+		out = append(out, sched.Summary{Domain: name, Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8, FreeSlots: 64})
+	}
+	return out
+}
+
 func submit(t *testing.T, p *Partition, spec api.JobSpec, key string) api.JobStatus {
 	t.Helper()
 	spec.Workspace = "postbud"
@@ -410,3 +435,35 @@
 		}
 	})
 }
+
+// Guards against a job that is refused for good as impossible while a failure
+// domain that might hold it has no owner.
+func TestImpossibleNeedsAllDomains(t *testing.T) {
+	refused := map[string]*errkind.Error{"r1/a": errkind.New(errkind.Impossible, "all cells are guaranteed to others")}
+	big := sched.Summary{Domain: "r1/a", Workers: 8, Accelerators: 64, LargestRack: 64, LargestWorker: 8}
+	cases := map[string]struct {
+		summaries []sched.Summary
+		want      errkind.Kind
+	}{
+		"the other domain has no owner": {[]sched.Summary{big, {Domain: "r1/b"}}, ""},
+		"the other domain is too small": {[]sched.Summary{big, {Domain: "r1/b", Workers: 1, Accelerators: 4, LargestRack: 4, LargestWorker: 4}}, errkind.Impossible},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := New(Options{Summaries: func() []sched.Summary { return tc.summaries }})
+			j := newJob("j3-a", api.JobSpec{Accelerators: 8, Adjacency: api.AdjacencyWorker}, time.Now())
+			j.refusedBy = refused
+			chosen, err := p.choose(j)
+			if chosen != "" || errkind.Of(toError(err)) != tc.want {
+				t.Errorf("choose = %q, %v", chosen, err)
+			}
+		})
+	}
+}
+
+func toError(e *errkind.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
--- a/pkg/sched/hedge.go
+++ b/pkg/sched/hedge.go
@@ -98,13 +98,15 @@
 	if j.Accelerators == 0 {
 		v = slotAny
 	}
+	j.besides = j.spots[0].w
 	w := d.pick(j, v, j.Accelerators)
-	if w == nil || w == j.spots[0].w {
+	j.besides = nil
+	if w == nil {
 		return false
 	}
 	var mask uint64
 	if j.Accelerators > 0 {
-		if mask = bestBlock(w.avail(accAny), w.capacity, j.Accelerators); mask == 0 {
+		if mask = bestBlock(j.lent(w, accAny), w.capacity, j.Accelerators); mask == 0 {
 			return false
 		}
 	}
