domain: test hedged copies

Cause: the scheduler hedges stragglers now; the domain's side had no test. Change: five cases and an action of the property test; an attempt that is being preempted is not hedged.

--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -393,7 +393,7 @@
 func (d *Domain) hedge(act sched.Action) {
 	d.mu.Lock()
 	a, ok := d.attempts[act.Job]
-	if !ok || a.ended || a.placing || a.withdrawn != "" || len(a.copies) != 1 || a.offer.Spec.AtMostOnce {
+	if !ok || a.ended || a.placing || a.withdrawn != "" || a.preempt != nil || len(a.copies) != 1 || a.offer.Spec.AtMostOnce {
 		d.mu.Unlock()
 		return
 	}
--- a/pkg/domain/place_test.go
+++ b/pkg/domain/place_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target/memory"
 )
 
@@ -295,3 +296,39 @@
 		}
 	})
 }
+
+// The first copy that succeeds answers; the other ends, and a hedge that cannot
+// be placed changes nothing.
+func TestHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault  func(w *world)
+		want   api.Outcome
+		starts int
+	}{
+		"both run":                  {nil, api.OutcomeSucceeded, 2},
+		"hedge is refused":          {before(once("w1", "reserve", 1, refuse(errkind.CapacityExceeded))), api.OutcomeSucceeded, 1},
+		"first copy is lost":        {func(w *world) { time.AfterFunc(time.Second, func() { w.workers[0].Restart() }) }, api.OutcomeSucceeded, 2},
+		"first ends while it waits": {after(once("w1", "reserve", 1, func() error { time.Sleep(10 * time.Second); return nil })), api.OutcomeSucceeded, 2},
+		"both are lost": {func(w *world) {
+			time.AfterFunc(time.Second, func() { w.workers[0].Restart(); w.workers[1].Restart() })
+		}, api.OutcomeLost, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world, d *Domain) {
+				w.workers[1].SetLeaving(true) // so that the first copy goes to w0
+				time.Sleep(time.Second)
+				mustOffer(t, d, offerOf(api.JobSpec{Payload: running("5s")}))
+				time.Sleep(time.Second)
+				w.workers[1].SetLeaving(false)
+				if c.fault != nil {
+					c.fault(w)
+				}
+				d.carryOut(sched.Action{Type: sched.ActionHedge, Job: testJob, Attempt: 1, Placements: []sched.Placement{{Worker: "w1"}}})
+				time.Sleep(20 * time.Second)
+				if r := w.part.outcome(testJob); r.Outcome != c.want || len(w.starts(testJob)) != c.starts || w.live() != 0 {
+					t.Errorf("outcome %q (%s), %d starts, %d tasks left", r.Outcome, r.Reason, len(w.starts(testJob)), w.live())
+				}
+			})
+		})
+	}
+}
--- a/pkg/domain/property_test.go
+++ b/pkg/domain/property_test.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// Hedge starts a second copy of a job that needs a slot only.
+func (m *machine) Hedge(t *rapid.T) {
+	if len(m.offers) > 0 {
+		o := pick(t, m.offers, "offer")
+		if o.Spec.Accelerators == 0 {
+			worker := pick(t, m.w.workers, "worker").ID()
+			m.owner.carryOut(sched.Action{Type: sched.ActionHedge, Job: o.Job, Attempt: o.Attempt, Placements: []sched.Placement{{Worker: worker}}})
+		}
+	}
+}
+
 // Takeover starts a successor. The former owner has died, or runs on.
 func (m *machine) Takeover(t *rapid.T) {
 	if len(m.w.domains) > 8 {
@@ -369,7 +380,7 @@
 			m := newMachine(t)
 			defer m.w.stop()
 			t.Repeat(map[string]func(*rapid.T){
-				"": m.Check, "submit": m.Submit, "submit2": m.Submit, "retry": m.Retry, "withdraw": m.Withdraw, "preempt": m.Preempt,
+				"": m.Check, "submit": m.Submit, "submit2": m.Submit, "retry": m.Retry, "withdraw": m.Withdraw, "preempt": m.Preempt, "hedge": m.Hedge,
 				"takeover": m.Takeover, "worker fault": m.WorkerFault, "call fault": m.CallFault,
 				"partition fault": m.PartitionFault, "wait": m.Wait, "wait2": m.Wait,
 			})
