domain: remember that a dropped copy of a hedged attempt ran

Cause: when the first copy had been stopped and dropped and the hedge turned out never to have started, the attempt was reported as not run. Change: the attempt remembers that a forgotten copy ran.

--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -30,6 +30,7 @@
 	ended     bool                        // report carries the outcome
 	orphan    bool                        // adopted from targets; no offer has come yet
 	refusals  *backoff.ExponentialBackOff // pauses between refused placements
+	ran       bool                        // a copy that is forgotten by now was started
 	pending   *pendingEnd
 	offeredAt time.Time // zero while it is only adopted
 	resolving bool      // a journaled claim is being resolved; it may have run
--- a/pkg/domain/place_test.go
+++ b/pkg/domain/place_test.go
@@ -309,6 +309,11 @@
 		"hedge is refused":          {before(once("w1", "reserve", 1, refuse(errkind.CapacityExceeded))), api.OutcomeSucceeded, 1},
 		"first copy is lost":        {func(w *world) { time.AfterFunc(time.Second, func() { w.workers[0].Restart() }) }, api.OutcomeSucceeded, 2},
 		"first ends while it waits": {after(once("w1", "reserve", 1, func() error { time.Sleep(10 * time.Second); return nil })), api.OutcomeSucceeded, 2},
+		"stopped while it is unclear": {func(w *world) {
+			w.workers[1].SetFaults(memory.Faults{RefuseConnections: true})
+			time.AfterFunc(time.Second, func() { withdraw(w, w.domains[0]) })
+			time.AfterFunc(3*time.Second, func() { w.workers[1].SetFaults(memory.Faults{}) })
+		}, api.OutcomeStopped, 1},
 		"both are lost": {func(w *world) {
 			time.AfterFunc(time.Second, func() { w.workers[0].Restart(); w.workers[1].Restart() })
 		}, api.OutcomeLost, 2},
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -76,6 +76,16 @@
 	return len(c.tasks) > 0
 }
 
+// ran reports whether a task of the copy was started, or may have been.
+func (c *placedCopy) ran() bool {
+	for _, t := range c.tasks {
+		if t.status.Started || t.lost && c.started {
+			return true
+		}
+	}
+	return false
+}
+
 // broken reports whether a task of the copy ended without success.
 func (c *placedCopy) broken() bool {
 	for _, t := range c.tasks {
@@ -102,6 +112,7 @@
 	}
 	for i, c := range a.copies {
 		if c.broken() && c.allOver() {
+			a.ran = a.ran || c.ran()
 			d.forgetCopy(c)
 			a.copies = append(a.copies[:i:i], a.copies[i+1:]...)
 			return
@@ -127,9 +138,8 @@
 
 // endBroken decides the outcome of a copy whose tasks are all over.
 func (d *Domain) endBroken(a *attempt, c *placedCopy) {
-	ran, lost, failed := false, false, (*task)(nil)
+	ran, lost, failed := a.ran || c.ran(), false, (*task)(nil)
 	for _, t := range c.tasks {
-		ran = ran || t.status.Started || t.lost && c.started
 		lost = lost || t.lost || t.status.State == target.TaskLapsed
 		if t.status.State == target.TaskFailed && failed == nil {
 			failed = t
