daemon, domain: divide the VM list once per poll; look at it twice a second

Cause: every tick of 100 ms went over the whole VM list, which has 13,000 rows at the design size, and idle partitions asked for all summaries ten times a second.

--- a/pkg/daemon/host.go
+++ b/pkg/daemon/host.go
@@ -8,6 +8,7 @@
 	"github.com/carawayusher/carawayusher/pkg/journal"
 	"github.com/carawayusher/carawayusher/pkg/ownership"
 	"github.com/carawayusher/carawayusher/pkg/partition"
+	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/policy"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 )
@@ -112,7 +113,7 @@
 	d := domain.New(domain.Options{
 		Name: name, Epoch: epoch, Sched: sched.NewDomain(name, sched.Options{}),
 		Dialer: h.d.dialer, Reporter: h.d.router, Gate: h.d.gate, Recorder: h.d.events,
-		Log: h.d.log.WithName("domain"), VMs: h.d.vms.last,
+		Log: h.d.log.WithName("domain"), VMs: func() []platform.VM { return h.d.vms.targets(name) },
 		LeavingTargets: h.d.members.LeavingTargets, ReportLeaving: h.d.members.ReportLeaving,
 		LeaseTTL: h.d.settings.Targets.LeaseTTL, CallTimeout: h.d.settings.Targets.StartTimeout,
 		ResultMax: h.d.settings.Jobs.ResultMax, Metrics: h.domainMetrics,
--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -57,6 +57,11 @@
 func (o Options) syncWait() time.Duration  { return o.LeaseTTL / 3 }
 func (o Options) lostAfter() time.Duration { return o.LeaseTTL + o.LeaseTTL/10 }
 
+// refreshInterval is how often the VM list and the members' reports of leaving
+// targets are looked at. With the list's own poll of 1 s it leaves half of the
+// 3 s within which a leaving target must get no new work.
+const refreshInterval = 500 * time.Millisecond
+
 // tickInterval bounds how late a time-driven decision and a change of the VM
 // list are noticed.
 const tickInterval = 100 * time.Millisecond
@@ -169,13 +174,17 @@
 func (d *Domain) loop() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	var refreshed time.Time
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
-		case <-tick.C:
-			d.refreshWorkers()
-			d.tick(time.Now())
+		case now := <-tick.C:
+			if now.Sub(refreshed) >= refreshInterval {
+				d.refreshWorkers()
+				refreshed = now
+			}
+			d.tick(now)
 			d.moveFromLeaving()
 			d.retryPostponed()
 		case <-d.wake:
--- a/pkg/partition/sweep.go
+++ b/pkg/partition/sweep.go
@@ -27,6 +27,15 @@
 }
 
 func (p *Partition) sweep(now time.Time) {
+	p.mu.Lock()
+	idle := len(p.active) == 0
+	if idle {
+		p.dropExpired(now)
+	}
+	p.mu.Unlock()
+	if idle {
+		return
+	}
 	summaries := map[string]sched.Summary{}
 	for _, s := range p.opts.Summaries() {
 		summaries[s.Domain] = s
