--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN           := bin
 export PATH   := $(shell $(GO) env GOPATH)/bin:$(PATH)
 
-.PHONY: all build run test unit lint fmt fmt-check tools measure bench bench-cluster clean
+.PHONY: all build run test unit lint fmt fmt-check tools measure bench bench-cluster bench-capacity clean
 
 all: build
 
@@ -56,3 +56,7 @@
 ## bench-cluster: measure 9 VMs and 50 workers as real processes (SEED=n, SHORT=1 for less than a minute).
 bench-cluster:
 	@$(GO) run ./cmd/benchcluster -seed $(SEED) $(if $(SHORT),-short)
+
+## bench-capacity: sizes behind docs/CAPACITY.md (see also scripts/slopes.sh).
+bench-capacity:
+	@$(GO) test -run '^$$' -bench Capacity -benchtime 1x ./pkg/... 2>&1 | grep '^Benchmark'
--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -296,7 +296,7 @@
 		}
 		third := f.start(t, 3)
 		time.Sleep(time.Second)
-		if got := get(t, third, st.ID); got.State != api.StateSucceeded || string(got.Result) != "1" {
+		if got := get(t, third, st.ID); got.State != api.StateSucceeded || string(got.Result) != "1" || got.Spec.Class != api.ClassLong {
 			t.Errorf("after second takeover: %+v", got)
 		}
 	})
--- a/pkg/partition/records.go
+++ b/pkg/partition/records.go
@@ -78,11 +78,19 @@
 		out = append(out, record{Type: recordCancelRequested, Job: j.status.ID})
 	}
 	if j.end != nil {
-		out = append(out, record{Type: recordEnded, Job: j.status.ID, Status: j.end})
+		out = append(out, endRecord(j))
 	}
 	return out
 }
 
+// endRecord leaves the specification out: it stands in the record of the
+// acceptance, and its payload may be larger than the result.
+func endRecord(j *job) record {
+	end := *j.end
+	end.Spec = api.JobSpec{}
+	return record{Type: recordEnded, Job: j.status.ID, Status: &end}
+}
+
 // apply replays one journal record on the state of a recovering partition.
 func (p *Partition) apply(r record) {
 	if r.Type == recordAccepted {
@@ -104,8 +112,11 @@
 	case recordCancelRequested:
 		j.cancelRequested = true
 	case recordEnded:
+		spec := j.status.Spec
 		j.status = *r.Status
-		j.end = r.Status
+		j.status.Spec = spec
+		end := j.status
+		j.end = &end
 		j.finish()
 	case recordAccepted: // handled above
 	}
--- a/pkg/partition/report.go
+++ b/pkg/partition/report.go
@@ -322,7 +322,7 @@
 		return
 	}
 	j.endPending = true
-	rec := record{Type: recordEnded, Job: j.status.ID, Status: j.end}
+	rec := endRecord(j)
 	grace := time.AfterFunc(endGrace, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
