--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -239,7 +239,9 @@
 	for name := range doc.Drained {
 		d.drained[name] = true
 	}
-	if _, held := doc.Held("", now); !held {
+	// A proposal of a workspace that is no longer held is refused by the scheduler
+	// when it is confirmed; all go when no hold is left.
+	if !anyHeld(doc, now) {
 		clear(d.proposals)
 	}
 	d.mu.Unlock()
@@ -248,6 +250,15 @@
 	d.notify()
 }
 
+func anyHeld(doc *policy.Document, now time.Time) bool {
+	for workspace := range doc.Holds {
+		if _, held := doc.Held(workspace, now); held {
+			return true
+		}
+	}
+	return false
+}
+
 // Preview says what doc would change in this domain.
 func (d *Domain) Preview(doc *policy.Document) sched.Preview {
 	return d.opts.Sched.Preview(time.Now(), doc)
