domain: refuse a late offer of an attempt whose outcome was taken

Cause: an offer that is repeated, for example because its answer was lost, could arrive after the attempt had ended and was forgotten; the domain ran it anew. The new test shows it. Change: ended attempts are remembered for 5 s, longer than a partition waits for the answer to an offer; such an offer is refused as conflict. Claimed attempts are still resolved as often as they are offered.

--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -83,6 +83,7 @@
 	drained   map[string]bool
 	proposals map[string]sched.Action
 	requeues  []requeued
+	forgotten forgotten
 	postponed []sched.Action // refused by the gate; due again at the next tick
 	stopped   bool
 	listed    bool // the VM list has been read
@@ -206,6 +207,7 @@
 	d.checkPending()
 	d.wakeRested(now)
 	d.enqueueDue(now)
+	d.forgotten.prune(now)
 }
 
 // decide carries out one round of decisions.
--- a/pkg/domain/offer.go
+++ b/pkg/domain/offer.go
@@ -24,6 +24,11 @@
 		d.mu.Unlock()
 		return err
 	}
+	// A claimed attempt is not started anew but resolved, as often as it is asked for.
+	if len(o.Claimed) == 0 && d.forgotten.covers(o.Job, o.Attempt) {
+		d.mu.Unlock()
+		return errkind.New(errkind.Conflict, "attempt %d of job %s has ended", o.Attempt, o.Job)
+	}
 	a := &attempt{offer: o, offeredAt: now, state: api.StateQueued, resolving: len(o.Claimed) > 0}
 	a.report = a.newReport(d.opts.Name, d.opts.Epoch)
 	d.attempts[o.Job] = a
--- a/pkg/domain/outbox.go
+++ b/pkg/domain/outbox.go
@@ -99,6 +99,9 @@
 	}
 	if d.attempts[a.offer.Job] == a {
 		delete(d.attempts, a.offer.Job)
+		if a.ended {
+			d.forgotten.add(a.offer.Job, a.offer.Attempt, time.Now())
+		}
 	}
 	a.reporting = false
 }
--- a/pkg/domain/place_test.go
+++ b/pkg/domain/place_test.go
@@ -337,3 +337,26 @@
 		})
 	}
 }
+
+// An offer that arrives again after the attempt ended must not run it again.
+func TestLateOfferOfEndedAttempt(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world, d *Domain) {
+		o := offerOf(api.JobSpec{})
+		mustOffer(t, d, o)
+		time.Sleep(time.Second)
+		if err := d.Offer(t.Context(), o); !errkind.Is(err, errkind.Conflict) {
+			t.Errorf("the offer again: %v, want conflict", err)
+		}
+		o.Attempt = 2
+		mustOffer(t, d, o)
+		time.Sleep(10 * time.Second)
+		if n := len(w.starts(testJob)); n != 2 {
+			t.Errorf("%d starts of two attempts", n)
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if len(d.forgotten.attempts)+len(d.forgotten.order) != 0 {
+			t.Error("ended attempts are remembered for ever")
+		}
+	})
+}
