--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -22,7 +22,6 @@
 	d.settlePins()
 	d.cool(now)
 	d.settleClaims(now, &out)
-	d.shortcut(now, &out)
 	d.judge(now, &out)
 	d.settleReservations(now, &out)
 	d.pass(now, &out)
--- a/pkg/sched/options.go
+++ b/pkg/sched/options.go
@@ -18,9 +18,6 @@
 	PackRacks bool
 	// KeepWarm does not lend the slots that the owner's short work used lately.
 	KeepWarm bool
-	// Shortcut lets a job that waits for its victims start on other capacity that
-	// becomes free before.
-	Shortcut bool
 	// Aging orders by waiting time, deadline slack and attained service instead
 	// of strictly by class.
 	Aging bool
@@ -42,7 +39,7 @@
 // DefaultRules returns the rules in use.
 func DefaultRules() Rules {
 	return Rules{
-		Lend: true, Reclaim: true, OwnReclaim: true, Patience: true, PackRacks: true, KeepWarm: true, Shortcut: true, Aging: true,
+		Lend: true, Reclaim: true, OwnReclaim: true, Patience: true, PackRacks: true, KeepWarm: true, Aging: true,
 		Reserve: true, Backfill: true, Move: true, Learn: true, Hedge: true, Shed: true, Quarantine: true,
 	}
 }
@@ -104,7 +101,6 @@
 		{"patience", &r.Patience},
 		{"pack_racks", &r.PackRacks},
 		{"keep_warm", &r.KeepWarm},
-		{"shortcut", &r.Shortcut},
 		{"aging", &r.Aging},
 		{"reserve", &r.Reserve},
 		{"backfill", &r.Backfill},
--- a/pkg/sched/reclaim.go
+++ b/pkg/sched/reclaim.go
@@ -413,21 +413,3 @@
 		}
 	}
 }
-
-// shortcut places jobs of one task that wait for victims on capacity that became
-// free elsewhere. Their claims go to the next in the queue, because a victim that
-// already stops costs a plan nothing.
-func (d *Domain) shortcut(now time.Time, out *[]Action) {
-	if !d.rules.Shortcut || !d.freed {
-		return
-	}
-	for _, c := range slices.Clone(d.claims) {
-		if len(c.spots) == 1 && d.find(c.j) {
-			spots := c.j.spots
-			d.dropClaim(c)
-			c.j.spots = spots
-			d.take(now, c.j)
-			*out = append(*out, d.placed(c.j))
-		}
-	}
-}
