partition: do not refuse for good while a domain is unknown; go to guaranteed cells

Cause 1: one domain's refusal made a job impossible while the summaries of the other domains had not arrived yet; a gang that fits was refused. Change 1: only when every listed domain has refused or shows its workers. Before: test/cluster TestKillOwnerDuringStoreOutage refused in 1 of 2 runs. After: passed in the one run of the whole package. Cause 2: a job placed while the domain of its guarantee had no owner stayed queued elsewhere, where its workspace can reclaim nothing. Excluded: the reclaim itself; without the kill the gang starts at once. Change 2: such a job moves to the domain that holds the guarantee.

--- a/pkg/partition/choose.go
+++ b/pkg/partition/choose.go
@@ -16,7 +16,7 @@
 	all := p.opts.Summaries()
 	fit := candidates(all, j)
 	if len(fit) == 0 {
-		if len(all) == 0 || len(j.refusedBy) == 0 && !allKnown(all) {
+		if len(all) == 0 || !p.allKnown(all, j) {
 			return "", nil
 		}
 		return "", impossibleReason(j, all)
@@ -66,11 +66,16 @@
 	}
 }
 
-// allKnown reports whether the summaries describe domains that have workers; a
-// domain that has just changed its owner may not have seen them yet.
-func allKnown(all []sched.Summary) bool {
+// allKnown reports whether every domain has refused the job or shows its
+// workers. After a start or a change of owners, a domain may not have seen its
+// workers yet, or its summary may not have reached this VM.
+func (p *Partition) allKnown(all []sched.Summary, j *job) bool {
+	shown := map[string]bool{}
 	for _, s := range all {
-		if s.Workers == 0 {
+		shown[s.Domain] = s.Workers > 0
+	}
+	for _, name := range p.domainNames() {
+		if !shown[name] && j.refusedBy[name] == nil {
 			return false
 		}
 	}
@@ -102,7 +107,7 @@
 	}
 	free -= p.load[s.Domain] * need // offers that the summary does not show yet
 	score := 0.0
-	if s.GuaranteeFree[spec.Workspace] >= need && spec.Accelerators > 0 {
+	if holdsGuarantee(s, spec) {
 		score += scoreGuaranteed
 	}
 	if free >= need {
--- a/pkg/partition/sweep.go
+++ b/pkg/partition/sweep.go
@@ -60,7 +60,7 @@
 	case p.expired(j, now):
 		p.expire(j)
 	case p.shouldReroute(j, now, summaries):
-		p.withdraw(j, "another failure domain has free capacity")
+		p.withdraw(j, "another failure domain has free or guaranteed capacity")
 	case j.offeredEpoch == 0 && !j.offering && !now.Before(j.notBefore) && p.retryAllowed(j):
 		p.goRun(func() { p.offer(j) })
 	}
@@ -112,10 +112,16 @@
 		return false
 	}
 	spec := j.status.Spec
+	guaranteed := holdsGuarantee(summaries[j.status.FailureDomain], spec)
 	for name, s := range summaries {
 		if name == j.status.FailureDomain || !fitsEquipment(s, spec) || j.refusedBy[name] != nil {
 			continue
 		}
+		// The domain of the guarantee had no owner when the job was placed; only
+		// there can the workspace take its cells back from borrowers.
+		if !guaranteed && holdsGuarantee(s, spec) {
+			return true
+		}
 		free, queued := s.FreeSlots, 0
 		if spec.Accelerators > 0 {
 			free = freeAt(s.Free, spec.Adjacency)
@@ -130,6 +136,12 @@
 	return false
 }
 
+// holdsGuarantee reports whether the workspace has guaranteed cells for the job
+// in the domain, free or borrowed.
+func holdsGuarantee(s sched.Summary, spec api.JobSpec) bool {
+	return spec.Accelerators > 0 && s.GuaranteeFree[spec.Workspace] >= spec.Accelerators
+}
+
 // withdraw takes the attempt back from its domain. A queued attempt is then
 // reported as not run, a running one as stopped.
 func (p *Partition) withdraw(j *job, reason string) {
