sched: the cooldown of reclaims applies to preempted jobs only

Cause: a job of a guarantee's owner that changes its failure domain gets a new attempt number, and any attempt above the first waited 30 s before it might reclaim, so that preempted jobs do not preempt in turn. After the kill of a domain's owner the guaranteed gang was moved twice and waited that long. Excluded: adoption of the borrowers (the summary showed all 16 accelerators as borrowed) and the choice of the domain (it was queued in the right one). Change: the offer says whether an earlier attempt was preempted.

--- a/cmd/measure/sim.go
+++ b/cmd/measure/sim.go
@@ -310,6 +310,7 @@
 	}
 	r.left = max(r.left-r.saved, 0)
 	r.Attempt++
+	r.Preempted = r.Preempted || why == sched.EndPreempted
 	if why == sched.EndFailed {
 		r.AvoidWorkers = append(r.AvoidWorkers, blame)
 		if r.Attempt > maxAttempts {
--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -100,7 +100,7 @@
 		Checkpointable: s.Checkpointable, AtMostOnce: s.AtMostOnce,
 		DeclaredRun: time.Duration(s.DeclaredSeconds * float64(time.Second)),
 		Deadline:    s.Deadline, SubmittedAt: o.SubmittedAt, Attempt: o.Attempt,
-		Attained: o.Attained, AvoidWorkers: o.Avoid,
+		Attained: o.Attained, AvoidWorkers: o.Avoid, Preempted: o.Preempted,
 	}
 }
 
--- a/pkg/domain/service.go
+++ b/pkg/domain/service.go
@@ -30,6 +30,8 @@
 	// have run: the domain finds out by Fence and never starts it anew.
 	Claimed   []api.Allocation `cbor:"10,keyasint,omitempty"`
 	ClaimedAt time.Time        `cbor:"11,keyasint,omitzero"`
+	// Preempted says that an earlier attempt was preempted.
+	Preempted bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Report tells the partition's owner what became of an attempt.
--- a/pkg/partition/dispatch.go
+++ b/pkg/partition/dispatch.go
@@ -55,7 +55,7 @@
 	o := domain.Offer{
 		Job: j.status.ID, Attempt: j.status.Attempt, Spec: j.status.Spec,
 		SubmittedAt: j.status.SubmittedAt, Partition: p.opts.Number, PartitionEpoch: p.opts.Epoch,
-		Checkpoint: j.checkpoint, Attained: j.attained, Avoid: j.avoid,
+		Checkpoint: j.checkpoint, Attained: j.attained, Avoid: j.avoid, Preempted: j.preempted,
 	}
 	if j.claim != nil {
 		o.Claimed, o.ClaimedAt = j.claim.places, j.claim.at
--- a/pkg/partition/job.go
+++ b/pkg/partition/job.go
@@ -39,6 +39,7 @@
 	endPending bool
 
 	failures   int // runs that failed or were lost
+	preempted  bool
 	checkpoint string
 	attained   time.Duration
 	avoid      []string
--- a/pkg/partition/recover.go
+++ b/pkg/partition/recover.go
@@ -165,7 +165,7 @@
 		j.unsure = false
 		j.status.Attempt = h.Offer.Attempt
 		j.status.FailureDomain = name
-		j.checkpoint, j.attained = h.Offer.Checkpoint, h.Offer.Attained
+		j.checkpoint, j.attained, j.preempted = h.Offer.Checkpoint, h.Offer.Attained, h.Offer.Preempted
 		j.offeredEpoch, j.offeredAt = epoch, time.Now()
 		if h.Report.State != "" {
 			j.status.State = h.Report.State
--- a/pkg/partition/report.go
+++ b/pkg/partition/report.go
@@ -123,6 +123,7 @@
 		p.stoppedRun(j, r)
 	case api.OutcomePreempted:
 		p.event(timeline.Queued, j, "preempted: "+r.Reason)
+		j.preempted = true
 		j.nextAttempt(time.Time{})
 	case api.OutcomeNotRun:
 		p.notRun(j, r)
--- a/pkg/sched/property_test.go
+++ b/pkg/sched/property_test.go
@@ -208,6 +208,7 @@
 	j := m.running[id]
 	m.end(id, EndPreempted)
 	j.Attempt++
+	j.Preempted = true
 	if m.d.Enqueue(m.now, j) == nil {
 		m.queued[id] = j
 	}
--- a/pkg/sched/reclaim.go
+++ b/pkg/sched/reclaim.go
@@ -44,11 +44,11 @@
 	}
 	patience := reclaimPatience
 	switch {
-	case !d.rules.Patience && (j.urgent() || j.Attempt <= 1):
+	case !d.rules.Patience && (j.urgent() || !j.Preempted):
 		return true
 	case j.urgent():
 		patience = min(patience, j.class.StartWithin/urgentPatience)
-	case j.Attempt > 1:
+	case j.Preempted:
 		patience = reclaimCooldown
 	}
 	if ready := j.queuedAt.Add(patience); now.Before(ready) {
--- a/pkg/sched/reclaim_test.go
+++ b/pkg/sched/reclaim_test.go
@@ -77,3 +77,44 @@
 		t.Errorf("free %+v slots %d, want %+v slots %d", got.Free, got.FreeSlots, full.Free, full.FreeSlots)
 	}
 }
+
+// Guards against a job that waits for the cooldown of preempted jobs although
+// it was only moved from another failure domain.
+func TestMovedJobReclaimsAtOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		preempted bool
+		want      bool
+	}{
+		"moved":     {false, true},
+		"preempted": {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := NewDomain("r/a", Options{})
+			doc := policy.Default()
+			doc.Workspaces["owner"] = policy.Workspace{Guarantees: []policy.Guarantee{
+				{Cells: 1, Accelerators: 8, Adjacency: api.AdjacencyWorker, FailureDomain: "r/a"},
+			}}
+			d.SetPolicy(now, doc)
+			d.UpsertWorker(now, Worker{ID: "w", Rack: "k", Accelerators: 8, Slots: 8})
+			guest := Job{ID: "g", Workspace: "guest", Class: api.ClassLong, Accelerators: 8, Adjacency: api.AdjacencyWorker, Attempt: 1}
+			if err := d.Adopt(now, guest, []Placement{{Worker: "w", Accelerators: []int{0, 1, 2, 3, 4, 5, 6, 7}}}, now); err != nil {
+				t.Fatal(err)
+			}
+			fit := Job{ID: "f", Workspace: "owner", Class: api.ClassLong, Accelerators: 8, Adjacency: api.AdjacencyWorker, Attempt: 3, SubmittedAt: now, Preempted: tc.preempted}
+			if err := d.Enqueue(now, fit); err != nil {
+				t.Fatal(err)
+			}
+			reclaimed := false
+			for range 50 {
+				now = now.Add(100 * time.Millisecond)
+				for _, a := range d.Decide(now) {
+					reclaimed = reclaimed || a.Type == ActionPreempt
+				}
+			}
+			if reclaimed != tc.want {
+				t.Errorf("reclaimed within 5 s: %v, want %v", reclaimed, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/sched/types.go
+++ b/pkg/sched/types.go
@@ -45,6 +45,9 @@
 	Deadline       time.Time
 	SubmittedAt    time.Time
 	Attempt        int
+	// Preempted says that an earlier attempt was preempted. An attempt above the
+	// first says nothing: a job also gets one when it moves to another domain.
+	Preempted bool
 	// Attained is the service received in earlier attempts that a checkpoint kept.
 	Attained time.Duration
 	// AvoidWorkers names workers on which earlier attempts failed.
