timeline: copy another VM's events only when there are new ones

Cause: an idle VM spent 1.16% of a core (scripts/local.sh, 3 VMs, 30 s); 40% of its calls to peers asked for events that did not exist. Excluded: the garbage collector; GOGC 400 gave 1.19% against 1.16% in a trial and was reverted. Change: heartbeats carry the sequence number of the newest event.

--- a/pkg/daemon/parts.go
+++ b/pkg/daemon/parts.go
@@ -191,6 +191,7 @@
 		HeartbeatInterval: d.settings.Cluster.HeartbeatInterval, ListInterval: d.settings.Platform.VMListInterval,
 		Fanout: d.settings.Cluster.Fanout, Log: d.log.WithName("membership"), Recorder: d.events,
 	})
+	d.members.SetEventSeq(d.events.Seq)
 	d.view = domainView{View: d.members, list: d.vms}
 	d.collect = &timeline.Collector{Buffer: d.events, Caller: d.node, Peers: d.otherVMs}
 	d.node.Handle(timeline.MethodSince, d.events.HandleSince)
@@ -201,7 +202,9 @@
 	var out []timeline.Peer
 	for _, m := range d.members.Members() {
 		if m.ID != d.self.ID {
-			out = append(out, timeline.Peer{ID: m.ID, Address: m.Address})
+			out = append(out, timeline.Peer{
+				ID: m.ID, Address: m.Address, Newest: timeline.Position{Incarnation: m.Incarnation, Seq: m.EventSeq},
+			})
 		}
 	}
 	return out
--- a/pkg/membership/manager.go
+++ b/pkg/membership/manager.go
@@ -95,6 +95,10 @@
 // back into the membership. Call it before Run.
 func (m *Membership) SetDomains(fn func() []sched.Summary) { m.cb.domains = fn }
 
+// SetEventSeq sets the source of the newest event's sequence number; call it
+// before Run. fn must not call the Membership.
+func (m *Membership) SetEventSeq(fn func() uint64) { m.cb.eventSeq = fn }
+
 // SetShards sets the source of the own shards with their epochs, and whether
 // this VM holds a valid lease. Call it before Run.
 func (m *Membership) SetShards(fn func() (epochs map[string]int64, leased bool)) { m.cb.shards = fn }
@@ -217,6 +221,9 @@
 	if m.selfLeaving {
 		self.State = Draining
 	}
+	if m.cb.eventSeq != nil {
+		self.EventSeq = m.cb.eventSeq()
+	}
 	return self
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -44,6 +44,9 @@
 	DetailsVersion uint64 `json:"detailsVersion" cbor:"13,keyasint,omitempty"`
 	// HasDetails says that the entry carries them.
 	HasDetails bool `json:"-" cbor:"14,keyasint,omitempty"`
+	// EventSeq is the sequence number of the member's newest event, so that
+	// others copy its events only when there are new ones.
+	EventSeq uint64 `json:"-" cbor:"15,keyasint,omitempty"`
 }
 
 // View is what the other packages read of the membership.
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -87,6 +87,7 @@
 type callbacks struct {
 	domains          func() []sched.Summary
 	shards           func() (epochs map[string]int64, leased bool)
+	eventSeq         func() uint64
 	onPause          []func(pause time.Duration)
 	onHigherRevision []func(address string, revision int64)
 	onChange         []func()
--- a/pkg/timeline/buffer.go
+++ b/pkg/timeline/buffer.go
@@ -140,6 +140,13 @@
 	return Merge(f, b.Since(SinceRequest{Filter: f})).Events
 }
 
+// Seq returns the sequence number of this VM's newest event.
+func (b *Buffer) Seq() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seq
+}
+
 // PeerCursor returns the position up to which events of vm are kept, for the
 // next request to it.
 func (b *Buffer) PeerCursor(vm string) Cursor {
--- a/pkg/timeline/collect.go
+++ b/pkg/timeline/collect.go
@@ -17,6 +17,9 @@
 type Peer struct {
 	ID      string
 	Address string // host:port
+	// Newest is the position of its newest event as far as this VM knows; zero if
+	// it does not know.
+	Newest Position
 }
 
 // Defaults of Collector.
@@ -95,7 +98,11 @@
 func (c *Collector) replicate(ctx context.Context) {
 	for _, p := range c.neighbors() {
 		var page Page
-		req := SinceRequest{Cursor: c.Buffer.PeerCursor(p.ID), Limit: MaxPage, OwnOnly: true}
+		cursor := c.Buffer.PeerCursor(p.ID)
+		if p.Newest.Seq > 0 && !cursor[p.ID].before(p.Newest) {
+			continue // nothing new; most calls of an idle system would be empty
+		}
+		req := SinceRequest{Cursor: cursor, Limit: MaxPage, OwnOnly: true}
 		if c.ask(ctx, p, req, &page) == nil {
 			c.Buffer.Absorb(page.Events)
 		}
--- a/pkg/timeline/timeline_test.go
+++ b/pkg/timeline/timeline_test.go
@@ -250,7 +250,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := newTestBuffer("a", 100), newTestBuffer("b", 100)
 		caller := cborCaller{"b:1": b}
-		c := &Collector{Buffer: a, Caller: caller, Peers: func() []Peer { return []Peer{{"b", "b:1"}, {"c", "c:1"}} }}
+		c := &Collector{Buffer: a, Caller: caller, Peers: func() []Peer { return []Peer{{ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}} }}
 		b.Record(Event{Type: Started, Reason: "last words"})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
