report: fragmentation by rack

Cause: the page showed fragmentation by failure domain only. Change: the report reads the workers and shows, per rack, the free accelerators, the most on one worker and the fragmentation.

--- a/pkg/ctl/operator_report.go
+++ b/pkg/ctl/operator_report.go
@@ -77,6 +77,9 @@
 	if err := c.get(cmd.Context(), "/config", nil, &data.Config); err != nil {
 		return nil, err
 	}
+	if data.Workers, err = getAll[api.WorkerStatus](cmd.Context(), c, "/workers", url.Values{"limit": {eventPage}}); err != nil {
+		return nil, err
+	}
 	data.Jobs, err = getAll[api.JobStatus](cmd.Context(), c, "/jobs", url.Values{"limit": {eventPage}})
 	return data, err
 }
--- a/pkg/report/data.go
+++ b/pkg/report/data.go
@@ -34,15 +34,18 @@
 	Samples []Sample
 	Jobs    []api.JobStatus
 	Config  *policy.Document
+	// Workers is the fleet at the time of the report.
+	Workers []api.WorkerStatus
 }
 
 // Line is one line of a saved time line; exactly one field is set.
 type Line struct {
-	Event  *timeline.Event  `json:"event,omitempty"`
-	Gap    *timeline.Gap    `json:"gap,omitempty"`
-	Sample *Sample          `json:"sample,omitempty"`
-	Job    *api.JobStatus   `json:"job,omitempty"`
-	Config *policy.Document `json:"config,omitempty"`
+	Event  *timeline.Event   `json:"event,omitempty"`
+	Gap    *timeline.Gap     `json:"gap,omitempty"`
+	Sample *Sample           `json:"sample,omitempty"`
+	Job    *api.JobStatus    `json:"job,omitempty"`
+	Config *policy.Document  `json:"config,omitempty"`
+	Worker *api.WorkerStatus `json:"worker,omitempty"`
 }
 
 // EventLines returns the events in order, each gap before the event that
@@ -76,6 +79,9 @@
 	for i := range d.Jobs {
 		lines = append(lines, Line{Job: &d.Jobs[i]})
 	}
+	for i := range d.Workers {
+		lines = append(lines, Line{Worker: &d.Workers[i]})
+	}
 	if d.Config != nil {
 		lines = append(lines, Line{Config: d.Config})
 	}
@@ -138,6 +144,8 @@
 		d.Samples = append(d.Samples, *line.Sample)
 	case line.Job != nil:
 		d.Jobs = append(d.Jobs, *line.Job)
+	case line.Worker != nil:
+		d.Workers = append(d.Workers, *line.Worker)
 	case line.Config != nil:
 		d.Config = line.Config
 	default:
--- a/pkg/report/report.go
+++ b/pkg/report/report.go
@@ -48,6 +48,7 @@
 	Summary  []Row
 	Charts   []Chart
 	Uses     []Use
+	Racks    []RackUse
 	Lanes    []Lane
 	Notes    []string
 }
@@ -63,6 +64,7 @@
 	r.peakService(jobs, classes)
 	r.fragmentation(d.Samples)
 	r.utilization(d)
+	r.Racks = racks(d.Workers)
 	r.Lanes, r.Notes = buildLanes(d, r.From, r.To)
 	for _, g := range d.Gaps {
 		r.Notes = append(r.Notes, fmt.Sprintf("%s of %s missing (%d to %d)", plural(int(g.To-g.From+1), "event"), g.VM, g.From, g.To))
