partition: retries use the budget and the backoff of pkg/sched

Cause: the retry policy stood twice, once in pkg/partition on x/time/rate and once, unused, in pkg/sched. Change: one budget per workspace: a tenth of the accepted jobs and 5 a second.

--- a/pkg/partition/partition.go
+++ b/pkg/partition/partition.go
@@ -45,6 +45,9 @@
 
 // RetryPolicy limits how often and how fast failed jobs are run again.
 type RetryPolicy interface {
+	// Accepted counts an accepted job of the workspace; retries are limited to a
+	// share of these.
+	Accepted(workspace string, now time.Time)
 	// Take reports whether the workspace may retry now, and counts the retry.
 	Take(workspace string, now time.Time) bool
 	// Backoff returns the pause before the retry after so many failures.
--- a/pkg/partition/retry.go
+++ b/pkg/partition/retry.go
@@ -5,47 +5,49 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
+	"github.com/carawayusher/carawayusher/pkg/sched"
 )
 
-// Limits of the default retry policy.
+// Limits of the default retry policy, per workspace and VM.
 const (
-	retryPerSecond  = 5 // retries a second of one workspace in one partition
+	retryRatio      = 0.1 // retries per accepted job
+	retryPerSecond  = 5
 	retryBurst      = 50
 	retryBackoffMin = 200 * time.Millisecond
 	retryBackoffMax = 30 * time.Second
 )
 
-// BudgetedRetries is a RetryPolicy with a token bucket per workspace and an
-// exponential backoff with full jitter, so that failures after an outage do not
-// come back all at once.
+// BudgetedRetries is a RetryPolicy with a budget per workspace and a jittered
+// exponential backoff, so that failures after an outage do not come back all at
+// once.
 type BudgetedRetries struct {
-	mu      sync.Mutex
-	buckets map[string]*rate.Limiter
+	budget  *sched.RetryBudget
+	backoff sched.Backoff
+
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
 // NewBudgetedRetries returns the default retry policy.
 func NewBudgetedRetries() *BudgetedRetries {
-	return &BudgetedRetries{buckets: map[string]*rate.Limiter{}}
+	return &BudgetedRetries{
+		budget:  sched.NewRetryBudget(retryRatio, retryPerSecond, retryBurst),
+		backoff: sched.Backoff{Base: retryBackoffMin, Max: retryBackoffMax},
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
+// Accepted counts an accepted job of the workspace.
+func (b *BudgetedRetries) Accepted(workspace string, now time.Time) { b.budget.Attempt(now, workspace) }
+
 // Take reports whether the workspace may retry now, and counts the retry.
 func (b *BudgetedRetries) Take(workspace string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l, ok := b.buckets[workspace]
-	if !ok {
-		l = rate.NewLimiter(retryPerSecond, retryBurst)
-		b.buckets[workspace] = l
-	}
-	return l.AllowN(now, 1)
+	return b.budget.Retry(now, workspace)
 }
 
 // Backoff returns a random pause of up to twice as long for each failure.
 func (b *BudgetedRetries) Backoff(failures int) time.Duration {
-	limit := retryBackoffMax
-	if failures < 8 {
-		limit = min(retryBackoffMin<<max(failures-1, 0), retryBackoffMax)
-	}
-	return limit/2 + rand.N(limit/2+1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.backoff.Delay(failures, b.rng)
 }
--- a/pkg/partition/submit.go
+++ b/pkg/partition/submit.go
@@ -23,6 +23,7 @@
 		return api.JobStatus{}, err
 	}
 	if created {
+		p.opts.Retries.Accepted(req.Spec.Workspace, time.Now())
 		p.accept(j)
 	}
 	if err := p.awaitAccepted(ctx, j); err != nil {
