Share the pause between tries; answer unknown routes with problem documents

Cause: five packages had the same wait for a time or the end of a context. The daemon never set the ingress's handlers for unknown routes and methods, so gin answered them in plain text. pkg/embedded showed the first settings fault only, although pkg/settings has AsError. Change: internal/wait.Sleep, NoRoute and NoMethod in pkg/daemon, AsError.

--- a/pkg/configsync/change.go
+++ b/pkg/configsync/change.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/policy"
@@ -92,7 +93,7 @@
 		case !errkind.Is(err, errkind.QuotaExceeded):
 			sent = true
 		}
-		if !pause(ctx, retry.NextBackOff()) {
+		if !wait.Sleep(ctx, retry.NextBackOff()) {
 			return nil, unresolved(err, sent)
 		}
 	}
@@ -124,7 +125,7 @@
 		if !sent {
 			return nil, errkind.Wrap(err, errkind.Conflict, "another change came first")
 		}
-		if !pause(ctx, retry.NextBackOff()) {
+		if !wait.Sleep(ctx, retry.NextBackOff()) {
 			return nil, unresolved(err, sent)
 		}
 	}
@@ -149,15 +150,3 @@
 		s.opts.Log.Info("bootstrap configuration was not written", "error", err.Error())
 	}
 }
-
-// pause waits and reports whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/controlwatch/controlwatch.go
+++ b/pkg/controlwatch/controlwatch.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-logr/logr"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 )
@@ -84,7 +85,7 @@
 func (w *Watch) Run(ctx context.Context) error {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minBackoff, maxBackoff
-	sleep(ctx, rand.N(startJitter))
+	wait.Sleep(ctx, rand.N(startJitter))
 	revision, listed := int64(0), false
 	for ctx.Err() == nil {
 		var err error
@@ -106,7 +107,7 @@
 			listed = false
 			w.health(false)
 			w.opts.Log.V(1).Info("control watch interrupted", "error", err.Error())
-			sleep(ctx, retry.NextBackOff())
+			wait.Sleep(ctx, retry.NextBackOff())
 		}
 	}
 	return nil
@@ -193,12 +194,3 @@
 	}
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/daemon/http.go
+++ b/pkg/daemon/http.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/ingress"
 	"github.com/carawayusher/carawayusher/pkg/settings"
 )
 
@@ -26,6 +27,9 @@
 func (d *parts) callersHandler(ready func() bool) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	r := gin.New()
+	r.HandleMethodNotAllowed = true
+	r.NoRoute(ingress.NoRoute)
+	r.NoMethod(ingress.NoMethod)
 	d.ingress.Register(r)
 	d.admin.Register(r)
 	r.GET("/metrics", gin.WrapH(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
--- a/pkg/domain/backoff.go
+++ b/pkg/domain/backoff.go
@@ -1,7 +1,6 @@
 package domain
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -37,18 +36,6 @@
 	return b
 }
 
-// sleep waits for the time and reports whether ctx still goes on.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // jittered shortens a long poll by up to a fifth, so that the polls of workers
 // that were first asked at the same time drift apart.
 func jittered(wait time.Duration) time.Duration { return wait - rand.N(wait/5+1) }
--- a/pkg/domain/fence.go
+++ b/pkg/domain/fence.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/target"
@@ -46,7 +47,7 @@
 		w, place := t.worker, t.place()
 		d.mu.Unlock()
 		st, same, err := d.fence(w, place)
-		if d.resolved(a, t, st, same, err) || !sleep(d.ctx, pauses.NextBackOff()) {
+		if d.resolved(a, t, st, same, err) || !wait.Sleep(d.ctx, pauses.NextBackOff()) {
 			return
 		}
 	}
@@ -94,7 +95,7 @@
 		d.mu.Lock()
 		gone := d.workers[t.worker.id] != t.worker || d.fenced || done()
 		d.mu.Unlock()
-		if gone || !sleep(d.ctx, pauses.NextBackOff()) {
+		if gone || !wait.Sleep(d.ctx, pauses.NextBackOff()) {
 			return
 		}
 	}
--- a/pkg/domain/resolve.go
+++ b/pkg/domain/resolve.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/sched"
 	"github.com/carawayusher/carawayusher/pkg/target"
@@ -41,7 +42,7 @@
 			d.finishResolved(a, api.OutcomeLost, sched.EndWorkerLost, "a worker of the claimed attempt cannot be asked")
 			return
 		}
-		if !sleep(d.ctx, pauses.NextBackOff()) {
+		if !wait.Sleep(d.ctx, pauses.NextBackOff()) {
 			return
 		}
 	}
--- a/pkg/domain/worker.go
+++ b/pkg/domain/worker.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/api"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/sched"
@@ -142,7 +143,7 @@
 		if d.syncOnce(ctx, w) {
 			pauses.Reset()
 		} else {
-			sleep(ctx, pauses.NextBackOff())
+			wait.Sleep(ctx, pauses.NextBackOff())
 		}
 	}
 }
--- a/pkg/embedded/system.go
+++ b/pkg/embedded/system.go
@@ -66,7 +66,7 @@
 	}
 	cfg, faults := settings.Parse("embedded settings", fmt.Appendf(nil, embeddedSettingsFormat, embeddedPeerToken))
 	if len(faults) > 0 {
-		return nil, errkind.New(errkind.InvalidConfig, "%s", faults[0])
+		return nil, settings.AsError(faults)
 	}
 	d, err := daemon.New(cfg, o.Log, daemon.Backends{Store: s.Store, VMs: s.Store, Dialer: dialer})
 	if err != nil {
--- a/pkg/journal/cas.go
+++ b/pkg/journal/cas.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 )
@@ -49,7 +50,7 @@
 		if kind == errkind.TooLarge {
 			return 0, err
 		}
-		if kind != errkind.Conflict && !pause(ctx, retry.NextBackOff()) {
+		if kind != errkind.Conflict && !wait.Sleep(ctx, retry.NextBackOff()) {
 			return 0, outOfReach(err)
 		}
 		if kind == errkind.QuotaExceeded {
@@ -98,7 +99,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, retry.NextBackOff()) {
+		if !wait.Sleep(ctx, retry.NextBackOff()) {
 			return outOfReach(err)
 		}
 	}
@@ -113,15 +114,3 @@
 	b.InitialInterval, b.MaxInterval = minBackoff, maxBackoff
 	return b
 }
-
-// pause waits and reports whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/ownership/manager.go
+++ b/pkg/ownership/manager.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/timeline"
@@ -344,7 +345,7 @@
 	for _, s := range shards {
 		g.Go(func() error {
 			defer m.claimDone(s)
-			sleep(ctx, rand.N(claimJitter))
+			wait.Sleep(ctx, rand.N(claimJitter))
 			if err := m.claim(ctx, s); err != nil && !errkind.Is(err, errkind.Conflict) {
 				m.opts.Log.V(1).Info("shard was not claimed", "shard", s, "error", err.Error())
 			}
@@ -367,12 +368,3 @@
 		Type: timeline.OwnerChanged, Reason: fmt.Sprintf("shard %s: %s, epoch %d", shard, reason, epoch),
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/ownership/step.go
+++ b/pkg/ownership/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 )
 
@@ -235,7 +236,7 @@
 		if err == nil || errkind.Is(err, errkind.NotFound) || errkind.Is(err, errkind.Conflict) {
 			return
 		}
-		sleep(run, deleteRetry)
+		wait.Sleep(run, deleteRetry)
 		m.mu.Lock()
 		lapsed := m.lease.id != id
 		m.mu.Unlock()
