--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,119 @@
+// Package catalog holds the operators' configuration in force: queues,
+// services, workspaces with their keys and guarantees, and limits.
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Queue receives jobs under a host and a path prefix.
+type Queue struct {
+	Name   string
+	Host   string
+	Prefix string
+	Public bool // callers need no key
+	Class  workload.Class
+	Advice *Advice
+}
+
+// Advice bounds the calls to the advice service for a queue; nil means that
+// the queue needs none.
+type Advice struct {
+	Decide    time.Duration // fixed part of a call
+	PerWorker time.Duration // part for each worker that is asked about
+	Valid     time.Duration // life of a ticket
+}
+
+// Service is a pool of targets.
+type Service struct {
+	Name            string
+	EnforceCapacity bool // its workers refuse what does not fit
+	Standby         bool // its machines are off
+}
+
+// Workspace is a tenant with a guaranteed share.
+type Workspace struct {
+	Name       string
+	Keys       []string
+	Guaranteed workload.Resources
+}
+
+// Limits bound the calls of clients.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Catalog is one version of the configuration. It is not changed after Index.
+type Catalog struct {
+	Version    int64
+	Queues     []Queue
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+
+	byKey  map[string]string
+	byName map[string]*Queue
+}
+
+// Index prepares the look-ups.
+func (c *Catalog) Index() {
+	c.byKey = map[string]string{}
+	c.byName = map[string]*Queue{}
+	for _, w := range c.Workspaces {
+		for _, k := range w.Keys {
+			c.byKey[k] = w.Name
+		}
+	}
+	for i := range c.Queues {
+		c.byName[c.Queues[i].Name] = &c.Queues[i]
+	}
+}
+
+// Queue returns the queue with a name, or nil.
+func (c *Catalog) Queue(name string) *Queue { return c.byName[name] }
+
+// Service returns the service with a name, or nil.
+func (c *Catalog) Service(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// Route returns the queue with the longest prefix of the path at a host and the
+// rest of the path, or not_found.
+func (c *Catalog) Route(host, path string) (*Queue, string, error) {
+	if i := strings.LastIndexByte(host, ':'); i > 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	var best *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, "", errkind.New(errkind.NotFound, "no queue at this host and path")
+	}
+	return best, path[len(best.Prefix):], nil
+}
+
+// Authenticate returns the workspace of a key. A public queue needs no key; a
+// known key still names the workspace.
+func (c *Catalog) Authenticate(q *Queue, key string) (string, error) {
+	workspace, ok := c.byKey[key]
+	if ok || q.Public {
+		return workspace, nil
+	}
+	return "", errkind.New(errkind.Unauthenticated, "the key is missing or not valid")
+}
--- /dev/null
+++ b/pkg/configsource/source.go
@@ -0,0 +1,179 @@
+// Package configsource follows the operators' configuration in the platform's
+// store and knows how old its copy may be.
+package configsource
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/internal/wait"
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+)
+
+// Timings of the watch.
+const (
+	// pollWait bounds a watch without changes; each answer proves how fresh the
+	// copy is.
+	pollWait = time.Second
+	// pollMargin is how long an answer may take beyond the wait.
+	pollMargin   = 700 * time.Millisecond
+	retryPause   = 50 * time.Millisecond
+	maxPause     = 400 * time.Millisecond
+	contactBound = 2500 * time.Millisecond // age of the newest answer up to which the store counts as reached
+	// deafness is how long the store's watches may hide changes while it compacts.
+	deafness = time.Second
+	// safety covers the way of a request and the clock's error.
+	safety = time.Second
+)
+
+// Options configures a Source.
+type Options struct {
+	Store    platform.Transactor
+	Key      string
+	Decode   func([]byte) (*catalog.Catalog, error)
+	Clock    func() time.Duration // counts suspended time
+	RevokeIn time.Duration        // how soon a key that was taken away must be refused
+	Log      logr.Logger
+}
+
+// Source holds the newest configuration.
+type Source struct {
+	opts Options
+
+	mu       sync.Mutex
+	current  *catalog.Catalog
+	revision int64
+	freshAt  time.Duration // when the last answered call was sent
+	reached  bool
+}
+
+// New returns a Source; Run has to be called.
+func New(opts Options) *Source { return &Source{opts: opts} }
+
+// Current returns the newest configuration, or unavailable while none is known.
+func (s *Source) Current() (*catalog.Catalog, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil {
+		return nil, errkind.New(errkind.Unavailable, "no configuration yet")
+	}
+	return s.current, nil
+}
+
+// Catalog returns the newest configuration, or nil.
+func (s *Source) Catalog() *catalog.Catalog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// KeysCertain reports whether the copy is fresh enough that no key in it can
+// have been taken away longer ago than the bound.
+func (s *Source) KeysCertain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current != nil && s.opts.Clock()-s.freshAt <= s.opts.RevokeIn-deafness-safety
+}
+
+// Reached reports whether there is a configuration and the store has answered
+// lately.
+func (s *Source) Reached() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current != nil && s.opts.Clock()-s.freshAt <= contactBound
+}
+
+// Run follows the configuration until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	pause := retryPause
+	for ctx.Err() == nil {
+		err := s.step(ctx)
+		if err == nil {
+			pause = retryPause
+			continue
+		}
+		s.noteLost(err)
+		wait.Sleep(ctx, pause)
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (s *Source) step(ctx context.Context) error {
+	s.mu.Lock()
+	after := s.revision
+	s.mu.Unlock()
+	sentAt := s.opts.Clock()
+	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
+	defer cancel()
+	if after == 0 {
+		list, err := s.opts.Store.List(ctx, s.opts.Key, "", 0)
+		if err != nil {
+			return err
+		}
+		s.apply(list.Entries, list.Revision, sentAt)
+		return nil
+	}
+	changes, err := s.opts.Store.Poll(ctx, s.opts.Key, after, pollWait)
+	if errkind.Is(err, errkind.Conflict) {
+		s.opts.Log.Info("history of the store is gone; reading the configuration again")
+		s.mu.Lock()
+		s.revision = 0
+		s.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var entries []platform.Entry
+	for _, e := range changes.Events {
+		if !e.Deleted {
+			entries = append(entries, e.Entry)
+		}
+	}
+	s.apply(entries, changes.Revision, sentAt)
+	return nil
+}
+
+// apply takes over entries that were read by a call sent at a time.
+func (s *Source) apply(entries []platform.Entry, revision int64, sentAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
+		if e.Key == s.opts.Key {
+			s.take(e)
+		}
+	}
+	s.revision, s.freshAt = revision, sentAt
+	if !s.reached {
+		s.reached = true
+		s.opts.Log.Info("store reached", "revision", revision)
+	}
+}
+
+// take puts a version in force unless it is older; the lock is held.
+func (s *Source) take(e platform.Entry) {
+	c, err := s.opts.Decode(e.Value)
+	if err != nil {
+		s.opts.Log.Error(err, "configuration cannot be read", "revision", e.Version)
+		return
+	}
+	if s.current != nil && c.Version <= s.current.Version {
+		return
+	}
+	s.current = c
+	s.opts.Log.Info("configuration in force", "version", c.Version, "revision", e.Version, "queues", len(c.Queues), "workspaces", len(c.Workspaces))
+}
+
+func (s *Source) noteLost(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reached {
+		s.reached = false
+		s.opts.Log.Info("store lost", "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/pkg/fleet/cycle.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayusher/carawayusher/internal/wait"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Pauses between cycles without an event.
+const (
+	busyTick = 100 * time.Millisecond // work waits for room or a due time
+	idleTick = time.Second            // only leases of silent workers are watched
+	// gatherPause lets events that belong together share one write.
+	gatherPause = 3 * time.Millisecond
+)
+
+// batchJobs is how many jobs fit into one transaction: a condition and a write
+// for each, and the condition on the owner key.
+const batchJobs = (platform.MaxTxnEntries - 1) / 2
+
+// cycle decides, stores and sends, until ownership ends.
+func (o *Owner) cycle() {
+	pause := retryPause
+	for {
+		jobsFrom, workersFrom, err := o.load()
+		if err == nil {
+			o.goRun(func() { o.followJobs(jobsFrom) })
+			o.goRun(func() { o.followWorkers(workersFrom) })
+			break
+		}
+		if !wait.Sleep(o.ctx, pause) {
+			return
+		}
+		o.opts.Log.Info("state not loaded", "reason", err.Error())
+		pause = min(2*pause, maxRetryPause)
+	}
+	o.signal()
+	tick := time.NewTimer(idleTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-o.wake:
+			wait.Sleep(o.ctx, gatherPause)
+		case <-tick.C:
+		case <-o.ctx.Done():
+			return
+		}
+		waiting := o.step()
+		for o.persist() && o.ctx.Err() == nil {
+		}
+		tick.Reset(map[bool]time.Duration{true: busyTick, false: idleTick}[waiting])
+	}
+}
+
+// step is one decision over the whole state. It returns whether work waits.
+func (o *Owner) step() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.opts.Clock()
+	o.lapseSilent(now)
+	o.endCancelled()
+	o.endFailed()
+	o.moveFromLeaving(now)
+	o.moveFromStalled(now)
+	waiting := o.placeWaiting(now)
+	o.endCompleted()
+	o.collect(now)
+	return waiting
+}
+
+// endCancelled stops the jobs whose callers no longer want them.
+func (o *Owner) endCancelled() {
+	for _, j := range o.live {
+		if j.cancelRequested {
+			o.finish(j, workload.Cancelled)
+		}
+	}
+}
+
+// endFailed ends the jobs that have used up their attempts.
+func (o *Owner) endFailed() {
+	for _, j := range o.live {
+		if j.giveUp != "" {
+			o.finish(j, j.giveUp)
+		}
+	}
+}
+
+func (o *Owner) endCompleted() {
+	for _, j := range o.live {
+		if j.progress.AllDone() {
+			o.finish(j, workload.Completed)
+		}
+	}
+}
+
+// finish gives a job its final state and stops what still runs; the lock is held.
+func (o *Owner) finish(j *job, s workload.State) {
+	for _, g := range j.groups {
+		for _, r := range g.runs {
+			if r.phase == planned {
+				o.unassign(r)
+				continue
+			}
+			if s != workload.Completed {
+				o.stopRun(r, "the job is "+string(s))
+			}
+		}
+	}
+	j.progress.State = s
+	j.progress.FinishedUnixMS = o.opts.Now().UnixMilli()
+	o.touch(j)
+	delete(o.live, j.ID)
+	o.opts.Log.Info("job ends", "job", j.ID, "queue", j.Queue, "state", s, "tookMS", (o.opts.Clock() - j.firstAt).Milliseconds())
+}
+
+// batch is a set of job records that is written at once.
+type batch struct {
+	jobs    []*job
+	changes []int64
+	after   [][]func()
+	txn     platform.Txn
+}
+
+// persist writes one batch of changed jobs, and then sends the orders that had
+// to wait for it. It returns whether more is to be written.
+func (o *Owner) persist() bool {
+	b := o.takeBatch()
+	if b == nil {
+		return false
+	}
+	pause := retryPause
+	for o.awaitValid() {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		res, err := o.opts.Store.Commit(ctx, b.txn)
+		cancel()
+		switch {
+		case err == nil:
+			return o.stored(b, res.Revision)
+		case errkind.Is(err, errkind.Conflict):
+			if !o.resolveConflict(b, res.Current) {
+				return false
+			}
+			return true
+		}
+		if o.ctx.Err() == nil {
+			o.opts.Log.Info("progress not stored", "jobs", len(b.jobs), "reason", err.Error())
+		}
+		if !wait.Sleep(o.ctx, pause) {
+			return false
+		}
+		pause = min(2*pause, maxRetryPause)
+	}
+	return false
+}
+
+func (o *Owner) takeBatch() *batch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.dirty) == 0 {
+		return nil
+	}
+	b := &batch{txn: platform.Txn{Conditions: []platform.Condition{{Key: OwnerKey, Version: o.lease.token}}}}
+	for j := range o.dirty {
+		data, err := j.progress.Encode()
+		if err != nil {
+			o.opts.Log.Error(err, "progress cannot be encoded", "job", j.ID)
+			delete(o.dirty, j)
+			continue
+		}
+		key := ProgressKey(j.ID)
+		b.txn.Conditions = append(b.txn.Conditions, platform.Condition{Key: key, Version: j.version})
+		b.txn.Writes = append(b.txn.Writes, platform.Write{Key: key, Value: data})
+		b.jobs = append(b.jobs, j)
+		b.changes = append(b.changes, j.changed)
+		b.after = append(b.after, j.after)
+		j.after = nil
+		if len(b.jobs) == batchJobs {
+			break
+		}
+	}
+	return b
+}
+
+// stored notes that a batch is durable and runs what waited for it.
+func (o *Owner) stored(b *batch, revision int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for n, j := range b.jobs {
+		j.version, j.committed, j.shown = revision, b.changes[n], o.durableState(b, n)
+		if j.changed == b.changes[n] {
+			delete(o.dirty, j)
+		}
+		for _, f := range b.after[n] {
+			f()
+		}
+	}
+	for _, w := range o.workers {
+		if len(w.unacked) > 0 {
+			o.advanceAck(w)
+		}
+	}
+	return len(o.dirty) > 0
+}
+
+// durableState is the state that a stored record shows.
+func (o *Owner) durableState(b *batch, n int) workload.State {
+	s, err := workload.DecodeState(b.txn.Writes[n].Value)
+	if err != nil {
+		o.opts.Log.Error(err, "own progress record cannot be read", "job", b.jobs[n].ID)
+	}
+	return s
+}
+
+// resolveConflict handles a refused batch. If this VM is still the owner, the
+// refusal comes from a write of its own whose answer was lost: the versions are
+// taken over and the batch is written anew from the present state.
+func (o *Owner) resolveConflict(b *batch, current []platform.Entry) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	versions := map[string]int64{}
+	for _, e := range current {
+		versions[e.Key] = e.Version
+	}
+	if len(current) == 0 || versions[OwnerKey] != o.lease.token {
+		o.lose("the store names another owner")
+		return false
+	}
+	for n, j := range b.jobs {
+		j.version = versions[ProgressKey(j.ID)]
+		j.after = append(b.after[n], j.after...)
+		o.dirty[j] = struct{}{}
+	}
+	return true
+}
+
+// collect deletes the records of jobs that ended long ago; the lock is held.
+func (o *Owner) collect(now time.Duration) {
+	if now < o.nextCollect {
+		return
+	}
+	o.nextCollect = now + collectEvery
+	limit := o.opts.Now().Add(-o.opts.KeepEnded - statusMargin).UnixMilli()
+	var ids []string
+	for id, j := range o.jobs {
+		if j.shown.Final() && !j.active() && j.progress.FinishedUnixMS < limit && j.changed == j.committed {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		o.goRun(func() { o.deleteRecords(ids) })
+	}
+}
+
+// deleteBatch is how many jobs are deleted by one transaction, three keys each.
+const deleteBatch = 10
+
+func (o *Owner) deleteRecords(ids []string) {
+	for len(ids) > 0 && o.awaitValid() {
+		part := ids[:min(deleteBatch, len(ids))]
+		ids = ids[len(part):]
+		txn := platform.Txn{Conditions: []platform.Condition{{Key: OwnerKey, Version: o.lease.token}}}
+		for _, id := range part {
+			txn.Deletes = append(txn.Deletes, ProgressKey(id), JobKey(id), CancelKey(id))
+		}
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		_, err := o.opts.Store.Commit(ctx, txn)
+		cancel()
+		if err != nil {
+			o.opts.Log.Info("records of ended jobs not deleted yet", "jobs", len(part), "reason", err.Error())
+			return
+		}
+		o.mu.Lock()
+		for _, id := range part {
+			delete(o.jobs, id)
+		}
+		o.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/pkg/fleet/load.go
@@ -0,0 +1,236 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayusher/carawayusher/internal/wait"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// load reads all jobs, their progress and the workers from the store, and
+// returns the revisions from which changes have to be followed.
+func (o *Owner) load() (jobsFrom, workersFrom int64, err error) {
+	startedAt := o.opts.Clock()
+	progress := map[string]platform.Entry{}
+	if _, err := o.listAll(ProgressPrefix, func(e platform.Entry) { progress[e.Key] = e }); err != nil {
+		return 0, 0, err
+	}
+	var jobs []platform.Entry
+	if jobsFrom, err = o.listAll(JobPrefix, func(e platform.Entry) { jobs = append(jobs, e) }); err != nil {
+		return 0, 0, err
+	}
+	var workers []platform.Entry
+	if workersFrom, err = o.listAll(o.opts.WorkerDir, func(e platform.Entry) { workers = append(workers, e) }); err != nil {
+		return 0, 0, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tookOverAt = o.opts.Clock()
+	for _, e := range workers {
+		o.applyWorker(e.Key, e.Value)
+	}
+	for _, e := range jobs {
+		o.applyJob(e, progress)
+	}
+	for _, j := range o.jobs {
+		o.adoptAssigned(j)
+	}
+	o.loaded = true
+	o.opts.Log.Info("state loaded from the store", "jobs", len(o.jobs), "live", len(o.live), "workers", len(o.workers),
+		"tookMS", (o.opts.Clock() - startedAt).Milliseconds())
+	return jobsFrom, workersFrom, nil
+}
+
+// listAll reads all pages of a prefix. Changes after the returned revision,
+// which is that of the first page, have to be followed.
+func (o *Owner) listAll(prefix string, take func(platform.Entry)) (int64, error) {
+	first, after := int64(0), ""
+	for {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		page, err := o.opts.Store.List(ctx, prefix, after, 0)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		for _, e := range page.Entries {
+			take(e)
+			after = e.Key
+		}
+		if !page.More || len(page.Entries) == 0 {
+			return first, nil
+		}
+	}
+}
+
+// applyJob takes over one entry below JobPrefix; the lock is held.
+func (o *Owner) applyJob(e platform.Entry, progress map[string]platform.Entry) {
+	id, cancel := parseJobKey(e.Key)
+	if cancel {
+		o.applyCancel(id)
+		return
+	}
+	if _, ok := o.jobs[id]; ok {
+		return
+	}
+	record, err := workload.DecodeJob(e.Value)
+	if err != nil {
+		o.opts.Log.Error(err, "job record cannot be used", "job", id)
+		return
+	}
+	p, version := workload.NewProgress(record), int64(0)
+	if stored, ok := progress[ProgressKey(id)]; ok {
+		decoded, err := workload.DecodeProgress(record, stored.Value)
+		if err != nil {
+			o.opts.Log.Error(err, "progress record cannot be used", "job", id)
+			return
+		}
+		p, version = decoded, stored.Version
+	}
+	j := newJob(record, p)
+	j.version = version
+	age := o.opts.Now().UnixMilli() - record.AcceptedUnixMS
+	j.firstAt = o.opts.Clock() - time.Duration(max(0, age))*time.Millisecond
+	o.jobs[id] = j
+	if !p.State.Final() {
+		o.live[id] = j
+	}
+	o.opts.Log.V(1).Info("job known", "job", id, "queue", j.Queue, "workspace", j.Workspace, "state", p.State, "ageMS", age)
+}
+
+// applyCancel takes over a cancel mark. The mark's key sorts after the job's,
+// so the job is known; the lock is held.
+func (o *Owner) applyCancel(id string) {
+	j, ok := o.jobs[id]
+	if !ok || j.cancelRequested {
+		return
+	}
+	j.cancelRequested = true
+	o.opts.Log.Info("cancel seen", "job", id, "state", j.shown)
+}
+
+// adoptAssigned makes runs of the assignments of a former owner. They are
+// settled by a look at their workers; the lock is held.
+func (o *Owner) adoptAssigned(j *job) {
+	for _, g := range j.groups {
+		for i := range g.tasks() {
+			t := &g.tasks()[i]
+			if t.Phase != workload.Assigned {
+				continue
+			}
+			w := o.workers[t.Assigned.Worker]
+			if w == nil {
+				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Born: t.Assigned.Born})
+			}
+			r := &run{group: g, index: i, number: t.Run, worker: w, phase: settling, demand: g.spec().Demand(), orderedAt: o.tookOverAt}
+			g.runs[i] = r
+			w.runs[r] = struct{}{}
+			w.unknownTill = o.tookOverAt + lapseBound
+			o.send(w, order{kind: orderAdopt, run: r})
+		}
+	}
+}
+
+// follow applies changes below a prefix until ownership ends. When the history
+// is gone it lists again.
+func (o *Owner) follow(prefix string, after int64, apply func([]platform.Event), relist func() (int64, error)) {
+	pause := retryPause
+	for o.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, watchWait+storeTimeout)
+		changes, err := o.opts.Store.Poll(ctx, prefix, after, watchWait)
+		cancel()
+		if err == nil {
+			pause = retryPause
+			after = changes.Revision
+			if len(changes.Events) > 0 {
+				apply(changes.Events)
+				o.signal()
+			}
+			continue
+		}
+		if errkind.Is(err, errkind.Conflict) {
+			o.opts.Log.Info("history of the store is gone; listing again", "prefix", prefix)
+			var revision int64
+			if revision, err = relist(); err == nil {
+				after = revision
+				o.signal()
+				continue
+			}
+		}
+		if o.ctx.Err() == nil {
+			o.opts.Log.V(1).Info("watch failed", "prefix", prefix, "reason", err.Error())
+		}
+		wait.Sleep(o.ctx, pause)
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+// lapseBound is the longest time that a lease given by a former owner may last
+// on a slow worker clock.
+const lapseBound = workerLease * 100 / 98
+
+// watchWait bounds a watch, and so the time until a silent connection to the
+// store is noticed.
+const watchWait = 2500 * time.Millisecond
+
+func (o *Owner) followJobs(after int64) {
+	o.follow(JobPrefix, after, func(events []platform.Event) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, e := range events {
+			if !e.Deleted {
+				o.applyJob(e.Entry, nil)
+			}
+		}
+	}, func() (int64, error) {
+		var entries []platform.Entry
+		revision, err := o.listAll(JobPrefix, func(e platform.Entry) { entries = append(entries, e) })
+		if err != nil {
+			return 0, err
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, e := range entries {
+			o.applyJob(e, nil)
+		}
+		return revision, nil
+	})
+}
+
+func (o *Owner) followWorkers(after int64) {
+	o.follow(o.opts.WorkerDir, after, func(events []platform.Event) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, e := range events {
+			if e.Deleted {
+				o.unlistWorker(e.Entry.Key)
+				continue
+			}
+			o.applyWorker(e.Entry.Key, e.Entry.Value)
+		}
+	}, func() (int64, error) {
+		seen := map[string]bool{}
+		var entries []platform.Entry
+		revision, err := o.listAll(o.opts.WorkerDir, func(e platform.Entry) { entries = append(entries, e) })
+		if err != nil {
+			return 0, err
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, e := range entries {
+			seen[e.Key] = true
+			o.applyWorker(e.Key, e.Value)
+		}
+		for id := range o.workers {
+			if key := o.opts.WorkerDir + id; !seen[key] {
+				o.unlistWorker(key)
+			}
+		}
+		return revision, nil
+	})
+}
--- /dev/null
+++ b/pkg/fleet/options.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+)
+
+// Timings of ownership and orders.
+const (
+	// LeaseTTL is the life of the ownership lease. A successor serves this long
+	// after a kill; the store's shortest lease is 1 s.
+	LeaseTTL = 2 * time.Second
+	// renewEvery leaves three tries within a lease.
+	renewEvery = LeaseTTL / 4
+	// leaseMargin is how much earlier than the store the owner gives up.
+	leaseMargin = 200 * time.Millisecond
+	// storeTimeout bounds a call to the store; a slow store answers within 0.4 s.
+	storeTimeout = time.Second
+	// retryPause is the first pause after a failed call to the store.
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = 500 * time.Millisecond
+
+	// workerLease is the life of everything on a worker without a renewal. It
+	// outlasts a takeover and most cuts; the platform's maximum is 10 s.
+	workerLease = 9 * time.Second
+	// clockSlack is how much slower a worker's clock may run, by the platform's page.
+	clockSlack = 0.02
+	// startWindow is how long an unanswered start may still be carried out.
+	startWindow = 3 * time.Second
+	// orderTimeout bounds an order without an answer before it is sent again.
+	orderTimeout = 400 * time.Millisecond
+	// orderTries is how often an unanswered order is sent before it is settled.
+	orderTries = 2
+	// holdWait is how long a look at a busy worker waits for an end, the
+	// platform's maximum.
+	holdWait = 2 * time.Second
+	// holdMargin is added to the wait before a look is given up.
+	holdMargin = 700 * time.Millisecond
+	// ackPause bounds the wait for the durable note of ends before the next look.
+	ackPause = 700 * time.Millisecond
+	// contactAge is the age of a clock reading after which a worker is asked anew
+	// before a start; 2% of it stays below the start window.
+	contactAge = 15 * time.Second
+
+	// statusMargin is added to the time that ended jobs are kept.
+	statusMargin = 20 * time.Second
+	collectEvery = 10 * time.Second
+)
+
+// Options configures an Owner.
+type Options struct {
+	Store       platform.Transactor
+	Workers     WorkerPort
+	Decode      WorkerDecoder
+	WorkerDir   string // prefix of the workers' entries in the store
+	Catalog     func() *catalog.Catalog
+	Clock       Clock
+	Now         func() time.Time
+	Log         logr.Logger
+	Address     string // where other VMs reach this one
+	Name        string
+	KeepEnded   time.Duration // how long ended jobs can be asked for
+	CheckpointS float64       // seconds of work between checkpoints
+	FarFactor   float64       // how many times longer a task runs away from its data
+	StopGrace   time.Duration // longest time until a stopped run ends
+	// EarlyStart is how long before its time an occurrence may start.
+	EarlyStart time.Duration
+	// Reclaim bounds the start of urgent work within a workspace's guarantee.
+	Reclaim time.Duration
+}
--- /dev/null
+++ b/pkg/fleet/owner.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/carawayusher/carawayusher/internal/wait"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Owner holds the state of all jobs and workers while this VM owns the fleet.
+// One lock guards it all: the shard of this state is the whole service, because
+// gangs and guarantees span it.
+type Owner struct {
+	opts  Options
+	lease ownership
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu          sync.Mutex
+	loaded      bool
+	resigned    bool
+	validUntil  time.Duration
+	tookOverAt  time.Duration
+	jobs        map[string]*job
+	live        map[string]*job // jobs without a final state in the store
+	workers     map[string]*worker
+	dirty       map[*job]struct{}
+	rates       map[string]*rate // learned run times by queue
+	nextCollect time.Duration
+
+	wake  chan struct{} // work for the cycle
+	valid chan struct{} // closed and replaced when ownership is renewed
+}
+
+func newOwner(opts Options, lease ownership) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Owner{
+		opts: opts, lease: lease, ctx: ctx, cancel: cancel,
+		validUntil: lease.validUntil,
+		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
+		dirty: map[*job]struct{}{}, rates: map[string]*rate{},
+		wake: make(chan struct{}, 1), valid: make(chan struct{}),
+	}
+}
+
+// run serves until ctx ends or ownership is lost.
+func (o *Owner) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, o.cancel)
+	defer stop()
+	o.opts.Log.Info("took ownership of the fleet", "token", o.lease.token)
+	o.goRun(o.renew)
+	o.goRun(o.cycle)
+	o.wg.Wait()
+	o.opts.Log.Info("ownership of the fleet ended", "token", o.lease.token)
+}
+
+func (o *Owner) goRun(f func()) {
+	o.wg.Add(1)
+	go func() {
+		defer o.wg.Done()
+		f()
+	}()
+}
+
+// lose ends this ownership for good; another VM may be the owner.
+func (o *Owner) lose(reason string) {
+	if o.ctx.Err() == nil {
+		o.opts.Log.Info("ownership lost", "token", o.lease.token, "reason", reason)
+	}
+	o.cancel()
+}
+
+// resign stops all work so that another VM can take over at once.
+func (o *Owner) resign() {
+	o.mu.Lock()
+	o.resigned = true
+	o.mu.Unlock()
+	o.lose("this VM shuts down")
+	o.wg.Wait()
+}
+
+// release ends the lease, which lets a successor start without waiting for it
+// to run out. It must come after the last order.
+func (o *Owner) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := o.opts.Store.Revoke(ctx, o.lease.lease); err != nil && !errkind.Is(err, errkind.NotFound) {
+		o.opts.Log.Info("lease not ended; it runs out by itself", "reason", err.Error())
+	}
+}
+
+// renew keeps the ownership lease alive. Validity counts from before a renewal
+// is sent.
+func (o *Owner) renew() {
+	for wait.Sleep(o.ctx, renewEvery) {
+		sentAt := o.opts.Clock()
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		err := o.opts.Store.KeepAlive(ctx, o.lease.lease)
+		cancel()
+		switch {
+		case err == nil:
+			o.renewed(sentAt + LeaseTTL - leaseMargin)
+		case errkind.Is(err, errkind.NotFound):
+			o.lose("the lease has run out")
+		case o.ctx.Err() == nil:
+			o.opts.Log.Info("ownership not renewed", "reason", err.Error(), "validForMS", (o.validity() - o.opts.Clock()).Milliseconds())
+		}
+	}
+}
+
+func (o *Owner) renewed(until time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if until > o.validUntil {
+		o.validUntil = until
+	}
+	close(o.valid)
+	o.valid = make(chan struct{})
+}
+
+func (o *Owner) validity() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.validUntil
+}
+
+// awaitValid waits until ownership is certain; false means that it is over.
+func (o *Owner) awaitValid() bool {
+	for {
+		o.mu.Lock()
+		valid, renewed := o.opts.Clock() < o.validUntil, o.valid
+		o.mu.Unlock()
+		if o.ctx.Err() != nil {
+			return false
+		}
+		if valid {
+			return true
+		}
+		select {
+		case <-renewed:
+		case <-o.ctx.Done():
+			return false
+		}
+	}
+}
+
+// signal asks for a cycle.
+func (o *Owner) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// touch marks a job's progress as changed; the lock is held.
+func (o *Owner) touch(j *job) {
+	j.changed++
+	o.dirty[j] = struct{}{}
+}
+
+// State returns what callers may be told of a job.
+func (o *Owner) State(id, queue string) (state workload.State, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j, ok := o.jobs[id]
+	if !ok || j.Queue != queue {
+		return "", false
+	}
+	if j.shown.Final() {
+		return j.shown, true
+	}
+	if j.progress.Started() {
+		return workload.Running, true
+	}
+	return workload.Queued, true
+}
+
+// Waiting returns the number of a queue's jobs of which no task has started;
+// false means that the jobs are not loaded yet.
+func (o *Owner) Waiting(queue string) (n int, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, j := range o.live {
+		if j.Queue == queue && !j.shown.Final() && !j.progress.Started() {
+			n++
+		}
+	}
+	return n, o.loaded
+}
--- /dev/null
+++ b/pkg/fleet/place.go
@@ -0,0 +1,363 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/placement"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Tuning of the order in which groups are placed and of preemption.
+const (
+	// lateFactor is how many times its objective a job may take and still be
+	// worth something to its caller.
+	lateFactor = 3
+	// reserveAfter is how long a blocked gang waits before room is kept for it.
+	reserveAfter = 500 * time.Millisecond
+	// maxReservations bounds how many blocked gangs keep room at a time; more
+	// would leave the fleet idle.
+	maxReservations = 3
+	// spanWait is how long an urgent gang waits for one rack before it takes
+	// several, on which it runs longer.
+	spanWait = time.Second
+	// spanPatience is the same for other gangs, in run times.
+	spanPatience = 2
+	// preemptRatio bounds the work that an urgent job outside its guarantee may
+	// destroy, as a share of its own work.
+	preemptRatio = 0.5
+	// dueMargin is how long before its time an occurrence is started, so that
+	// the order arrives in time.
+	dueMargin = 20 * time.Millisecond
+)
+
+// candidate is a group that waits for room, with what decides its rank.
+type candidate struct {
+	group     *group
+	pending   []int // tasks without a run
+	priority  int
+	objective time.Duration // when its job should be done
+	expected  time.Duration // run time of a task
+	chain     time.Duration // run time of the rest of the job
+	slack     time.Duration // objective less the rest of the chain
+	tier      int           // 0: can be in time, 1: late, 2: too late to be worth anything
+	entitled  bool          // urgent and within its workspace's guarantee
+}
+
+// placeWaiting gives workers to the groups that wait, best rank first, and
+// returns whether any work waits; the lock is held.
+func (o *Owner) placeWaiting(now time.Duration) bool {
+	waiting, timed := o.gather(now)
+	if len(waiting) == 0 {
+		return timed
+	}
+	o.markEntitled(waiting)
+	slices.SortFunc(waiting, compareRank)
+	planners := map[string]*fleetPlanner{}
+	reservations := 0
+	for _, c := range waiting {
+		service := o.serviceOf(c.group.job)
+		p := planners[service]
+		if p == nil {
+			p = o.newPlanner(service, now)
+			planners[service] = p
+		}
+		reservations += o.placeOne(p, c, now, reservations < maxReservations)
+	}
+	return true
+}
+
+// compareRank orders by priority, then what can still be in time, then slack.
+func compareRank(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.tier, b.tier), cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.group.job.ID, b.group.job.ID), cmp.Compare(a.group.occurrence, b.group.occurrence), cmp.Compare(a.group.step, b.group.step))
+}
+
+// gather returns the groups whose turn has come; timed says that others wait
+// for their time.
+func (o *Owner) gather(now time.Duration) (waiting []candidate, timed bool) {
+	unixMS := o.opts.Now().UnixMilli()
+	for _, j := range o.live {
+		for _, g := range j.groups {
+			if g.complete() || len(g.runs) == g.spec().Tasks {
+				continue
+			}
+			if due := j.DueUnixMS(g.occurrence); due > unixMS+dueMargin.Milliseconds() {
+				timed = true
+				continue
+			}
+			if now < g.notBefore {
+				timed = true
+				continue
+			}
+			if !o.stepsDone(g) {
+				continue
+			}
+			if !g.ready {
+				g.ready, g.readySince = true, now
+			}
+			if c, ok := o.candidateOf(g, now, unixMS); ok {
+				waiting = append(waiting, c)
+			}
+		}
+	}
+	return waiting, timed
+}
+
+// stepsDone reports whether all steps before the group's have ended.
+func (o *Owner) stepsDone(g *group) bool {
+	for _, earlier := range g.spec().After {
+		if !g.job.group(g.occurrence, earlier).complete() {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Owner) candidateOf(g *group, now time.Duration, unixMS int64) (candidate, bool) {
+	if g.spec().Gang && len(g.runs) > 0 {
+		return candidate{}, false // the former run has not ended on all workers
+	}
+	c := candidate{group: g, priority: g.job.Class.Priority}
+	for i, t := range g.tasks() {
+		if t.Phase == workload.Pending && g.runs[i] == nil {
+			c.pending = append(c.pending, i)
+		}
+	}
+	if len(c.pending) == 0 {
+		return candidate{}, false
+	}
+	c.expected = o.expected(g)
+	c.chain = o.chainFrom(g)
+	start := g.job.firstAt
+	if g.job.Timed() {
+		start = now - time.Duration(unixMS-g.job.DueUnixMS(g.occurrence))*time.Millisecond
+	}
+	allowed := o.objective(g.job)
+	c.objective = start + allowed
+	c.slack = c.objective - c.chain - now
+	switch {
+	case c.slack >= 0:
+		c.tier = 0
+	case start+lateFactor*allowed-c.chain >= now:
+		c.tier = 1
+	default:
+		c.tier = 2
+	}
+	return c, true
+}
+
+// objective is the time in which a job should be done.
+func (o *Owner) objective(j *job) time.Duration {
+	return time.Duration(j.Class.SlackFactor*float64(o.chainOf(j.Job))) + j.Class.TargetRuntime
+}
+
+// markEntitled finds the urgent groups of workspaces whose urgent jobs all fit
+// into their guarantee.
+func (o *Owner) markEntitled(waiting []candidate) {
+	need := map[string]int64{}
+	for _, j := range o.live {
+		if j.Class.Priority == 0 {
+			need[j.Workspace] += widest(j.Job)
+		}
+	}
+	cat := o.opts.Catalog()
+	if cat == nil {
+		return
+	}
+	for _, ws := range cat.Workspaces {
+		if ws.Guaranteed.Accelerators == 0 || need[ws.Name] > ws.Guaranteed.Accelerators {
+			continue
+		}
+		for i := range waiting {
+			if waiting[i].priority == 0 && waiting[i].group.job.Workspace == ws.Name {
+				waiting[i].entitled = true
+			}
+		}
+	}
+}
+
+// widest is the largest number of accelerators that a step of a job uses.
+func widest(j *workload.Job) int64 {
+	var n int64
+	for i := range j.Steps {
+		n = max(n, int64(j.Steps[i].Tasks)*j.Steps[i].Request.Accelerators)
+	}
+	return n
+}
+
+// serviceOf is the service that runs a job by the configuration in force, or
+// that at its acceptance if its queue has been dropped.
+func (o *Owner) serviceOf(j *job) string {
+	if cat := o.opts.Catalog(); cat != nil {
+		if q := cat.Queue(j.Queue); q != nil {
+			return q.Class.Service
+		}
+	}
+	return j.Class.Service
+}
+
+// fleetPlanner is a planner over the workers of one service.
+type fleetPlanner struct {
+	*placement.Planner
+	workers []*worker
+	groups  [][]*run // runs of each group of the snapshot
+}
+
+func (o *Owner) newPlanner(service string, now time.Duration) *fleetPlanner {
+	p := &fleetPlanner{}
+	var s placement.Snapshot
+	index := map[any]int{}
+	ids := make([]string, 0, len(o.workers))
+	for id := range o.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		w := o.workers[id]
+		if w.Service != service {
+			continue
+		}
+		all, beingStopped := w.used()
+		pw := placement.Worker{
+			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
+			Free: w.Capacity.Sub(all), Soon: w.Capacity.Sub(all).Add(beingStopped),
+			Open:    w.listed && !w.Draining && now >= w.backoffTill && w.failing == 0,
+			Penalty: len(w.strikes),
+		}
+		for r := range w.runs {
+			if r.phase == stopping || r.phase == settling {
+				continue
+			}
+			pw.Runs = append(pw.Runs, placement.Run{Group: o.victimGroup(p, &s, index, r, now), Demand: r.demand, EndsIn: o.remaining(r, now)})
+		}
+		s.Workers = append(s.Workers, pw)
+		p.workers = append(p.workers, w)
+	}
+	p.Planner = placement.New(s)
+	return p
+}
+
+// victimGroup returns the index of what is stopped together with a run.
+func (o *Owner) victimGroup(p *fleetPlanner, s *placement.Snapshot, index map[any]int, r *run, now time.Duration) int {
+	var key any = r
+	if r.group.spec().Gang {
+		key = r.group
+	}
+	n, ok := index[key]
+	if !ok {
+		n = len(s.Groups)
+		index[key] = n
+		s.Groups = append(s.Groups, placement.Group{Priority: r.group.job.Class.Priority, Fixed: r.phase != running || r.group.spec().Service})
+		p.groups = append(p.groups, nil)
+	}
+	s.Groups[n].Cost += o.lostWork(r, now)
+	s.Groups[n].Fixed = s.Groups[n].Fixed || r.phase != running
+	p.groups[n] = append(p.groups[n], r)
+	return n
+}
+
+// lostWork is the work in core-seconds that stopping a run throws away.
+func (o *Owner) lostWork(r *run, now time.Duration) float64 {
+	done := (now - r.startedAt).Seconds()
+	if r.group.spec().Checkpointing {
+		done = min(done, o.opts.CheckpointS)
+	}
+	return r.demand.Cores() * done
+}
+
+// placeOne asks for room for one group and orders what was decided. It returns
+// 1 if room was kept for a blocked gang.
+func (o *Owner) placeOne(p *fleetPlanner, c candidate, now time.Duration, mayReserve bool) int {
+	g := c.group
+	spec := g.spec()
+	waited := now - g.readySince
+	request := placement.Request{
+		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack, Requires: spec.Requires,
+		Affinity: spec.Affinity, MaxPerWorker: spec.MaxPerWorker, PerWorker: perWorker(g), Avoid: g.avoid,
+		Priority: c.priority, Duration: c.expected, MayPreempt: c.priority == 0 && c.tier < 2,
+		MaxCost: preemptRatio * spec.Demand().Cores() * c.expected.Seconds() * float64(len(c.pending)),
+		MaySpan: o.maySpan(c, waited), Reserve: mayReserve && waited >= reserveAfter,
+	}
+	if c.entitled {
+		request.MayPreempt, request.MaxCost = true, math.Inf(1)
+	}
+	outcome := p.Place(request)
+	switch outcome.Code {
+	case placement.Placed:
+		o.assign(p, c, outcome, now)
+	case placement.Preempting:
+		for _, victim := range outcome.Victims {
+			o.opts.Log.Info("preempted for urgent work", "job", p.groups[victim][0].group.job.ID, "for", g.job.ID,
+				"entitled", c.entitled, "waitedMS", waited.Milliseconds())
+			for _, r := range p.groups[victim] {
+				o.stopRun(r, "preempted")
+			}
+		}
+	case placement.Blocked:
+		if request.Reserve && spec.Gang {
+			return 1
+		}
+		if len(g.avoid) > 0 && waited > spanWait {
+			clear(g.avoid) // better a worker that failed once than none
+		}
+	case placement.Draining:
+	}
+	return 0
+}
+
+func (o *Owner) maySpan(c candidate, waited time.Duration) bool {
+	if c.priority == 0 {
+		return waited >= spanWait
+	}
+	return waited >= spanPatience*c.expected
+}
+
+func perWorker(g *group) map[string]int {
+	if g.spec().MaxPerWorker == 0 {
+		return nil
+	}
+	n := map[string]int{}
+	for _, r := range g.runs {
+		n[r.worker.ID]++
+	}
+	return n
+}
+
+// assign records the workers of the tasks. The starts are sent once the record
+// is stored; the lock is held.
+func (o *Owner) assign(p *fleetPlanner, c candidate, outcome placement.Outcome, now time.Duration) {
+	g := c.group
+	tasks := g.tasks()
+	number := int64(0)
+	for _, i := range c.pending {
+		number = max(number, tasks[i].Run)
+	}
+	number++
+	g.spread = outcome.Spread
+	var started []*run
+	for n, chosen := range outcome.Workers {
+		i, w := c.pending[n], p.workers[chosen]
+		t := &tasks[i]
+		if !g.spec().Gang {
+			number = t.Run + 1
+		}
+		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Born: w.Born}
+		r := &run{group: g, index: i, number: number, worker: w, phase: planned, demand: g.spec().Demand(), orderedAt: now}
+		g.runs[i], w.runs[r] = r, struct{}{}
+		started = append(started, r)
+	}
+	o.opts.Log.Info("placed", "job", g.job.ID, "occurrence", g.occurrence, "step", g.step, "tasks", len(started), "of", g.spec().Tasks,
+		"run", number, "waitedMS", (now - g.readySince).Milliseconds(), "slackMS", c.slack.Milliseconds(), "spread", outcome.Spread)
+	g.job.after = append(g.job.after, func() {
+		for _, r := range started {
+			if r.phase == planned && r.group.runs[r.index] == r {
+				r.phase = starting
+				o.send(r.worker, order{kind: orderStart, run: r})
+			}
+		}
+	})
+	o.touch(g.job)
+}
--- /dev/null
+++ b/pkg/fleet/ports.go
@@ -0,0 +1,122 @@
+// Package fleet is the owner of all jobs and workers of the deployment. One VM
+// at a time holds the ownership lease of the platform's store; it learns jobs
+// from the store, decides which worker runs which task, writes each assignment
+// before it sends the order, and takes note of ends before it acknowledges
+// them. What it holds in memory is rebuilt from the store and the workers.
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// WorkerEntry is what a worker says of itself in the store.
+type WorkerEntry struct {
+	ID       string
+	Born     int64 // start of this life, Unix milliseconds
+	Service  string
+	Address  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity workload.Resources
+	Draining bool
+	Leaves   time.Duration // least time that is left while draining
+}
+
+// RunState is a run that a worker lists as present.
+type RunState struct {
+	Task       workload.TaskID
+	Run        int64
+	Checkpoint string
+	Percent    int
+}
+
+// EndReason says how a run ended.
+type EndReason string
+
+// Reasons of an end.
+const (
+	EndDone    EndReason = "done"
+	EndFailed  EndReason = "failed"  // by its own fault or the worker's
+	EndStopped EndReason = "stopped" // by an order
+	EndLapsed  EndReason = "lapsed"  // the lease of the worker ran out
+	EndBroken  EndReason = "broken"  // another member of the gang ended
+	EndAlone   EndReason = "alone"   // the other members did not come in time
+)
+
+// RunEnd is an entry of a worker's list of ends.
+type RunEnd struct {
+	Number     int64 // rises within a life of the worker
+	Task       workload.TaskID
+	Run        int64
+	Reason     EndReason
+	Checkpoint string
+}
+
+// HoldRequest renews the lease of everything on a worker and looks at it.
+type HoldRequest struct {
+	Token    int64         // fencing token of the owner
+	AckedTo  int64         // ends up to this number may be forgotten
+	Deadline int64         // end of the lease on the worker's clock in ms; 0 leaves it
+	Wait     time.Duration // how long the answer may wait for an end
+}
+
+// HoldReply is the worker's answer.
+type HoldReply struct {
+	ClockMS int64
+	Born    int64
+	Running []RunState
+	Ended   []RunEnd
+}
+
+// StartOrder tells a worker to start a run.
+type StartOrder struct {
+	Task       workload.TaskID
+	Run        int64
+	Payload    string
+	Checkpoint string
+	Deadline   int64 // latest time to carry it out on the worker's clock, ms
+	Token      int64
+	Ticket     string
+}
+
+// Verdict is a worker's answer to an order.
+type Verdict string
+
+// Verdicts of a worker.
+const (
+	Accepted   Verdict = "accepted"
+	Fenced     Verdict = "fence"  // another owner has a higher token
+	StaleRun   Verdict = "old"    // the run number is not higher than one that ended
+	TooLate    Verdict = "late"   // the deadline of the order has passed
+	NoRoom     Verdict = "room"   // it does not fit
+	NoTicket   Verdict = "ticket" // the ticket is missing or has expired
+	Unhealthy  Verdict = "unhealthy"
+	OtherLife  Verdict = "other_life" // another incarnation answered
+	BadOrder   Verdict = "bad_order"
+	Unanswered Verdict = "unanswered" // it may still be carried out
+	NotSent    Verdict = "not_sent"   // the worker refused the connection
+)
+
+// OrderReply is the answer to an order.
+type OrderReply struct {
+	Verdict Verdict
+	ClockMS int64 // 0 if the answer carried no clock
+}
+
+// WorkerPort sends calls to workers. Instance names the worker that is meant.
+type WorkerPort interface {
+	Hold(ctx context.Context, address, instance string, r HoldRequest) (HoldReply, Verdict, error)
+	Start(ctx context.Context, address, instance string, o StartOrder) (OrderReply, error)
+	Stop(ctx context.Context, address, instance string, task workload.TaskID, run, token int64) (OrderReply, error)
+}
+
+// WorkerDecoder reads a worker's entry in the store; an entry that cannot be
+// used yields false.
+type WorkerDecoder func(key string, value []byte) (WorkerEntry, bool)
+
+// Clock is a steady clock that also counts the time a VM is suspended.
+type Clock func() time.Duration
--- /dev/null
+++ b/pkg/fleet/state.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// phase is what the owner knows of a run.
+type phase int
+
+const (
+	planned  phase = iota // the assignment is being written
+	starting              // the order is queued or on its way
+	running               // the worker has confirmed it
+	stopping              // a stop was ordered; the end is awaited
+	settling              // unknown: a stop and a look decide whether it was started
+)
+
+// run is a start of a task that has not ended for certain.
+type run struct {
+	group      *group
+	index      int
+	number     int64
+	worker     *worker
+	phase      phase
+	demand     workload.Resources
+	percent    int
+	progressAt time.Duration // when percent last rose
+	startedAt  time.Duration // when the worker confirmed it
+	orderedAt  time.Duration
+	missing    int           // looks in a row that did not list it
+	barred     bool          // a stop was ordered
+	listedAt   time.Duration // when the worker last listed it
+}
+
+// group is a step of a job in one occurrence.
+type group struct {
+	job        *job
+	occurrence int
+	step       int
+	runs       map[int]*run // by index of the task
+	done       int
+	failedRun  int64           // newest run number whose failure was counted
+	avoid      map[string]bool // workers on which it failed
+	readySince time.Duration
+	ready      bool
+	spread     bool // runs on several racks although it wants one
+	notBefore  time.Duration
+}
+
+func (g *group) spec() *workload.Step { return &g.job.Steps[g.step] }
+
+func (g *group) tasks() []workload.Task { return g.job.progress.Group(g.occurrence, g.step) }
+
+func (g *group) taskID(index int) workload.TaskID {
+	return workload.TaskID{Job: g.job.ID, Occurrence: g.occurrence, Step: g.step, Index: index}
+}
+
+// complete reports whether all tasks have ended successfully.
+func (g *group) complete() bool { return g.done == g.spec().Tasks }
+
+// job is an accepted job with its progress.
+type job struct {
+	*workload.Job
+	progress *workload.Progress
+	groups   []*group // by occurrence, then step
+	version  int64    // version of the progress key; 0 if absent
+	shown    workload.State
+	firstAt  time.Duration // owner's clock when it was accepted
+
+	cancelRequested bool
+	giveUp          workload.State // final state that waits for the runs to end
+
+	changed   int64    // counts changes of the progress
+	committed int64    // the change that the store holds
+	after     []func() // run under the lock once the present change is stored
+}
+
+func (j *job) group(occurrence, step int) *group {
+	if occurrence < 0 || occurrence >= j.Occurrences() || step < 0 || step >= len(j.Steps) {
+		return nil
+	}
+	return j.groups[occurrence*len(j.Steps)+step]
+}
+
+// active reports whether any run of the job has not ended.
+func (j *job) active() bool {
+	for _, g := range j.groups {
+		if len(g.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func newJob(j *workload.Job, p *workload.Progress) *job {
+	out := &job{Job: j, progress: p, shown: p.State}
+	for k := range j.Occurrences() {
+		for s := range j.Steps {
+			g := &group{job: out, occurrence: k, step: s, runs: map[int]*run{}, avoid: map[string]bool{}}
+			for _, t := range p.Group(k, s) {
+				if t.Phase == workload.Done {
+					g.done++
+				}
+			}
+			out.groups = append(out.groups, g)
+		}
+	}
+	return out
+}
+
+// unackedEnd is an end whose durable note has to come before its acknowledgement.
+type unackedEnd struct {
+	number int64
+	job    *job
+	change int64
+}
+
+// worker is the owner's view of one worker.
+type worker struct {
+	WorkerEntry
+	listed     bool // the store has its entry
+	drainSince time.Duration
+	runs       map[*run]struct{}
+
+	contacted   bool // this life has answered under the present token
+	clockMS     int64
+	clockAt     time.Duration // when clockMS was received
+	maxDeadline int64         // newest lease end sent, on the worker's clock
+	unknownTill time.Duration // runs of a former owner have lapsed by then
+	answeredAt  time.Duration
+
+	endSeen int64
+	ackTo   int64
+	unacked []unackedEnd
+	ackDue  bool          // the worker has not yet been told of ackTo
+	acked   chan struct{} // closed and replaced when ackTo rises
+
+	failing     int             // calls in a row without an answer
+	backoffTill time.Duration   // takes no new starts before
+	strikes     map[string]bool // jobs that failed here since the last success
+	struckAt    time.Duration
+
+	orders  chan order
+	poke    chan struct{}
+	stopped bool
+}
+
+// used is what the worker's runs take of its capacity.
+func (w *worker) used() (all, beingStopped workload.Resources) {
+	for r := range w.runs {
+		all = all.Add(r.demand)
+		if r.phase == stopping || r.phase == settling {
+			beingStopped = beingStopped.Add(r.demand)
+		}
+	}
+	return all, beingStopped
+}
+
+// lapsedBy returns when everything on a silent worker has lapsed for certain.
+func (w *worker) lapsedBy() time.Duration {
+	if !w.contacted {
+		return w.unknownTill
+	}
+	left := time.Duration(max(0, w.maxDeadline-w.clockMS)) * time.Millisecond
+	return max(w.unknownTill, w.clockAt+time.Duration(float64(left)/(1-clockSlack)))
+}
+
+// clockNow estimates the worker's clock.
+func (w *worker) clockNow(now time.Duration) int64 {
+	return w.clockMS + (now - w.clockAt).Milliseconds()
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,289 @@
+// Package gateway serves callers on every VM: it accepts and cancels jobs in
+// the platform's store, and answers questions about them from the owner of the
+// fleet or, without one, from the store.
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/internal/wait"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Timings of calls.
+const (
+	// storeTry bounds one call to the store, so that a silent connection leaves
+	// time for another try.
+	storeTry = 800 * time.Millisecond
+	// retryPause is the pause after a refused call to the store.
+	retryPause = 60 * time.Millisecond
+	// refuseAfter is how long an acceptance is tried against a store that refuses
+	// every call before the caller is sent away to another VM.
+	refuseAfter = 600 * time.Millisecond
+	// ownerTry bounds a question to the owner; the store answers afterwards.
+	ownerTry = 400 * time.Millisecond
+	// RetryAfter is what refused callers are told: another VM, or this one after
+	// the usual trouble of the store, may accept the job then.
+	RetryAfter = time.Second
+)
+
+// Owner answers questions about the jobs of the fleet.
+type Owner interface {
+	// State returns a job's state; an unknown job has kind not_found, and an
+	// owner that cannot tell has kind unavailable.
+	State(ctx context.Context, id, queue string) (workload.State, error)
+	// Waiting returns the number of a queue's jobs that have not started.
+	Waiting(ctx context.Context, queue string) (int, error)
+}
+
+// Options configures a Gateway.
+type Options struct {
+	Store platform.Transactor
+	Owner Owner
+	Now   func() time.Time
+	Log   logr.Logger
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	opts Options
+}
+
+// New returns a Gateway.
+func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+
+// Accept stores a job. Kind unavailable means that it certainly was not
+// accepted; kind timeout that it may have been. A repeated call for the same
+// job succeeds.
+func (g *Gateway) Accept(ctx context.Context, j *workload.Job) error {
+	if err := j.Validate(); err != nil {
+		return err
+	}
+	j.AcceptedUnixMS = g.opts.Now().UnixMilli()
+	value, err := workload.EncodeJob(j)
+	if err != nil {
+		return err
+	}
+	key := fleet.JobKey(j.ID)
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	}
+	res, err := g.commit(ctx, txn)
+	if errkind.Is(err, errkind.Conflict) {
+		return g.sameJob(j, res.Current)
+	}
+	return err
+}
+
+// sameJob reports whether the job that is stored under the ID is this one.
+func (g *Gateway) sameJob(j *workload.Job, current []platform.Entry) error {
+	for _, e := range current {
+		if e.Key != fleet.JobKey(j.ID) || e.Version == 0 {
+			continue
+		}
+		stored, err := workload.DecodeJob(e.Value)
+		if err != nil {
+			return err
+		}
+		if stored.Queue != j.Queue || stored.Workspace != j.Workspace {
+			return errkind.New(errkind.Conflict, "the ID belongs to another job")
+		}
+		return nil
+	}
+	return errkind.New(errkind.Timeout, "the store neither took the job nor shows it")
+}
+
+// commit writes until there is an answer. An unanswered write may still be
+// carried out, so after one the outcome is unknown until the store shows it.
+func (g *Gateway) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	startedAt, unknown := g.opts.Now(), false
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
+		res, err := g.opts.Store.Commit(tryCtx, txn)
+		cancel()
+		switch {
+		case err == nil || errkind.Is(err, errkind.Conflict):
+			return res, err
+		case errkind.Is(err, errkind.StoreUnavailable):
+			unknown = true
+		case !unknown && g.opts.Now().Sub(startedAt) >= refuseAfter:
+			return res, errkind.Wrap(err, errkind.Unavailable, "the store refuses calls").WithRetryAfter(RetryAfter)
+		}
+		if !wait.Sleep(ctx, retryPause) {
+			if unknown {
+				return res, errkind.Wrap(err, errkind.Timeout, "the store did not answer in time")
+			}
+			return res, errkind.Wrap(err, errkind.Unavailable, "the store refuses calls").WithRetryAfter(RetryAfter)
+		}
+	}
+}
+
+// Cancel marks a job as cancelled; an unknown job has kind not_found.
+func (g *Gateway) Cancel(ctx context.Context, id, queue string) error {
+	entries, err := g.list(ctx, fleet.JobKey(id))
+	if err != nil {
+		return err
+	}
+	stored, cancelled, err := g.findJob(entries, id)
+	if err != nil {
+		return err
+	}
+	if stored == nil || stored.Queue != queue {
+		return errkind.New(errkind.NotFound, "no such job")
+	}
+	if cancelled {
+		return nil
+	}
+	_, err = g.commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: fleet.CancelKey(id)}},
+		Writes:     []platform.Write{{Key: fleet.CancelKey(id)}},
+	})
+	if errkind.Is(err, errkind.Conflict) {
+		return nil // another call was faster
+	}
+	return err
+}
+
+func (g *Gateway) findJob(entries []platform.Entry, id string) (stored *workload.Job, cancelled bool, err error) {
+	for _, e := range entries {
+		switch e.Key {
+		case fleet.JobKey(id):
+			if stored, err = workload.DecodeJob(e.Value); err != nil {
+				return nil, false, err
+			}
+		case fleet.CancelKey(id):
+			cancelled = true
+		}
+	}
+	return stored, cancelled, nil
+}
+
+// State returns what is known of a job.
+func (g *Gateway) State(ctx context.Context, id, queue string) (workload.State, error) {
+	ownerCtx, cancel := context.WithTimeout(ctx, ownerTry)
+	state, err := g.opts.Owner.State(ownerCtx, id, queue)
+	cancel()
+	if err == nil {
+		return state, nil
+	}
+	return g.storedState(ctx, id, queue)
+}
+
+func (g *Gateway) storedState(ctx context.Context, id, queue string) (workload.State, error) {
+	entries, err := g.list(ctx, fleet.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	stored, _, err := g.findJob(entries, id)
+	if err != nil {
+		return "", err
+	}
+	if stored == nil || stored.Queue != queue {
+		return "", errkind.New(errkind.NotFound, "no such job")
+	}
+	progress, err := g.list(ctx, fleet.ProgressKey(id))
+	if err != nil {
+		return "", err
+	}
+	return g.visibleState(stored, progress)
+}
+
+func (g *Gateway) visibleState(j *workload.Job, progress []platform.Entry) (workload.State, error) {
+	for _, e := range progress {
+		if e.Key != fleet.ProgressKey(j.ID) {
+			continue
+		}
+		p, err := workload.DecodeProgress(j, e.Value)
+		if err != nil {
+			return "", err
+		}
+		if p.State.Final() {
+			return p.State, nil
+		}
+		if p.Started() {
+			return workload.Running, nil
+		}
+	}
+	return workload.Queued, nil
+}
+
+// Waiting returns the number of a queue's jobs that have not started.
+func (g *Gateway) Waiting(ctx context.Context, queue string) (int, error) {
+	ownerCtx, cancel := context.WithTimeout(ctx, ownerTry)
+	n, err := g.opts.Owner.Waiting(ownerCtx, queue)
+	cancel()
+	if err == nil {
+		return n, nil
+	}
+	jobs, err := g.list(ctx, fleet.JobPrefix)
+	if err != nil {
+		return 0, err
+	}
+	progress, err := g.list(ctx, fleet.ProgressPrefix)
+	if err != nil {
+		return 0, err
+	}
+	return g.countWaiting(queue, jobs, progress)
+}
+
+func (g *Gateway) countWaiting(queue string, jobs, progress []platform.Entry) (int, error) {
+	stored := map[string]platform.Entry{}
+	for _, e := range progress {
+		stored[e.Key] = e
+	}
+	n := 0
+	for _, e := range jobs {
+		if strings.Contains(strings.TrimPrefix(e.Key, fleet.JobPrefix), "/") {
+			continue // a cancel mark
+		}
+		j, err := workload.DecodeJob(e.Value)
+		if err != nil {
+			return 0, err
+		}
+		if j.Queue != queue {
+			continue
+		}
+		var own []platform.Entry
+		if p, ok := stored[fleet.ProgressKey(j.ID)]; ok {
+			own = append(own, p)
+		}
+		state, err := g.visibleState(j, own)
+		if err != nil {
+			return 0, err
+		}
+		if state == workload.Queued {
+			n++
+		}
+	}
+	return n, nil
+}
+
+// list reads all pages of a prefix, with retries until ctx ends.
+func (g *Gateway) list(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	var entries []platform.Entry
+	after := ""
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
+		page, err := g.opts.Store.List(tryCtx, prefix, after, 0)
+		cancel()
+		if err != nil {
+			if !wait.Sleep(ctx, retryPause) {
+				return nil, errkind.Wrap(err, errkind.Timeout, "the store did not answer in time")
+			}
+			continue
+		}
+		entries = append(entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			return entries, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
--- /dev/null
+++ b/pkg/placement/planner.go
@@ -0,0 +1,378 @@
+// Package placement decides which workers run the tasks of a step. It is pure:
+// a Planner is built from a snapshot of the workers, is asked for one group of
+// tasks after the other in the order of their rank, and keeps track of what it
+// has given away.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Code is the outcome of a request.
+type Code int
+
+// Outcomes of a request.
+const (
+	// Placed: every task, or for separate tasks at least one, has a worker.
+	Placed Code = iota
+	// Draining: it fits once runs that are being stopped have ended; the room is kept.
+	Draining
+	// Preempting: it fits once the victims have been stopped; the room is kept.
+	Preempting
+	// Blocked: it does not fit; a reservation may have been made.
+	Blocked
+)
+
+// Run is a run on a worker.
+type Run struct {
+	Group  int // index into Snapshot.Groups
+	Demand workload.Resources
+	EndsIn time.Duration // expected; 0 when it is overdue
+}
+
+// Group is a set of runs that is stopped as a whole: a gang, or a single run.
+type Group struct {
+	Priority int
+	Cost     float64 // value that is lost when it is stopped
+	Fixed    bool    // never a victim
+}
+
+// Worker is the state of a worker at the time of the snapshot.
+type Worker struct {
+	ID       string
+	Rack     string
+	Labels   []string
+	Capacity workload.Resources
+	Free     workload.Resources // now
+	Soon     workload.Resources // when the runs that are being stopped have ended
+	Open     bool               // takes new tasks
+	Runs     []Run              // without those that are being stopped
+	// Penalty orders workers that are otherwise equal; the lowest comes first.
+	Penalty int
+
+	claims []claim
+}
+
+// claim is room that is kept from a time on for a group that waits.
+type claim struct {
+	from   time.Duration
+	demand workload.Resources
+}
+
+// Snapshot is the input of a Planner.
+type Snapshot struct {
+	Workers []Worker
+	Groups  []Group
+}
+
+// Request asks for room for the tasks of one step.
+type Request struct {
+	Demand       workload.Resources
+	Count        int
+	Gang         bool
+	SameRack     bool
+	MaySpan      bool // a gang that wants one rack accepts several
+	Requires     string
+	Affinity     string
+	MaxPerWorker int
+	PerWorker    map[string]int  // tasks of the step that already run, by worker
+	Avoid        map[string]bool // workers that failed this step before
+	Priority     int
+	Duration     time.Duration // expected run time
+	MayPreempt   bool
+	// MaxCost bounds the value that preemption may destroy.
+	MaxCost float64
+	// Reserve keeps room for a blocked gang, so that smaller work behind it does
+	// not delay it for ever.
+	Reserve bool
+}
+
+// Outcome is the answer to a Request. Workers holds an index into
+// Snapshot.Workers for each task that was placed.
+type Outcome struct {
+	Code    Code
+	Workers []int
+	Victims []int // groups to stop
+	Spread  bool  // a gang that wants one rack was placed on several
+}
+
+// Planner places requests one after the other.
+type Planner struct {
+	workers []Worker
+	groups  []Group
+	racks   [][]int // indexes of workers by rack
+	victims map[int]bool
+}
+
+// New returns a Planner that owns the snapshot.
+func New(s Snapshot) *Planner {
+	p := &Planner{workers: s.Workers, groups: s.Groups, victims: map[int]bool{}}
+	byRack := map[string]int{}
+	for i := range p.workers {
+		n, ok := byRack[p.workers[i].Rack]
+		if !ok {
+			n = len(p.racks)
+			byRack[p.workers[i].Rack] = n
+			p.racks = append(p.racks, nil)
+		}
+		p.racks[n] = append(p.racks[n], i)
+	}
+	return p
+}
+
+// Place decides on one request and gives away the room it needs.
+func (p *Planner) Place(r Request) Outcome {
+	if !r.Gang {
+		return p.placeSeparate(r)
+	}
+	scopes := p.scopes(r)
+	for _, now := range []bool{true, false} {
+		if chosen, spread := p.fitAny(r, scopes, now); chosen != nil {
+			p.take(r, chosen, now)
+			if now {
+				return Outcome{Code: Placed, Workers: chosen, Spread: spread}
+			}
+			return Outcome{Code: Draining}
+		}
+	}
+	if r.MayPreempt {
+		if victims := p.preempt(r, scopes); victims != nil {
+			return Outcome{Code: Preempting, Victims: victims}
+		}
+	}
+	if r.Reserve {
+		p.reserve(r, scopes)
+	}
+	return Outcome{Code: Blocked}
+}
+
+// placeSeparate places as many of the tasks as fit.
+func (p *Planner) placeSeparate(r Request) Outcome {
+	all := p.all()
+	chosen := p.fit(r, all, true)
+	if len(chosen) > 0 {
+		p.take(r, chosen, true)
+		return Outcome{Code: Placed, Workers: chosen}
+	}
+	if soon := p.fit(r, all, false); len(soon) > 0 {
+		p.take(r, soon, false)
+		return Outcome{Code: Draining}
+	}
+	if r.MayPreempt {
+		if victims := p.preempt(r, [][]int{all}); victims != nil {
+			return Outcome{Code: Preempting, Victims: victims}
+		}
+	}
+	return Outcome{Code: Blocked}
+}
+
+// scopes returns the sets of workers that may hold the whole gang, those to
+// prefer first.
+func (p *Planner) scopes(r Request) [][]int {
+	if !r.SameRack {
+		return [][]int{p.all()}
+	}
+	scopes := make([][]int, 0, len(p.racks)+1)
+	possible := false
+	for _, rack := range p.racks {
+		scopes = append(scopes, rack)
+		possible = possible || p.couldHold(r, rack)
+	}
+	if r.MaySpan || !possible {
+		scopes = append(scopes, p.all())
+	}
+	return scopes
+}
+
+// couldHold reports whether empty workers of the set would hold the gang.
+func (p *Planner) couldHold(r Request, scope []int) bool {
+	n := 0
+	for _, i := range scope {
+		w := &p.workers[i]
+		if w.Open && p.allowed(r, w) {
+			n += min(copies(r.Demand, w.Capacity), perWorkerLimit(r, w))
+		}
+	}
+	return n >= r.Count
+}
+
+func (p *Planner) all() []int {
+	all := make([]int, len(p.workers))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// fitAny looks for a scope that holds the whole gang. Among racks it prefers
+// the one with the data, then the one with the least room left.
+func (p *Planner) fitAny(r Request, scopes [][]int, now bool) (best []int, spread bool) {
+	bestScore := math.MaxFloat64
+	for n, scope := range scopes {
+		whole := r.SameRack && n == len(p.racks)
+		if whole && best != nil {
+			break // several racks only where one does not do
+		}
+		chosen := p.fit(r, scope, now)
+		if len(chosen) < r.Count {
+			continue
+		}
+		if score := p.scopeScore(r, scope, chosen); score < bestScore {
+			best, bestScore, spread = chosen, score, whole && p.onSeveralRacks(chosen)
+		}
+	}
+	return best, spread
+}
+
+func (p *Planner) onSeveralRacks(chosen []int) bool {
+	for _, i := range chosen {
+		if p.workers[i].Rack != p.workers[chosen[0]].Rack {
+			return true
+		}
+	}
+	return false
+}
+
+// Weights of scopeScore, in accelerators.
+const (
+	penaltyWeight  = 64   // a worker with a penalty counts like this much free room
+	affinityWeight = 1000 // tasks away from their data run several times longer
+)
+
+func (p *Planner) scopeScore(r Request, scope, chosen []int) float64 {
+	var free int64
+	for _, i := range scope {
+		free += max(0, p.workers[i].Soon.Accelerators)
+	}
+	score := float64(free)
+	for _, i := range chosen {
+		score += penaltyWeight * float64(p.workers[i].Penalty)
+		if r.Affinity != "" && p.workers[i].Rack != r.Affinity {
+			score += affinityWeight
+		}
+	}
+	return score
+}
+
+// fit chooses workers of the scope for up to r.Count tasks, best fit first.
+func (p *Planner) fit(r Request, scope []int, now bool) []int {
+	candidates := make([]candidate, 0, len(scope))
+	for _, i := range scope {
+		w := &p.workers[i]
+		if !w.Open || !p.allowed(r, w) {
+			continue
+		}
+		room := w.Free
+		if !now {
+			room = w.Soon
+		}
+		if n := min(copies(r.Demand, p.beforeClaims(r, w, room)), perWorkerLimit(r, w)); n > 0 {
+			candidates = append(candidates, candidate{worker: i, copies: n, key: p.fitKey(r, w, room)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return a.key.compare(b.key) })
+	chosen := make([]int, 0, r.Count)
+	for _, c := range candidates {
+		for n := 0; n < c.copies && len(chosen) < r.Count; n++ {
+			chosen = append(chosen, c.worker)
+		}
+	}
+	return chosen
+}
+
+type candidate struct {
+	worker int
+	copies int
+	key    fitKey
+}
+
+// fitKey orders workers: data nearby, no penalty, then the least room left, so
+// that whole workers stay free for large tasks.
+type fitKey struct {
+	far, penalty int
+	accelerators int64
+	memory       int64
+	cpu          int64
+}
+
+func (a fitKey) compare(b fitKey) int {
+	return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.accelerators, b.accelerators),
+		cmp.Compare(a.memory, b.memory), cmp.Compare(a.cpu, b.cpu))
+}
+
+func (p *Planner) fitKey(r Request, w *Worker, room workload.Resources) fitKey {
+	k := fitKey{penalty: w.Penalty, accelerators: room.Accelerators, memory: room.MemoryMiB, cpu: room.MilliCPU}
+	if r.Affinity != "" && w.Rack != r.Affinity {
+		k.far = 1
+	}
+	return k
+}
+
+// beforeClaims reduces the room by what waiting groups will need before a task
+// of the request ends.
+func (p *Planner) beforeClaims(r Request, w *Worker, room workload.Resources) workload.Resources {
+	for _, c := range w.claims {
+		if r.Duration <= c.from {
+			continue
+		}
+		later := w.Soon
+		for _, run := range w.Runs {
+			if run.EndsIn <= c.from && !p.victims[run.Group] {
+				later = later.Add(run.Demand)
+			}
+		}
+		left := later.Sub(c.demand)
+		room = workload.Resources{
+			MilliCPU:     min(room.MilliCPU, left.MilliCPU),
+			MemoryMiB:    min(room.MemoryMiB, left.MemoryMiB),
+			Accelerators: min(room.Accelerators, left.Accelerators),
+		}
+	}
+	return room
+}
+
+// allowed reports whether the request may use the worker at all.
+func (p *Planner) allowed(r Request, w *Worker) bool {
+	if r.Avoid[w.ID] {
+		return false
+	}
+	return r.Requires == "" || slices.Contains(w.Labels, r.Requires)
+}
+
+func perWorkerLimit(r Request, w *Worker) int {
+	if r.MaxPerWorker <= 0 {
+		return r.Count
+	}
+	return max(0, r.MaxPerWorker-r.PerWorker[w.ID])
+}
+
+// copies returns how many times the demand fits into the room.
+func copies(demand, room workload.Resources) int {
+	n := int64(math.MaxInt32)
+	for _, pair := range [][2]int64{
+		{demand.MilliCPU, room.MilliCPU}, {demand.MemoryMiB, room.MemoryMiB}, {demand.Accelerators, room.Accelerators},
+	} {
+		if pair[0] > 0 {
+			n = min(n, max(0, pair[1])/pair[0])
+		}
+	}
+	return int(n)
+}
+
+func (p *Planner) take(r Request, chosen []int, now bool) {
+	for _, i := range chosen {
+		w := &p.workers[i]
+		w.Soon = w.Soon.Sub(r.Demand)
+		// Room that is only kept is taken from the present room as well, so that
+		// no later request uses it up.
+		w.Free = w.Free.Sub(r.Demand)
+		if now {
+			w.Runs = append(w.Runs, Run{Group: -1, Demand: r.Demand, EndsIn: r.Duration})
+		}
+	}
+}
--- a/pkg/platform/memory/call.go
+++ b/pkg/platform/memory/call.go
@@ -28,7 +28,7 @@
 
 func (o Op) write() bool {
 	switch o {
-	case OpPut, OpDelete, OpGrantLease, OpKeepAlive, OpRevoke:
+	case OpPut, OpDelete, OpCommit, OpGrantLease, OpKeepAlive, OpRevoke:
 		return true
 	default:
 		return false
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -108,3 +108,55 @@
 type VMLister interface {
 	ListVMs(ctx context.Context) ([]VM, error)
 }
+
+// Condition expects a key to have a version; version 0 means absent.
+type Condition struct {
+	Key     string
+	Version int64
+}
+
+// Write sets a key; a non-zero lease binds the key to that lease.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// MaxTxnEntries bounds the conditions, writes and deletes of a transaction.
+const MaxTxnEntries = 32
+
+// Txn is an all-or-nothing change that applies only if all conditions hold.
+type Txn struct {
+	Conditions []Condition
+	Writes     []Write
+	Deletes    []string
+}
+
+// TxnResult is the answer of Transactor.Commit.
+type TxnResult struct {
+	Revision int64
+	// Current holds the present entries of the conditions' keys after kind
+	// conflict; an absent key has version 0.
+	Current []Entry
+}
+
+// Changes is the answer of Transactor.Poll.
+type Changes struct {
+	Events   []Event
+	Revision int64 // where the next poll continues
+}
+
+// Transactor is a store with transactions and bounded waits for changes.
+// Errors have the kinds conflict, not_found (key or lease), quota_exceeded and
+// overloaded (nothing was done), and store_unavailable (outcome unknown).
+type Transactor interface {
+	Get(ctx context.Context, key string) (Entry, error)
+	List(ctx context.Context, prefix, after string, limit int) (ListResult, error)
+	Commit(ctx context.Context, txn Txn) (TxnResult, error)
+	// Poll waits up to wait for changes after a revision. Kind conflict means
+	// that the history is gone and the caller has to list again.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	KeepAlive(ctx context.Context, id LeaseID) error
+	Revoke(ctx context.Context, id LeaseID) error
+}
--- /dev/null
+++ b/pkg/workload/job.go
@@ -0,0 +1,210 @@
+// Package workload defines jobs of several steps and the progress of their
+// tasks: plain data, its checks and its stored form. It does no I/O.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+)
+
+// Limits of a job; a job beyond them is refused as invalid.
+const (
+	MaxPayloadBytes = 4000    // from the platform's page on jobs
+	MaxSteps        = 64      // longest job seen has 4 steps
+	MaxTasks        = 10_000  // of all steps and occurrences; keeps a progress record below the store's value size
+	maxRequest      = 1 << 30 // per task and resource, far beyond any worker
+)
+
+// Resources is an amount of each resource that a task requests or a worker has.
+type Resources struct {
+	MilliCPU     int64 `cbor:"1,keyasint,omitempty"`
+	MemoryMiB    int64 `cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Fits reports whether r is at most the available amount in each resource.
+func (r Resources) Fits(available Resources) bool {
+	return r.MilliCPU <= available.MilliCPU && r.MemoryMiB <= available.MemoryMiB && r.Accelerators <= available.Accelerators
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMiB + o.MemoryMiB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r - o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMiB - o.MemoryMiB, r.Accelerators - o.Accelerators}
+}
+
+// acceleratorCores is the number of cores that an accelerator counts as in the
+// users' prices.
+const acceleratorCores = 8
+
+// Cores returns the amount of work a task does in a second, in cores.
+func (r Resources) Cores() float64 {
+	return float64(r.MilliCPU)/1000 + acceleratorCores*float64(r.Accelerators)
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Tasks         int           `cbor:"1,keyasint"`
+	Request       Resources     `cbor:"2,keyasint"`
+	Estimate      time.Duration `cbor:"3,keyasint,omitempty"` // rough duration of a task
+	After         []int         `cbor:"4,keyasint,omitempty"` // earlier steps that must be done first
+	Checkpointing bool          `cbor:"5,keyasint,omitempty"`
+	Gang          bool          `cbor:"6,keyasint,omitempty"` // all tasks run together or not at all
+	SameRack      bool          `cbor:"7,keyasint,omitempty"` // slow if the tasks are on more than one rack
+	Requires      string        `cbor:"8,keyasint,omitempty"` // label that the worker must have
+	Affinity      string        `cbor:"9,keyasint,omitempty"` // rack that holds the data; slow elsewhere
+	MaxPerWorker  int           `cbor:"10,keyasint,omitempty"`
+	Speculative   bool          `cbor:"11,keyasint,omitempty"` // copies may run in parallel
+	Service       bool          `cbor:"12,keyasint,omitempty"` // the tasks run until the job is cancelled
+	Image         string        `cbor:"13,keyasint,omitempty"` // what the tasks run
+	TargetLatency time.Duration `cbor:"14,keyasint,omitempty"` // bound of the tail latency of a service task
+	Filler        bool          `cbor:"15,keyasint,omitempty"` // uses only the processor time that others leave
+	MayMiss       int           `cbor:"16,keyasint,omitempty"` // tasks that the scheduler may take down at a time
+}
+
+// Schedule repeats the steps of a job at fixed times.
+type Schedule struct {
+	Count       int           `cbor:"1,keyasint"`
+	FirstUnixMS int64         `cbor:"2,keyasint"`
+	Interval    time.Duration `cbor:"3,keyasint"`
+}
+
+// Class is what a queue's configuration says of its jobs.
+type Class struct {
+	Priority      int           `cbor:"1,keyasint"` // 0 comes first and may preempt others
+	MaxAttempts   int           `cbor:"2,keyasint"`
+	SlackFactor   float64       `cbor:"3,keyasint"` // objective: this times the longest chain of work ...
+	TargetRuntime time.Duration `cbor:"4,keyasint"` // ... and this
+	Service       string        `cbor:"5,keyasint"` // the targets that run the tasks
+}
+
+// Job is an accepted job. It does not change after acceptance.
+type Job struct {
+	ID             string   `cbor:"1,keyasint"`
+	Queue          string   `cbor:"2,keyasint"`
+	Workspace      string   `cbor:"3,keyasint,omitempty"`
+	Payload        string   `cbor:"4,keyasint"`
+	Steps          []Step   `cbor:"5,keyasint"`
+	Schedule       Schedule `cbor:"6,keyasint"`
+	AcceptedUnixMS int64    `cbor:"7,keyasint"` // clock of the VM that accepted it
+	Class          Class    `cbor:"8,keyasint"` // as configured at acceptance
+}
+
+// Occurrences is the number of times the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Schedule.Count) }
+
+// Timed reports whether occurrences have due times.
+func (j *Job) Timed() bool { return j.Schedule.Count > 0 }
+
+// DueUnixMS returns when an occurrence may start.
+func (j *Job) DueUnixMS(occurrence int) int64 {
+	if !j.Timed() {
+		return 0
+	}
+	return j.Schedule.FirstUnixMS + int64(occurrence)*j.Schedule.Interval.Milliseconds()
+}
+
+// Validate reports the first fault of a submitted job as invalid_request.
+func (j *Job) Validate() error {
+	if len(j.Payload) > MaxPayloadBytes {
+		return errkind.New(errkind.InvalidRequest, "spec has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return errkind.New(errkind.InvalidRequest, "a job has 1 to %d steps, not %d", MaxSteps, len(j.Steps))
+	}
+	if j.Schedule.Count < 0 || j.Schedule.Count > MaxTasks || j.Schedule.Interval < 0 || j.Schedule.FirstUnixMS < 0 {
+		return errkind.New(errkind.InvalidRequest, "the schedule has a value out of range")
+	}
+	total := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i); err != nil {
+			return err
+		}
+		total += j.Steps[i].Tasks
+	}
+	if total*j.Occurrences() > MaxTasks {
+		return errkind.New(errkind.InvalidRequest, "the job has more than %d tasks", MaxTasks)
+	}
+	return nil
+}
+
+func (s *Step) validate(number int) error {
+	fault := func(format string, args ...any) error {
+		return errkind.New(errkind.InvalidRequest, "step %d: %s", number, fmt.Sprintf(format, args...))
+	}
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		return fault("count %d is not within 1..%d", s.Tasks, MaxTasks)
+	}
+	for _, amount := range []int64{s.Request.MilliCPU, s.Request.MemoryMiB, s.Request.Accelerators} {
+		if amount < 0 || amount > maxRequest {
+			return fault("a resource request of %d is out of range", amount)
+		}
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= number {
+			return fault("after names step %d, which is not an earlier one", earlier)
+		}
+	}
+	if s.Estimate < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 || s.TargetLatency < 0 {
+		return fault("a value is negative")
+	}
+	return nil
+}
+
+// Fits reports whether a task of each step can run on a worker of the given
+// capacity.
+func (j *Job) Fits(capacity Resources) bool {
+	for i := range j.Steps {
+		if !j.Steps[i].Demand().Fits(capacity) {
+			return false
+		}
+	}
+	return true
+}
+
+// Demand is what a task of the step takes from a worker's capacity.
+func (s *Step) Demand() Resources {
+	r := s.Request
+	if s.Filler {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the form that workers use: job.occurrence.step.index.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID reads the form of TaskID.String.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, errkind.New(errkind.InvalidRequest, "%q names no task", s)
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskID{}, errkind.New(errkind.InvalidRequest, "%q names no task", s)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
