fleet: a start on its way is not taken for lapsed

Excluded: orders carried out late, lost answers (the log shows 'lapsed on a silent worker' 19 ms after the placement). A start concludes by itself, so only confirmed and unsettled runs lapse. The emulated workers come with the test.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -272,7 +272,8 @@
 			continue
 		}
 		for r := range w.runs {
-			if r.phase == planned || (r.phase == starting && !w.contacted && now-r.orderedAt < workerLease) {
+			// A start on its way concludes by itself; it renews the lease first.
+			if r.phase == planned || r.phase == starting {
 				continue
 			}
 			o.opts.Log.Info("run has lapsed on a silent worker", "task", r.group.taskID(r.index).String(), "run", r.number,
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,188 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/testr"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/platform/memory"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// bench is a deployment on a virtual clock: the store, workers and VMs.
+type bench struct {
+	t       *testing.T
+	store   *memory.Store
+	workers *fleettest.Fleet
+	vms     []*vm
+	started time.Time
+	nextJob int
+}
+
+type vm struct {
+	elector *fleet.Elector
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+var capacity = workload.Resources{MilliCPU: 64_000, MemoryMiB: 256_000, Accelerators: 8}
+
+func newBench(t *testing.T, vms, workers int) *bench {
+	b := &bench{t: t, started: time.Now(), store: memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})}
+	b.workers = fleettest.New(b.store, workers, 4, capacity)
+	for range vms {
+		b.startVM()
+	}
+	b.sleep(time.Second)
+	t.Cleanup(func() {
+		for i := range b.vms {
+			b.killVM(i)
+		}
+		time.Sleep(time.Minute) // timers of the emulator
+		for _, v := range b.workers.Violations() {
+			t.Error(v)
+		}
+	})
+	return b
+}
+
+func (b *bench) log() logr.Logger {
+	if testing.Verbose() {
+		return testr.NewWithOptions(b.t, testr.Options{Verbosity: 1})
+	}
+	return logr.Discard()
+}
+
+func (b *bench) startVM() int {
+	n := len(b.vms)
+	elector := fleet.NewElector(fleet.Options{
+		Store: b.store, Workers: b.workers, Decode: fleettest.Decode, WorkerDir: fleettest.WorkerDir,
+		Catalog: func() *catalog.Catalog { return nil }, Clock: func() time.Duration { return time.Since(b.started) },
+		Now: time.Now, Log: b.log(), Address: fmt.Sprintf("vm%d", n), Name: fmt.Sprintf("vm%d", n), KeepEnded: time.Minute, CheckpointS: 1, FarFactor: 3,
+	}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	v := &vm{elector: elector, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(v.done)
+		elector.Run(ctx)
+	}()
+	b.vms = append(b.vms, v)
+	return n
+}
+
+// killVM ends a VM without a word to the store.
+func (b *bench) killVM(i int) {
+	b.vms[i].stop()
+	<-b.vms[i].done
+}
+
+func (b *bench) sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// submit accepts a job of one step.
+func (b *bench) submit(step workload.Step) *workload.Job {
+	b.nextJob++
+	j := &workload.Job{
+		ID: fmt.Sprintf("%016x", b.nextJob), Queue: "q", Payload: "p", Steps: []workload.Step{step}, AcceptedUnixMS: time.Now().UnixMilli(),
+		Class: workload.Class{Priority: 1, MaxAttempts: 2, SlackFactor: 3, TargetRuntime: time.Second, Service: "service"},
+	}
+	b.accept(j)
+	return j
+}
+
+func (b *bench) accept(j *workload.Job) {
+	b.workers.Know(j)
+	value, err := workload.EncodeJob(j)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	key := fleet.JobKey(j.ID)
+	if _, err := b.store.Commit(context.Background(), platform.Txn{
+		Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: value}},
+	}); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *bench) cancel(j *workload.Job) {
+	if _, err := b.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: fleet.CancelKey(j.ID)}}}); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// state asks the present owner.
+func (b *bench) state(j *workload.Job) workload.State {
+	for _, v := range b.vms {
+		if _, mine := v.elector.Owner(); mine != nil {
+			s, _ := mine.State(j.ID, j.Queue)
+			return s
+		}
+	}
+	return ""
+}
+
+func (b *bench) want(j *workload.Job, s workload.State) {
+	b.t.Helper()
+	if got := b.state(j); got != s {
+		b.t.Errorf("job %s is %q at %v, want %q", j.ID, got, time.Since(b.started), s)
+	}
+}
+
+func small(tasks int) workload.Step {
+	return workload.Step{Tasks: tasks, Request: workload.Resources{MilliCPU: 1000, MemoryMiB: 100, Accelerators: 1}, Estimate: time.Second}
+}
+
+func gang(tasks int, accelerators int64) workload.Step {
+	return workload.Step{
+		Tasks: tasks, Gang: true, Estimate: time.Second,
+		Request: workload.Resources{MilliCPU: 1000, MemoryMiB: 100, Accelerators: accelerators},
+	}
+}
+
+// Guards against losing or repeating work on a calm day.
+func TestJobsRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 4)
+		jobs := []*workload.Job{b.submit(small(20)), b.submit(gang(4, 8)), b.submit(gang(2, 4))}
+		b.sleep(10 * time.Second)
+		for _, j := range jobs {
+			b.want(j, workload.Completed)
+		}
+	})
+}
+
+// Guards against giving up a run as lapsed because its worker had been idle,
+// and therefore silent, for longer than a lease before the start.
+func TestStartOnLongIdleWorkerIsNotTakenForLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		b.submit(small(1))
+		b.sleep(25 * time.Second)
+		b.workers.SetDelay(20 * time.Millisecond)
+		jobs := []*workload.Job{b.submit(small(2)), b.submit(small(2))}
+		for range 20 { // each job makes a cycle while starts are on their way
+			b.sleep(2 * time.Millisecond)
+			jobs = append(jobs, b.submit(small(1)))
+		}
+		b.sleep(20 * time.Second)
+		for _, j := range jobs {
+			b.want(j, workload.Completed)
+			for i := range j.Steps[0].Tasks {
+				if n := b.workers.Starts(workload.TaskID{Job: j.ID, Index: i}); n != 1 {
+					t.Errorf("task %d of %s started %d times", i, j.ID, n)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/fleet/fleettest/fleet.go
@@ -0,0 +1,357 @@
+package fleettest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// WorkerDir is the prefix of the workers' entries.
+const WorkerDir = "workers/"
+
+// callDelay is the usual time of a call to a worker and back.
+const callDelay = time.Millisecond
+
+// Fleet is a set of emulated workers. It implements fleet.WorkerPort.
+type Fleet struct {
+	store   platform.Transactor
+	mu      sync.Mutex
+	workers map[string]*Worker
+	jobs    map[string]*workload.Job
+	takes   func(workload.TaskID, int64) Outcome
+	delay   time.Duration
+
+	violations []string
+	rejected   int
+	starts     map[workload.TaskID]int
+	running    map[workload.TaskID]int
+	doneAcked  map[workload.TaskID]bool
+	failed     map[workload.TaskID]int
+}
+
+// New returns a fleet of n workers with the given capacity, in racks.
+func New(store platform.Transactor, n, perRack int, capacity workload.Resources) *Fleet {
+	f := &Fleet{
+		store: store, delay: callDelay, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
+		takes:  func(workload.TaskID, int64) Outcome { return Outcome{Takes: time.Second} },
+		starts: map[workload.TaskID]int{}, running: map[workload.TaskID]int{}, doneAcked: map[workload.TaskID]bool{}, failed: map[workload.TaskID]int{},
+	}
+	for i := range n {
+		rack := fmt.Sprintf("r%d", i/perRack)
+		f.add(fleet.WorkerEntry{
+			ID: fmt.Sprintf("w%02d", i), Born: 1, Service: "service", Address: fmt.Sprintf("w%02d:1", i),
+			Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
+		})
+	}
+	return f
+}
+
+func (f *Fleet) add(e fleet.WorkerEntry) {
+	w := &Worker{
+		fleet: f, entry: e, bornAt: time.Now(), runs: map[workload.TaskID]*activeRun{}, highest: map[workload.TaskID]int64{},
+		changed: make(chan struct{}), rate: 1,
+	}
+	f.workers[e.Address] = w
+	f.publish(w)
+}
+
+func (f *Fleet) publish(w *Worker) {
+	_, err := f.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: WorkerDir + w.entry.ID, Value: w.entryValue()}}})
+	if err != nil {
+		panic(err) // the emulated store refuses writes only where a test wants it
+	}
+}
+
+// Know tells the fleet of a job, so that it can check the orders.
+func (f *Fleet) Know(j *workload.Job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs[j.ID] = j
+}
+
+// SetOutcome chooses how runs end.
+func (f *Fleet) SetOutcome(takes func(task workload.TaskID, run int64) Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takes = takes
+}
+
+// SetDelay changes the time of a call to a worker and back.
+func (f *Fleet) SetDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
+// Change runs a function on the worker with an index, under the lock.
+func (f *Fleet) Change(i int, change func(*Faults)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[fmt.Sprintf("w%02d:1", i)]
+	faults := Faults{w.silent, w.failAll, w.hang, w.slow, w.rate, w.wireLost, w.late, w.lateBy}
+	change(&faults)
+	w.silent, w.failAll, w.hang, w.slow, w.rate = faults.Silent, faults.FailAll, faults.Hang, faults.Slow, faults.ClockRate
+	w.wireLost, w.late, w.lateBy = faults.LoseAnswers, faults.LateOrders, faults.LateBy
+}
+
+// Faults are the switches of a worker.
+type Faults struct {
+	Silent      bool    // no call reaches it
+	FailAll     bool    // all that it starts fails
+	Hang        bool    // what it starts stands still
+	Slow        float64 // how many times longer tasks take
+	ClockRate   float64
+	LoseAnswers int // next orders that are carried out without an answer
+	LateOrders  int // next orders that are carried out late, without an answer
+	LateBy      time.Duration
+}
+
+// Restart lets a worker crash and start anew under its ID.
+func (f *Fleet) Restart(i int) {
+	f.mu.Lock()
+	w := f.workers[fmt.Sprintf("w%02d:1", i)]
+	for _, r := range w.runs {
+		f.running[r.task]--
+	}
+	w.runs, w.highest = map[workload.TaskID]*activeRun{}, map[workload.TaskID]int64{}
+	w.ended, w.number, w.token, w.lease, w.bornAt = nil, 0, 0, 0, time.Now()
+	w.entry.Born++
+	f.mu.Unlock()
+	f.publish(w)
+}
+
+// Drain lets a worker report that it leaves.
+func (f *Fleet) Drain(i int, left time.Duration) {
+	f.mu.Lock()
+	w := f.workers[fmt.Sprintf("w%02d:1", i)]
+	w.entry.Draining, w.entry.Leaves = true, left
+	f.mu.Unlock()
+	f.publish(w)
+}
+
+// Violations returns the promises that were broken so far.
+func (f *Fleet) Violations() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.violations...)
+}
+
+// Starts returns how many runs of a task have started.
+func (f *Fleet) Starts(task workload.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[task]
+}
+
+// Rejected returns the number of starts that found no room.
+func (f *Fleet) Rejected() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rejected
+}
+
+func (f *Fleet) violate(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf(format, args...))
+}
+
+func (f *Fleet) stepOf(task workload.TaskID) (*workload.Step, bool) {
+	j := f.jobs[task.Job]
+	if j == nil || task.Step >= len(j.Steps) || task.Index >= j.Steps[task.Step].Tasks {
+		return nil, false
+	}
+	return &j.Steps[task.Step], true
+}
+
+func (f *Fleet) outcome(task workload.TaskID, run int64) Outcome { return f.takes(task, run) }
+
+func (f *Fleet) noteStart(w *Worker, r *activeRun) {
+	f.starts[r.task]++
+	f.running[r.task]++
+	if f.running[r.task] > 1 {
+		f.violate("two runs of %s at the same time, the second on %s", r.task, w.entry.ID)
+	}
+	if f.doneAcked[r.task] {
+		f.violate("%s started again on %s after its successful end was acknowledged", r.task, w.entry.ID)
+	}
+	if j := f.jobs[r.task.Job]; f.failed[r.task] >= max(1, j.Class.MaxAttempts) {
+		f.violate("%s started again after %d failed runs", r.task, f.failed[r.task])
+	}
+}
+
+func (f *Fleet) noteEnd(r *activeRun, reason fleet.EndReason) {
+	f.running[r.task]--
+	if reason == fleet.EndFailed {
+		f.failed[r.task]++
+	}
+	if reason == fleet.EndAlone {
+		f.violate("run %d of %s waited alone for its gang", r.number, r.task)
+	}
+}
+
+func (f *Fleet) noteAck(e fleet.RunEnd) {
+	if e.Reason == fleet.EndDone {
+		f.doneAcked[e.Task] = true
+	}
+}
+
+// members returns the present runs of a gang.
+func (f *Fleet) members(r *activeRun) map[*Worker][]*activeRun {
+	all := map[*Worker][]*activeRun{}
+	for _, w := range f.workers {
+		for _, other := range w.runs {
+			if other.task.Job == r.task.Job && other.task.Occurrence == r.task.Occurrence && other.task.Step == r.task.Step && other.number == r.number {
+				all[w] = append(all[w], other)
+			}
+		}
+	}
+	return all
+}
+
+// gangArrived starts the work once all members are present, or ends a member
+// that waits too long.
+func (f *Fleet) gangArrived(r *activeRun) {
+	members := f.members(r)
+	n := 0
+	for _, runs := range members {
+		n += len(runs)
+	}
+	if n == r.gang {
+		for w, runs := range members {
+			for _, m := range runs {
+				w.beginWork(m)
+			}
+		}
+		return
+	}
+	time.AfterFunc(gangWait, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for w, runs := range f.members(r) {
+			for _, m := range runs {
+				if m == r && m.since.IsZero() {
+					w.end(m, fleet.EndAlone)
+				}
+			}
+		}
+	})
+}
+
+// endGang ends a run and, with it, the other members of its gang.
+func (f *Fleet) endGang(w *Worker, r *activeRun, reason fleet.EndReason) {
+	if w.runs[r.task] != r {
+		return
+	}
+	w.end(r, reason)
+	if r.gang <= 1 {
+		return
+	}
+	others := fleet.EndBroken
+	if reason == fleet.EndDone {
+		others = fleet.EndDone
+	}
+	for other, runs := range f.members(r) {
+		for _, m := range runs {
+			other.end(m, others)
+		}
+	}
+}
+
+var errSilent = errors.New("no answer")
+
+// reach waits for the way to a worker and finds it; the lock is not held.
+func (f *Fleet) reach(ctx context.Context, address string) (*Worker, error) {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	time.Sleep(delay)
+	f.mu.Lock()
+	w := f.workers[address]
+	silent := w == nil || w.silent
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, errkind.Wrap(errSilent, errkind.Timeout, "worker %s", address)
+	}
+	return w, nil
+}
+
+// order carries out an order with the faults of the worker.
+func (f *Fleet) order(ctx context.Context, address string, carryOut func(w *Worker) fleet.Verdict) (fleet.OrderReply, error) {
+	w, err := f.reach(ctx, address)
+	if err != nil {
+		return fleet.OrderReply{Verdict: fleet.Unanswered}, err
+	}
+	f.mu.Lock()
+	if w.late > 0 {
+		w.late--
+		time.AfterFunc(w.lateBy, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			carryOut(w)
+		})
+		f.mu.Unlock()
+		<-ctx.Done()
+		return fleet.OrderReply{Verdict: fleet.Unanswered}, errSilent
+	}
+	verdict := carryOut(w)
+	reply := fleet.OrderReply{Verdict: verdict, ClockMS: w.clockMS()}
+	lost := w.wireLost > 0
+	if lost {
+		w.wireLost--
+	}
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return fleet.OrderReply{Verdict: fleet.Unanswered}, errSilent
+	}
+	return reply, nil
+}
+
+// Start implements fleet.WorkerPort.
+func (f *Fleet) Start(ctx context.Context, address, _ string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	return f.order(ctx, address, func(w *Worker) fleet.Verdict { return w.start(o) })
+}
+
+// Stop implements fleet.WorkerPort.
+func (f *Fleet) Stop(ctx context.Context, address, _ string, task workload.TaskID, run, token int64) (fleet.OrderReply, error) {
+	return f.order(ctx, address, func(w *Worker) fleet.Verdict { return w.stop(task, run, token) })
+}
+
+// Hold implements fleet.WorkerPort.
+func (f *Fleet) Hold(ctx context.Context, address, _ string, r fleet.HoldRequest) (fleet.HoldReply, fleet.Verdict, error) {
+	w, err := f.reach(ctx, address)
+	if err != nil {
+		return fleet.HoldReply{}, fleet.Unanswered, err
+	}
+	f.mu.Lock()
+	verdict := w.hold(r)
+	waits := r.Wait > 0 && len(w.ended) == 0
+	changed := w.changed
+	f.mu.Unlock()
+	if verdict != fleet.Accepted {
+		return fleet.HoldReply{}, verdict, nil
+	}
+	if waits {
+		timer := time.NewTimer(r.Wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return fleet.HoldReply{}, fleet.Unanswered, errSilent
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.silent {
+		return fleet.HoldReply{}, fleet.Unanswered, errSilent
+	}
+	return w.lists(), fleet.Accepted, nil
+}
--- /dev/null
+++ b/pkg/fleet/fleettest/worker.go
@@ -0,0 +1,245 @@
+// Package fleettest emulates the workers of the platform: leases on their own
+// clock, fences, run numbers, ends that are listed until they are acknowledged,
+// gangs, and the faults of the network between them and the owner. It takes the
+// time from package time, so it runs under testing/synctest, and it records
+// what breaks the promises of the product.
+package fleettest
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Timings of workers, as on the platform's page.
+const (
+	maxLease  = 10 * time.Second
+	stopGrace = 200 * time.Millisecond
+	gangWait  = 3 * time.Second
+)
+
+// Run times of a task: the outcome of its run.
+type Outcome struct {
+	Takes time.Duration
+	Fails bool
+}
+
+// activeRun is a run that is present on a worker.
+type activeRun struct {
+	task     workload.TaskID
+	number   int64
+	demand   workload.Resources
+	since    time.Time // of work; zero while a gang waits
+	arrived  time.Time
+	outcome  Outcome
+	gang     int // tasks of the gang; 0 for separate tasks
+	stopping bool
+	saved    string
+}
+
+// Worker is one emulated worker.
+type Worker struct {
+	fleet    *Fleet
+	entry    fleet.WorkerEntry
+	bornAt   time.Time
+	token    int64
+	lease    int64 // on its own clock, ms
+	runs     map[workload.TaskID]*activeRun
+	highest  map[workload.TaskID]int64 // newest run that was stopped or has ended
+	ended    []fleet.RunEnd
+	number   int64
+	changed  chan struct{}
+	silent   bool
+	rate     float64 // speed of its clock
+	slow     float64 // how many times longer tasks take
+	failAll  bool
+	hang     bool
+	wireLost int // answers that get lost, the order having been carried out
+	late     int // orders that are carried out late
+	lateBy   time.Duration
+}
+
+func (w *Worker) clockMS() int64 {
+	return int64(float64(time.Since(w.bornAt).Milliseconds()) * w.rate)
+}
+
+func (w *Worker) used() workload.Resources {
+	var u workload.Resources
+	for _, r := range w.runs {
+		u = u.Add(r.demand)
+	}
+	return u
+}
+
+// start carries out a start order; the fleet's lock is held.
+func (w *Worker) start(o fleet.StartOrder) fleet.Verdict {
+	if o.Token < w.token {
+		return fleet.Fenced
+	}
+	w.token = o.Token
+	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
+		w.extend(o.Deadline)
+		return fleet.Accepted
+	}
+	if o.Deadline <= w.clockMS() {
+		return fleet.TooLate
+	}
+	w.extend(o.Deadline)
+	if o.Run <= w.highest[o.Task] || w.runs[o.Task] != nil {
+		return fleet.StaleRun
+	}
+	step, ok := w.fleet.stepOf(o.Task)
+	if !ok {
+		w.fleet.violate("a worker was told to start %s, which nobody submitted", o.Task)
+		return fleet.BadOrder
+	}
+	if !step.Demand().Fits(w.entry.Capacity.Sub(w.used())) {
+		w.fleet.rejected++
+		return fleet.NoRoom
+	}
+	r := &activeRun{task: o.Task, number: o.Run, demand: step.Demand(), arrived: time.Now(), outcome: w.fleet.outcome(o.Task, o.Run), saved: o.Checkpoint}
+	if w.failAll {
+		r.outcome = Outcome{Takes: 50 * time.Millisecond, Fails: true}
+	}
+	if step.Gang {
+		r.gang = step.Tasks
+	}
+	w.fleet.noteStart(w, r)
+	w.runs[o.Task] = r
+	if r.gang <= 1 {
+		w.beginWork(r)
+	} else {
+		w.fleet.gangArrived(r)
+	}
+	w.armLapse()
+	return fleet.Accepted
+}
+
+func (w *Worker) extend(deadline int64) {
+	w.lease = max(w.lease, min(deadline, w.clockMS()+maxLease.Milliseconds()))
+}
+
+// beginWork starts the clock of a run.
+func (w *Worker) beginWork(r *activeRun) {
+	r.since = time.Now()
+	if w.hang {
+		return
+	}
+	takes := time.Duration(float64(r.outcome.Takes) * max(1, w.slow))
+	time.AfterFunc(takes, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		if w.runs[r.task] != r || r.stopping {
+			return
+		}
+		reason := fleet.EndDone
+		if r.outcome.Fails {
+			reason = fleet.EndFailed
+		}
+		w.fleet.endGang(w, r, reason)
+	})
+}
+
+// end removes a run and lists its end.
+func (w *Worker) end(r *activeRun, reason fleet.EndReason) {
+	if w.runs[r.task] != r {
+		return
+	}
+	delete(w.runs, r.task)
+	w.highest[r.task] = max(w.highest[r.task], r.number)
+	w.number++
+	w.ended = append(w.ended, fleet.RunEnd{Number: w.number, Task: r.task, Run: r.number, Reason: reason, Checkpoint: r.saved})
+	w.fleet.noteEnd(r, reason)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// stop carries out a stop order.
+func (w *Worker) stop(task workload.TaskID, number, token int64) fleet.Verdict {
+	if token < w.token {
+		return fleet.Fenced
+	}
+	w.token = token
+	w.highest[task] = max(w.highest[task], number)
+	r := w.runs[task]
+	if r == nil || r.number > number || r.stopping {
+		return fleet.Accepted
+	}
+	r.stopping = true
+	time.AfterFunc(stopGrace/2, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		w.fleet.endGang(w, r, fleet.EndStopped)
+	})
+	return fleet.Accepted
+}
+
+// armLapse kills everything once the lease has run out.
+func (w *Worker) armLapse() {
+	left := time.Duration(float64(w.lease-w.clockMS())/w.rate+1) * time.Millisecond
+	time.AfterFunc(left, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		if w.lease > w.clockMS() {
+			if len(w.runs) > 0 {
+				w.armLapse()
+			}
+			return
+		}
+		for _, r := range w.runs {
+			w.end(r, fleet.EndLapsed)
+		}
+	})
+}
+
+// hold carries out a look.
+func (w *Worker) hold(r fleet.HoldRequest) fleet.Verdict {
+	if r.Token < w.token {
+		return fleet.Fenced
+	}
+	w.token = r.Token
+	if r.Deadline > 0 {
+		w.extend(r.Deadline)
+	}
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.Number > r.AckedTo {
+			kept = append(kept, e)
+		} else {
+			w.fleet.noteAck(e)
+		}
+	}
+	w.ended = kept
+	return fleet.Accepted
+}
+
+func (w *Worker) lists() fleet.HoldReply {
+	reply := fleet.HoldReply{ClockMS: w.clockMS(), Born: w.entry.Born, Ended: append([]fleet.RunEnd(nil), w.ended...)}
+	for _, r := range w.runs {
+		percent := 0
+		if !r.since.IsZero() && !w.hang {
+			percent = int(100 * time.Since(r.since) / time.Duration(float64(r.outcome.Takes)*max(1, w.slow)))
+		}
+		reply.Running = append(reply.Running, fleet.RunState{Task: r.task, Run: r.number, Checkpoint: r.saved, Percent: min(99, percent)})
+	}
+	return reply
+}
+
+// entryValue is the worker's entry in the store, in a form that Decode reads.
+func (w *Worker) entryValue() []byte {
+	data, err := json.Marshal(w.entry)
+	if err != nil {
+		panic(fmt.Sprintf("worker entry: %v", err)) // plain data, it can be encoded
+	}
+	return data
+}
+
+// Decode reads an entry that an emulated worker has written.
+func Decode(_ string, value []byte) (fleet.WorkerEntry, bool) {
+	var e fleet.WorkerEntry
+	err := json.Unmarshal(value, &e)
+	return e, err == nil && e.ID != ""
+}
