fleet: a worker that does not answer gets no renewals

Excluded: a missing adoption (the run was confirmed after the takeover). Test fails first: TestWorkOfSilentWorkerRunsElsewhere.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -186,3 +186,23 @@
 		}
 	})
 }
+
+// Guards against renewing the lease of a silent worker for ever: looks that get
+// no answer count as renewals, so its runs would never be given up.
+func TestWorkOfSilentWorkerRunsElsewhere(t *testing.T) {
+	for name, step := range map[string]workload.Step{"separate tasks": small(16), "gang": gang(2, 8)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1, 4)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Takes: 4 * time.Second} })
+				j := b.submit(step)
+				b.sleep(time.Second)
+				for i := range 2 {
+					b.workers.Change(i, func(f *fleettest.Faults) { f.Silent = true })
+				}
+				b.sleep(20 * time.Second)
+				b.want(j, workload.Completed)
+			})
+		})
+	}
+}
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -411,7 +411,7 @@
 // lookLoop renews the lease of a busy worker and waits for ends on it.
 func (o *Owner) lookLoop(w *worker) {
 	for o.ctx.Err() == nil {
-		busy, pending, stopped := o.lookState(w)
+		busy, pending, failing, stopped := o.lookState(w)
 		if stopped {
 			return
 		}
@@ -426,7 +426,7 @@
 			return
 		}
 		delay := holdWait
-		if pending {
+		if pending || failing {
 			delay = 0 // the worker would answer at once with the same ends
 		}
 		if !o.look(w, delay, true) {
@@ -439,14 +439,14 @@
 
 // lookState reports whether a worker needs looks and whether ends of it wait
 // for their durable note.
-func (o *Owner) lookState(w *worker) (busy, pending, stopped bool) {
+func (o *Owner) lookState(w *worker) (busy, pending, failing, stopped bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	present := false
 	for r := range w.runs {
 		present = present || r.phase != planned
 	}
-	return w.Address != "" && (present || w.ackTo < w.endSeen || w.ackDue), w.ackTo < w.endSeen, w.stopped
+	return w.Address != "" && (present || w.ackTo < w.endSeen || w.ackDue), w.ackTo < w.endSeen, w.failing > 0, w.stopped
 }
 
 // awaitAck waits until the ends of the last look are durable, so that the next
@@ -473,7 +473,10 @@
 	o.mu.Lock()
 	now := o.opts.Clock()
 	request := HoldRequest{Token: o.lease.token, AckedTo: w.ackTo, Wait: delay}
-	if extend && w.contacted && now < o.validUntil {
+	// A look that is not answered may still have renewed the lease, so a worker
+	// that does not answer gets no further renewals and lapses.
+	before := w.maxDeadline
+	if extend && w.contacted && w.failing == 0 && now < o.validUntil {
 		request.Deadline = w.clockNow(now) + workerLease.Milliseconds()
 		w.maxDeadline = max(w.maxDeadline, request.Deadline)
 	}
@@ -495,6 +498,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if verdict == NotSent && w.maxDeadline == request.Deadline {
+		w.maxDeadline = before
+	}
 	w.failing++
 	w.backoffTill = max(w.backoffTill, o.opts.Clock()+silentPause)
 	if w.failing == 1 && o.ctx.Err() == nil {
