fleet: a job that has used up its attempts fails after a takeover as well

Excluded: double counting, a lost end (all three ends were stored). Test fails first: TestAttemptsAreKeptOverTakeover.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -200,7 +200,7 @@
 	} else {
 		t.Failures++
 	}
-	if t.Failures >= g.job.Class.MaxAttempts && !g.spec().Service {
+	if g.exhausted(t.Failures) {
 		o.opts.Log.Info("job has failed", "job", g.job.ID, "step", g.step, "attempts", t.Failures)
 		g.job.giveUp = workload.Failed
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -206,3 +206,27 @@
 		})
 	}
 }
+
+// Guards against starting a task beyond its attempts after a takeover between
+// the note of its last failure and the end of its job.
+func TestAttemptsAreKeptOverTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0, 1)
+		j := b.submit(small(1))
+		p := workload.NewProgress(j)
+		*p.Task(0, 0, 0) = workload.Task{Run: 2, Failures: j.Class.MaxAttempts}
+		data, err := p.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.store.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: fleet.ProgressKey(j.ID), Value: data}}}); err != nil {
+			t.Fatal(err)
+		}
+		b.startVM()
+		b.sleep(5 * time.Second)
+		b.want(j, workload.Failed)
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 0 {
+			t.Errorf("the task was started %d times", n)
+		}
+	})
+}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -57,6 +57,11 @@
 	return workload.TaskID{Job: g.job.ID, Occurrence: g.occurrence, Step: g.step, Index: index}
 }
 
+// exhausted reports whether a task with so many failed runs is given up.
+func (g *group) exhausted(failures int) bool {
+	return failures >= g.job.Class.MaxAttempts && !g.spec().Service
+}
+
 // complete reports whether all tasks have ended successfully.
 func (g *group) complete() bool { return g.done == g.spec().Tasks }
 
@@ -103,6 +108,9 @@
 				if t.Phase == workload.Done {
 					g.done++
 				}
+				if g.exhausted(t.Failures) {
+					out.giveUp = workload.Failed
+				}
 			}
 			out.groups = append(out.groups, g)
 		}
