--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -30,6 +30,7 @@
 		if err == nil {
 			o.goRun(func() { o.followJobs(jobsFrom) })
 			o.goRun(func() { o.followWorkers(workersFrom) })
+			o.goRun(o.duties)
 			break
 		}
 		if !wait.Sleep(o.ctx, pause) {
@@ -64,8 +65,10 @@
 	o.lapseSilent(now)
 	o.endCancelled()
 	o.endFailed()
-	o.moveFromLeaving(now)
-	o.moveFromStalled(now)
+	if !o.held() {
+		o.moveFromLeaving(now)
+		o.moveFromStalled(now)
+	}
 	waiting := o.placeWaiting(now)
 	o.endCompleted()
 	o.collect(now)
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -28,6 +28,7 @@
 		w.ackDue = false
 	}
 	o.applyRunning(w, reply, sentAt)
+	o.paceFillers(w)
 	slices.SortFunc(reply.Ended, func(a, b RunEnd) int { return int(a.Number - b.Number) })
 	for _, end := range reply.Ended {
 		if end.Number > w.endSeen {
@@ -78,6 +79,7 @@
 		o.confirm(r)
 	}
 	r.missing, r.listedAt = 0, now
+	r.tail = time.Duration(s.Load) * time.Millisecond
 	if s.Percent > r.percent {
 		r.percent, r.progressAt = s.Percent, now
 	}
@@ -155,6 +157,10 @@
 	switch end.Reason {
 	case EndDone:
 		o.noteSuccess(w)
+		if g.spec().Service {
+			t.Phase = workload.Pending // it runs until its job is cancelled
+			break
+		}
 		o.taskDone(g, t, end.Run)
 	case EndFailed:
 		t.Phase = workload.Pending
--- a/pkg/fleet/evacuate.go
+++ b/pkg/fleet/evacuate.go
@@ -22,7 +22,11 @@
 		}
 		left := w.Leaves - (now - w.drainSince)
 		for r := range w.runs {
-			if r.phase != running || r.group.spec().Service {
+			if r.phase != running {
+				continue
+			}
+			if r.group.spec().Service {
+				o.evacuateRun(r, "the worker leaves")
 				continue
 			}
 			if o.remaining(r, now)+leaveMargin <= left {
--- /dev/null
+++ b/pkg/fleet/features_test.go
@@ -0,0 +1,139 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+func serviceStep(tasks, mayMiss int) workload.Step {
+	s := small(tasks)
+	s.Service, s.MayMiss = true, mayMiss
+	return s
+}
+
+// Guards against ending a service, or counting its failures as attempts.
+func TestServiceTasksAreRestartedUntilCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 3)
+		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
+			return fleettest.Outcome{Takes: 2 * time.Second, Fails: run%2 == 0}
+		})
+		j := b.prepare(serviceStep(2, 0))
+		j.Class.MaxAttempts = 1000 // the emulator checks attempts; services have no limit
+		b.accept(j)
+		b.sleep(21 * time.Second)
+		b.want(j, workload.Running)
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n < 9 {
+			t.Errorf("started %d times within 21 s of runs of 2 s", n)
+		}
+		b.cancel(j)
+		b.sleep(time.Second)
+		b.want(j, workload.Cancelled)
+	})
+}
+
+// Guards against starting an occurrence before its time, or leaving one out.
+func TestOccurrencesRunAtTheirTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		j := b.prepare(small(1))
+		first := time.Now().Add(3 * time.Second)
+		j.Schedule = workload.Schedule{Count: 3, FirstUnixMS: first.UnixMilli(), Interval: 2 * time.Second}
+		b.accept(j)
+		for k := range 3 {
+			b.sleep(time.Until(first.Add(time.Duration(k)*2*time.Second - 300*time.Millisecond)))
+			if n := b.workers.Starts(workload.TaskID{Job: j.ID, Occurrence: k}); n != 0 {
+				t.Errorf("occurrence %d started early", k)
+			}
+			b.sleep(600 * time.Millisecond)
+			if n := b.workers.Starts(workload.TaskID{Job: j.ID, Occurrence: k}); n != 1 {
+				t.Errorf("occurrence %d has %d starts 0.3 s after its time", k, n)
+			}
+		}
+		b.sleep(3 * time.Second)
+		b.want(j, workload.Completed)
+	})
+}
+
+// Guards against starts without a valid ticket, and against waiting for ever
+// when the first workers asked about may not run the step.
+func TestAdviceIsAskedBeforeStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0, 8)
+		cloud := fleettest.NewCloud(b.workers, time.Second)
+		cloud.Good = []string{"w06", "w07"}
+		b.change = func(o *fleet.Options) { o.Advice = cloud }
+		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &catalog.Advice{Valid: 5 * time.Second}}}}
+		b.startVM()
+		b.sleep(time.Second)
+		jobs := []*workload.Job{b.submit(small(1)), b.submit(gang(2, 8)), b.submit(small(12))}
+		b.sleep(15 * time.Second)
+		for _, j := range jobs {
+			b.want(j, workload.Completed)
+		}
+		if n := b.workers.Rejected(); n != 0 {
+			t.Errorf("%d starts were rejected", n)
+		}
+	})
+}
+
+// Guards against taking more machines of a wave down than allowed, completing a
+// wave early, and taking more tasks of a service down than it may miss. The
+// owner is replaced in the middle, and answers get lost.
+func TestUpkeepWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0, 6)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		cloud.LoseAnswers = 2
+		b.change = func(o *fleet.Options) { o.Machines, o.Waves, o.UpkeepTime = cloud, cloud, 2*time.Second }
+		b.startVM()
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Takes: time.Hour} })
+		service := b.submit(serviceStep(4, 1))
+		b.sleep(time.Second)
+		cloud.Order(fleet.Wave{Number: 1, Machines: []string{"m-w00", "m-w01", "m-w02", "m-w03"}, Within: 30 * time.Second, MaxDown: 2})
+		b.sleep(6 * time.Second)
+		b.killVM(0)
+		b.sleep(40 * time.Second)
+		if !cloud.Completed(1) {
+			t.Error("the wave is not completed after 46 s")
+		}
+		b.want(service, workload.Running)
+	})
+}
+
+// Guards against automatic actions during a hold, and against losing them with
+// its release.
+func TestHoldStopsPreemption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0, 1)
+		held := true
+		b.change = func(o *fleet.Options) { o.Held = func() bool { return held } }
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(task workload.TaskID, _ int64) fleettest.Outcome {
+			if task.Job == "0000000000000001" {
+				return fleettest.Outcome{Takes: 30 * time.Second}
+			}
+			return fleettest.Outcome{Takes: time.Second}
+		})
+		b.submit(small(8))
+		b.sleep(100 * time.Millisecond)
+		urgent := b.prepare(gang(1, 8))
+		urgent.Class.Priority = 0
+		urgent.Steps[0].Estimate = 10 * time.Second
+		b.accept(urgent)
+		b.sleep(2 * time.Second)
+		b.want(urgent, workload.Queued)
+		held = false
+		b.sleep(3 * time.Second)
+		b.want(urgent, workload.Completed)
+	})
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -34,6 +34,7 @@
 	running    map[workload.TaskID]int
 	doneAcked  map[workload.TaskID]bool
 	failed     map[workload.TaskID]int
+	tickets    map[string]time.Time // end of a ticket by step and worker; nil asks for none
 }
 
 // New returns a fleet of n workers with the given capacity, in racks.
@@ -115,18 +116,52 @@
 
 // Restart lets a worker crash and start anew under its ID.
 func (f *Fleet) Restart(i int) {
+	id := fmt.Sprintf("w%02d", i)
+	f.crash(id)
+	f.revive(id)
+}
+
+// crash ends a worker's life: it runs and remembers nothing, and no call
+// reaches it.
+func (f *Fleet) crash(id string) {
 	f.mu.Lock()
-	w := f.workers[fmt.Sprintf("w%02d:1", i)]
+	defer f.mu.Unlock()
+	w := f.workers[id+":1"]
+	w.silent = true
 	for _, r := range w.runs {
 		f.running[r.task]--
 	}
 	w.runs, w.highest = map[workload.TaskID]*activeRun{}, map[workload.TaskID]int64{}
 	w.ended, w.number, w.token, w.lease, w.bornAt = nil, 0, 0, 0, time.Now()
 	w.entry.Born++
+}
+
+// revive starts a crashed worker anew.
+func (f *Fleet) revive(id string) {
+	f.mu.Lock()
+	w := f.workers[id+":1"]
+	w.silent, w.bornAt = false, time.Now()
 	f.mu.Unlock()
 	f.publish(w)
 }
 
+// allow notes a ticket, and that starts need one from now on.
+func (f *Fleet) allow(step, worker string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tickets == nil {
+		f.tickets = map[string]time.Time{}
+	}
+	f.tickets[step+"@"+worker] = until
+}
+
+// report notes a broken promise.
+func (f *Fleet) report(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.violate(format, args...)
+}
+
 // Drain lets a worker report that it leaves.
 func (f *Fleet) Drain(i int, left time.Duration) {
 	f.mu.Lock()
@@ -196,7 +231,7 @@
 }
 
 func (f *Fleet) noteAck(e fleet.RunEnd) {
-	if e.Reason == fleet.EndDone {
+	if step, ok := f.stepOf(e.Task); ok && e.Reason == fleet.EndDone && !step.Service {
 		f.doneAcked[e.Task] = true
 	}
 }
@@ -355,3 +390,13 @@
 	}
 	return w.lists(), fleet.Accepted, nil
 }
+
+// Pace implements fleet.WorkerPort; emulated tasks do not disturb each other.
+func (f *Fleet) Pace(ctx context.Context, address, _ string, o fleet.PaceOrder) (fleet.OrderReply, error) {
+	return f.order(ctx, address, func(w *Worker) fleet.Verdict {
+		if o.Token < w.token {
+			return fleet.Fenced
+		}
+		return fleet.Accepted
+	})
+}
--- /dev/null
+++ b/pkg/fleet/fleettest/machines.go
@@ -0,0 +1,186 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+)
+
+// Cloud emulates the platform that runs the machines: each worker of the fleet
+// lives on the machine of the same number. It implements fleet.MachinePort,
+// fleet.WaveBoard and fleet.AdvicePort.
+type Cloud struct {
+	fleet      *Fleet
+	upkeepTime time.Duration
+
+	mu        sync.Mutex
+	machines  map[string]*fleet.Machine
+	waves     []fleet.Wave
+	completed map[int64]bool
+	begun     map[string]bool
+	tokens    map[string]int64
+	// LoseAnswers is how many next duties are carried out without an answer.
+	LoseAnswers int
+	// Good are the workers that advice allows; nil allows none.
+	Good  []string
+	Valid time.Duration
+	Calls int
+}
+
+// NewCloud returns a cloud for the workers of a fleet.
+func NewCloud(f *Fleet, upkeepTime time.Duration) *Cloud {
+	c := &Cloud{
+		fleet: f, upkeepTime: upkeepTime, machines: map[string]*fleet.Machine{}, completed: map[int64]bool{},
+		begun: map[string]bool{}, tokens: map[string]int64{}, Valid: 5 * time.Second,
+	}
+	for _, w := range f.workers {
+		w.entry.Machine = "m-" + w.entry.ID
+		c.machines[w.entry.Machine] = &fleet.Machine{
+			ID: w.entry.Machine, Pool: w.entry.Service, State: fleet.MachineUp, Capacity: w.entry.Capacity, Worker: w.entry.ID,
+		}
+		f.publish(w)
+	}
+	return c
+}
+
+// Order adds a wave.
+func (c *Cloud) Order(w fleet.Wave) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waves = append(c.waves, w)
+}
+
+// Completed reports whether a wave is marked as completed.
+func (c *Cloud) Completed(wave int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.completed[wave]
+}
+
+// Machines implements fleet.MachinePort.
+func (c *Cloud) Machines(context.Context) ([]fleet.Machine, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []fleet.Machine
+	for _, m := range c.machines {
+		all = append(all, *m)
+	}
+	return all, nil
+}
+
+// Upkeep implements fleet.MachinePort.
+func (c *Cloud) Upkeep(ctx context.Context, machine string, wave, token int64) (fleet.DutyVerdict, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[machine]
+	if m == nil {
+		return fleet.DutyImpossible, nil
+	}
+	if token < c.tokens[machine] {
+		return fleet.DutyFenced, nil
+	}
+	c.tokens[machine] = token
+	key := fmt.Sprintf("%d/%s", wave, machine)
+	if !c.begun[key] {
+		if m.State != fleet.MachineUp {
+			return fleet.DutyBusy, nil
+		}
+		c.begin(key, wave, m)
+	}
+	if c.LoseAnswers > 0 {
+		c.LoseAnswers--
+		return fleet.DutyUnknown, errSilent
+	}
+	return fleet.DutyDone, ctx.Err()
+}
+
+// begin takes a machine down and checks the limit of its wave.
+func (c *Cloud) begin(key string, wave int64, m *fleet.Machine) {
+	c.begun[key] = true
+	for _, w := range c.waves {
+		if w.Number != wave {
+			continue
+		}
+		down := 0
+		for _, id := range w.Machines {
+			if c.machines[id].State == fleet.MachineUpkeep {
+				down++
+			}
+		}
+		if down >= w.MaxDown {
+			c.fleet.report("upkeep of %s began while %d machines of its wave were down", m.ID, down)
+		}
+	}
+	m.State = fleet.MachineUpkeep
+	c.fleet.crash(m.Worker)
+	time.AfterFunc(c.upkeepTime, func() {
+		c.fleet.revive(m.Worker)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m.State = fleet.MachineUp
+	})
+}
+
+// Move implements fleet.MachinePort.
+func (c *Cloud) Move(_ context.Context, machine, pool string, token int64) (fleet.DutyVerdict, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[machine]
+	switch {
+	case m == nil:
+		return fleet.DutyImpossible, nil
+	case token < c.tokens[machine]:
+		return fleet.DutyFenced, nil
+	case m.State != fleet.MachineUp:
+		return fleet.DutyBusy, nil
+	}
+	c.tokens[machine] = token
+	m.Pool = pool
+	return fleet.DutyDone, nil
+}
+
+// Waves implements fleet.WaveBoard.
+func (c *Cloud) Waves(context.Context) ([]fleet.Wave, map[int64]bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	completed := map[int64]bool{}
+	for n, done := range c.completed {
+		completed[n] = done
+	}
+	return slices.Clone(c.waves), completed, nil
+}
+
+// Mark implements fleet.WaveBoard; it checks that a completed wave is whole.
+func (c *Cloud) Mark(_ context.Context, wave int64, completed bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.completed[wave] = completed
+	for _, w := range c.waves {
+		for _, id := range w.Machines {
+			if completed && w.Number == wave && !c.begun[fmt.Sprintf("%d/%s", wave, id)] {
+				c.fleet.report("wave %d is said to be completed without %s", wave, id)
+			}
+		}
+	}
+	return nil
+}
+
+// Advise implements fleet.AdvicePort.
+func (c *Cloud) Advise(_ context.Context, step string, workers []string) (map[string]string, time.Duration, error) {
+	time.Sleep(time.Duration(len(workers)) * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Calls++
+	tickets := map[string]string{}
+	for _, id := range workers {
+		if slices.Contains(c.Good, id) {
+			tickets[id] = step + "@" + id
+			c.fleet.allow(step, id, time.Now().Add(c.Valid))
+		}
+	}
+	return tickets, c.Valid, nil
+}
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -96,6 +96,10 @@
 		w.fleet.violate("a worker was told to start %s, which nobody submitted", o.Task)
 		return fleet.BadOrder
 	}
+	if w.fleet.tickets != nil && !w.fleet.tickets[o.Ticket].After(time.Now()) {
+		w.fleet.rejected++
+		return fleet.NoTicket
+	}
 	if !step.Demand().Fits(w.entry.Capacity.Sub(w.used())) {
 		w.fleet.rejected++
 		return fleet.NoRoom
@@ -223,7 +227,10 @@
 		if !r.since.IsZero() && !w.hang {
 			percent = int(100 * time.Since(r.since) / time.Duration(float64(r.outcome.Takes)*max(1, w.slow)))
 		}
-		reply.Running = append(reply.Running, fleet.RunState{Task: r.task, Run: r.number, Checkpoint: r.saved, Percent: min(99, percent)})
+		if step, ok := w.fleet.stepOf(r.task); ok && step.Service {
+			percent = 100 + 99 // at work at once
+		}
+		reply.Running = append(reply.Running, fleet.RunState{Task: r.task, Run: r.number, Checkpoint: r.saved, Percent: min(100, percent)})
 	}
 	return reply
 }
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -127,7 +127,7 @@
 			if w == nil {
 				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Born: t.Assigned.Born})
 			}
-			r := &run{group: g, index: i, number: t.Run, worker: w, phase: settling, demand: g.spec().Demand(), orderedAt: o.tookOverAt}
+			r := &run{group: g, index: i, number: t.Run, worker: w, phase: settling, demand: g.spec().Demand(), orderedAt: o.tookOverAt, pace: unknownPace}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
 			w.unknownTill = o.tookOverAt + lapseBound
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -32,6 +32,13 @@
 	dirty       map[*job]struct{}
 	rates       map[string]*rate // learned run times by queue
 	nextCollect time.Duration
+	adviceCalls chan adviceCall
+
+	// Used by the duties loop only.
+	waves      map[int64]*waveState
+	machines   map[string]Machine
+	machinesAt time.Duration
+	fetched    map[string]string // machines from standby, and their home pool
 
 	wake  chan struct{} // work for the cycle
 	valid chan struct{} // closed and replaced when ownership is renewed
@@ -44,6 +51,7 @@
 		validUntil: lease.validUntil,
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, rates: map[string]*rate{},
+		waves: map[int64]*waveState{}, fetched: map[string]string{}, adviceCalls: make(chan adviceCall, adviceQueue),
 		wake: make(chan struct{}, 1), valid: make(chan struct{}),
 	}
 }
@@ -55,6 +63,7 @@
 	o.opts.Log.Info("took ownership of the fleet", "token", o.lease.token)
 	o.goRun(o.renew)
 	o.goRun(o.cycle)
+	o.goRun(o.adviceLoop)
 	o.wg.Wait()
 	o.opts.Log.Info("ownership of the fleet ended", "token", o.lease.token)
 }
@@ -149,6 +158,9 @@
 	}
 }
 
+// held reports whether an operator holds all automatic actions.
+func (o *Owner) held() bool { return o.opts.Held != nil && o.opts.Held() }
+
 // signal asks for a cycle.
 func (o *Owner) signal() {
 	select {
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -224,7 +224,7 @@
 		pw := placement.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
 			Free: w.Capacity.Sub(all), Soon: w.Capacity.Sub(all).Add(beingStopped),
-			Open:    w.listed && !w.Draining && now >= w.backoffTill && w.failing == 0,
+			Open:    w.listed && !w.Draining && !w.cordoned && now >= w.backoffTill && w.failing == 0,
 			Penalty: len(w.strikes),
 		}
 		for r := range w.runs {
@@ -250,7 +250,7 @@
 	if !ok {
 		n = len(s.Groups)
 		index[key] = n
-		s.Groups = append(s.Groups, placement.Group{Priority: r.group.job.Class.Priority, Fixed: r.phase != running || r.group.spec().Service})
+		s.Groups = append(s.Groups, placement.Group{Priority: r.group.job.Class.Priority, Fixed: r.phase != running || r.group.spec().MayMiss > 0})
 		p.groups = append(p.groups, nil)
 	}
 	s.Groups[n].Cost += o.lostWork(r, now)
@@ -281,10 +281,19 @@
 		MaxCost: preemptRatio * spec.Demand().Cores() * c.expected.Seconds() * float64(len(c.pending)),
 		MaySpan: o.maySpan(c, waited), Reserve: mayReserve && waited >= reserveAfter,
 	}
-	if c.entitled {
+	if o.held() {
+		request.MayPreempt = false
+	} else if c.entitled {
 		request.MayPreempt, request.MaxCost = true, math.Inf(1)
 	}
+	if o.adviceOf(g.job) != nil {
+		request.Only = o.ticketHolders(g, now)
+	}
 	outcome := p.Place(request)
+	if request.Only != nil && outcome.Code == placement.Blocked {
+		o.askAdvice(g, p, now)
+		return 0
+	}
 	switch outcome.Code {
 	case placement.Placed:
 		o.assign(p, c, outcome, now)
@@ -345,7 +354,7 @@
 			number = t.Run + 1
 		}
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Born: w.Born}
-		r := &run{group: g, index: i, number: number, worker: w, phase: planned, demand: g.spec().Demand(), orderedAt: now}
+		r := &run{group: g, index: i, number: number, worker: w, phase: planned, demand: g.spec().Demand(), orderedAt: now, pace: 100}
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
 	}
--- a/pkg/fleet/ports.go
+++ b/pkg/fleet/ports.go
@@ -20,6 +20,7 @@
 	Address  string
 	Zone     string
 	Rack     string
+	Machine  string // what this life of the worker lives on
 	Labels   []string
 	Capacity workload.Resources
 	Draining bool
@@ -32,6 +33,7 @@
 	Run        int64
 	Checkpoint string
 	Percent    int
+	Load       int // tail latency in ms of a service task, else cpu in use
 }
 
 // EndReason says how a run ended.
@@ -112,6 +114,7 @@
 	Hold(ctx context.Context, address, instance string, r HoldRequest) (HoldReply, Verdict, error)
 	Start(ctx context.Context, address, instance string, o StartOrder) (OrderReply, error)
 	Stop(ctx context.Context, address, instance string, task workload.TaskID, run, token int64) (OrderReply, error)
+	Pace(ctx context.Context, address, instance string, o PaceOrder) (OrderReply, error)
 }
 
 // WorkerDecoder reads a worker's entry in the store; an entry that cannot be
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -31,6 +31,8 @@
 	orderedAt  time.Duration
 	missing    int           // looks in a row that did not list it
 	barred     bool          // a stop was ordered
+	tail       time.Duration // tail latency of a service task
+	pace       int           // percent at which a filler works
 	listedAt   time.Duration // when the worker last listed it
 }
 
@@ -47,6 +49,7 @@
 	ready      bool
 	spread     bool // runs on several racks although it wants one
 	notBefore  time.Duration
+	advice     *advice
 }
 
 func (g *group) spec() *workload.Step { return &g.job.Steps[g.step] }
@@ -128,7 +131,9 @@
 // worker is the owner's view of one worker.
 type worker struct {
 	WorkerEntry
-	listed     bool // the store has its entry
+	listed     bool          // the store has its entry
+	cordoned   bool          // its machine is due for upkeep or leaves the pool
+	idleAt     time.Duration // since when it has had no run; 0 if never looked at
 	drainSince time.Duration
 	runs       map[*run]struct{}
 
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -25,6 +25,7 @@
 	orderStop
 	orderSettle // stop, and look whether the run is there
 	orderAdopt  // look whether a former owner's run is there; settle it if not
+	orderPace   // set the share of a filler
 	orderStray  // stop a run that belongs to no assignment
 )
 
@@ -172,6 +173,8 @@
 		o.sendSettle(w, ord.run)
 	case orderAdopt:
 		o.sendAdopt(w, ord.run)
+	case orderPace:
+		o.sendPace(w, ord.run)
 	case orderStray:
 		o.stopTask(w, ord.stray.Task, ord.stray.Run)
 	}
@@ -204,6 +207,9 @@
 		Task: r.group.taskID(r.index), Run: r.number, Payload: r.group.job.Payload, Checkpoint: task.Checkpoint,
 		Deadline: w.clockNow(now) + startWindow.Milliseconds(), Token: o.lease.token,
 	}
+	if a := r.group.advice; a != nil {
+		start.Ticket = a.tickets[w.ID].value
+	}
 	w.maxDeadline = max(w.maxDeadline, start.Deadline)
 	address, id := w.Address, w.ID
 	r.orderedAt = now
@@ -279,7 +285,12 @@
 		w.backoffTill = now + silentPause
 	case TooLate:
 		w.contacted = false // its clock is not where it was thought to be
-	case StaleRun, NoTicket, Accepted:
+	case NoTicket:
+		if a := r.group.advice; a != nil {
+			delete(a.tickets, w.ID)
+			delete(a.asked, lifeKey(w))
+		}
+	case StaleRun, Accepted:
 	case Unhealthy, BadOrder:
 		w.backoffTill = now + unhealthyPause
 		r.group.avoid[w.ID] = true
@@ -411,7 +422,7 @@
 // lookLoop renews the lease of a busy worker and waits for ends on it.
 func (o *Owner) lookLoop(w *worker) {
 	for o.ctx.Err() == nil {
-		busy, pending, failing, stopped := o.lookState(w)
+		busy, pending, failing, shared, stopped := o.lookState(w)
 		if stopped {
 			return
 		}
@@ -426,6 +437,9 @@
 			return
 		}
 		delay := holdWait
+		if shared {
+			delay = sharedLook
+		}
 		if pending || failing {
 			delay = 0 // the worker would answer at once with the same ends
 		}
@@ -439,14 +453,14 @@
 
 // lookState reports whether a worker needs looks and whether ends of it wait
 // for their durable note.
-func (o *Owner) lookState(w *worker) (busy, pending, failing, stopped bool) {
+func (o *Owner) lookState(w *worker) (busy, pending, failing, shared, stopped bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	present := false
 	for r := range w.runs {
 		present = present || r.phase != planned
 	}
-	return w.Address != "" && (present || w.ackTo < w.endSeen || w.ackDue), w.ackTo < w.endSeen, w.failing > 0, w.stopped
+	return w.Address != "" && (present || w.ackTo < w.endSeen || w.ackDue), w.ackTo < w.endSeen, w.failing > 0, w.shares(), w.stopped
 }
 
 // awaitAck waits until the ends of the last look are durable, so that the next
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -82,6 +82,7 @@
 	MaxPerWorker int
 	PerWorker    map[string]int  // tasks of the step that already run, by worker
 	Avoid        map[string]bool // workers that failed this step before
+	Only         map[string]bool // if not nil, the workers that may be used
 	Priority     int
 	Duration     time.Duration // expected run time
 	MayPreempt   bool
@@ -338,7 +339,7 @@
 
 // allowed reports whether the request may use the worker at all.
 func (p *Planner) allowed(r Request, w *Worker) bool {
-	if r.Avoid[w.ID] {
+	if r.Avoid[w.ID] || (r.Only != nil && !r.Only[w.ID]) {
 		return false
 	}
 	return r.Requires == "" || slices.Contains(w.Labels, r.Requires)
--- a/pkg/workload/job.go
+++ b/pkg/workload/job.go
@@ -189,7 +189,12 @@
 
 // String returns the form that workers use: job.occurrence.step.index.
 func (t TaskID) String() string {
-	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+	return t.StepName() + "." + strconv.Itoa(t.Index)
+}
+
+// StepName names the step of a task: job.occurrence.step.
+func (t TaskID) StepName() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
 }
 
 // ParseTaskID reads the form of TaskID.String.
