--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,8 +115,9 @@
 func TestHoldStopsPreemption(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 0, 1)
-		held := true
-		b.change = func(o *fleet.Options) { o.Held = func() bool { return held } }
+		var held atomic.Bool
+		held.Store(true)
+		b.change = func(o *fleet.Options) { o.Held = held.Load }
 		b.startVM()
 		b.sleep(time.Second)
 		b.workers.SetOutcome(func(task workload.TaskID, _ int64) fleettest.Outcome {
@@ -132,7 +134,7 @@
 		b.accept(urgent)
 		b.sleep(2 * time.Second)
 		b.want(urgent, workload.Queued)
-		held = false
+		held.Store(false)
 		b.sleep(3 * time.Second)
 		b.want(urgent, workload.Completed)
 	})
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -64,7 +64,7 @@
 	return logr.Discard()
 }
 
-func (b *bench) startVM() int {
+func (b *bench) startVM() {
 	n := len(b.vms)
 	options := fleet.Options{
 		Store: b.store, Workers: b.workers, Decode: fleettest.Decode, WorkerDir: fleettest.WorkerDir,
@@ -85,7 +85,6 @@
 		elector.Run(ctx)
 	}()
 	b.vms = append(b.vms, v)
-	return n
 }
 
 // killVM ends a VM without a word to the store.
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -21,7 +21,7 @@
 	gangWait  = 3 * time.Second
 )
 
-// Run times of a task: the outcome of its run.
+// Outcome says how a run ends.
 type Outcome struct {
 	Takes time.Duration
 	Fails bool
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -133,7 +133,7 @@
 		w.marked = o.markWave(w.Number, false)
 	}
 	now := o.opts.Clock()
-	down := o.downOf(w, now)
+	down := o.downOf(w)
 	for _, id := range w.Machines {
 		if w.gone[id] || w.begun[id] != 0 {
 			continue
@@ -168,7 +168,7 @@
 
 // downOf counts the machines of a wave that are down for their upkeep, or may
 // be. A machine counts until the list, read after its upkeep, shows it up.
-func (o *Owner) downOf(w *waveState, now time.Duration) int {
+func (o *Owner) downOf(w *waveState) int {
 	down := 0
 	for id, since := range w.begun {
 		m, exists := o.machines[id]
