--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -145,9 +145,10 @@
 	}
 }
 
-// follow applies changes below a prefix until ownership ends. When the history
-// is gone it lists again.
-func (o *Owner) follow(prefix string, after int64, apply func([]platform.Event), relist func() (int64, error)) {
+// follow applies changes below a prefix until ownership ends. After changes it
+// pauses, so that frequent ones share a call. When the history is gone it lists
+// again.
+func (o *Owner) follow(prefix string, after int64, gather time.Duration, apply func([]platform.Event), relist func() (int64, error)) {
 	pause := retryPause
 	for o.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(o.ctx, watchWait+storeTimeout)
@@ -159,6 +160,7 @@
 			if len(changes.Events) > 0 {
 				apply(changes.Events)
 				o.signal()
+				wait.Sleep(o.ctx, gather)
 			}
 			continue
 		}
@@ -183,12 +185,16 @@
 // on a slow worker clock.
 const lapseBound = workerLease * 100 / 98
 
+// workerGather is the pause between two answers with heartbeats of workers. It
+// delays the news that a worker drains, for which the platform allows 2 s.
+const workerGather = 400 * time.Millisecond
+
 // watchWait bounds a watch, and so the time until a silent connection to the
 // store is noticed.
 const watchWait = 2500 * time.Millisecond
 
 func (o *Owner) followJobs(after int64) {
-	o.follow(JobPrefix, after, func(events []platform.Event) {
+	o.follow(JobPrefix, after, 0, func(events []platform.Event) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range events {
@@ -212,7 +218,7 @@
 }
 
 func (o *Owner) followWorkers(after int64) {
-	o.follow(o.opts.WorkerDir, after, func(events []platform.Event) {
+	o.follow(o.opts.WorkerDir, after, workerGather, func(events []platform.Event) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range events {
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -34,7 +34,6 @@
 	marked   bool                     // the state "running" is written
 	cordoned map[string]time.Duration // machines whose turn has come, and when
 	begun    map[string]time.Duration // machines whose upkeep has begun, and when
-	asked    map[string]bool          // an unanswered call may still be carried out
 	gone     map[string]bool          // machines that no longer exist
 }
 
@@ -91,7 +90,7 @@
 		o.opts.Log.Info("upkeep wave", "wave", w.Number, "machines", len(w.Machines), "withinMS", w.Within.Milliseconds(), "maxDown", w.MaxDown)
 		o.waves[w.Number] = &waveState{
 			Wave: w, since: o.opts.Clock(), cordoned: map[string]time.Duration{}, begun: map[string]time.Duration{},
-			asked: map[string]bool{}, gone: map[string]bool{},
+			gone: map[string]bool{},
 		}
 	}
 	return len(o.activeWaves()) > 0
@@ -133,7 +132,7 @@
 		w.marked = o.markWave(w.Number, false)
 	}
 	now := o.opts.Clock()
-	down := o.downOf(w)
+	taken := o.turnsTaken(w)
 	for _, id := range w.Machines {
 		if w.gone[id] || w.begun[id] != 0 {
 			continue
@@ -142,11 +141,11 @@
 			w.gone[id] = true
 			continue
 		}
-		if down >= max(1, w.MaxDown) {
-			break
-		}
-		down++
 		if w.cordoned[id] == 0 {
+			if taken >= max(1, w.MaxDown) {
+				continue
+			}
+			taken++
 			w.cordoned[id] = now
 			o.cordon(id, true)
 		}
@@ -166,23 +165,24 @@
 	return time.Duration(evacuateShare * float64(w.Within) / float64(max(1, turns)))
 }
 
-// downOf counts the machines of a wave that are down for their upkeep, or may
-// be. A machine counts until the list, read after its upkeep, shows it up.
-func (o *Owner) downOf(w *waveState) int {
-	down := 0
-	for id, since := range w.begun {
+// turnsTaken counts the machines of a wave that are down for their upkeep, may
+// be, or are next. A machine counts until the list, read after its upkeep,
+// shows it up. One that a former owner took down is called for again, which
+// changes nothing.
+func (o *Owner) turnsTaken(w *waveState) int {
+	taken := 0
+	for _, id := range w.Machines {
 		m, exists := o.machines[id]
-		back := exists && m.State == MachineUp && o.machinesAt > since+o.opts.UpkeepTime
-		if exists && !back {
-			down++
+		since := w.begun[id]
+		if exists && since == 0 && m.State == MachineUpkeep && w.cordoned[id] == 0 {
+			w.cordoned[id] = o.opts.Clock()
 		}
-	}
-	for id := range w.asked {
-		if w.begun[id] == 0 {
-			down++
+		back := since != 0 && m.State == MachineUp && o.machinesAt > since+o.opts.UpkeepTime
+		if exists && !back && (since != 0 || w.cordoned[id] != 0) {
+			taken++
 		}
 	}
-	return down
+	return taken
 }
 
 func (o *Owner) waveDone(w *waveState) bool {
@@ -216,17 +216,14 @@
 	o.opts.Log.Info("upkeep of a machine", "machine", id, "wave", w.Number, "verdict", verdict, "error", errorText(err))
 	switch verdict {
 	case DutyDone:
-		delete(w.asked, id)
 		w.begun[id] = o.opts.Clock()
 		o.cordon(id, false)
-	case DutyUnknown:
-		w.asked[id] = true
 	case DutyFenced:
 		o.lose("the platform has seen a higher token for machine " + id)
 	case DutyWrongWave, DutyImpossible:
 		w.gone[id] = true
 		o.cordon(id, false)
-	case DutyBusy, DutyLater:
+	case DutyBusy, DutyLater, DutyUnknown: // called for again
 	}
 }
 
