fleet: a refused repetition of a start proves nothing about the first try

Excluded: late execution (it began before the repetition) and a lapsed lease. Only an acceptance settles the matter after an unanswered try. Test fails first: TestRefusalAfterLostAnswerProvesNothing.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -243,3 +243,42 @@
 		}
 	})
 }
+
+// Guards against taking the refusal of a repeated start for proof that the
+// first, whose answer was lost, was not carried out.
+func TestRefusalAfterLostAnswerProvesNothing(t *testing.T) {
+	for name, step := range map[string]workload.Step{"separate": small(3), "gang": gang(2, 8)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1, 4)
+				for i := range 4 {
+					b.workers.Change(i, func(f *fleettest.Faults) { f.LoseAnswers, f.RefuseOrders = 1, 1 })
+				}
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Takes: 5 * time.Second} })
+				j := b.submit(step)
+				b.sleep(40 * time.Second)
+				b.want(j, workload.Completed)
+			})
+		})
+	}
+}
+
+// Guards against a second run when starts or stops are carried out seconds
+// after they went unanswered.
+func TestLateOrders(t *testing.T) {
+	for _, late := range []time.Duration{700 * time.Millisecond, 2 * time.Second, 6 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1, 4)
+				for i := range 4 {
+					b.workers.Change(i, func(f *fleettest.Faults) { f.LateOrders, f.LateBy = 3, late })
+				}
+				jobs := []*workload.Job{b.submit(small(6)), b.submit(gang(2, 4))}
+				b.sleep(40 * time.Second)
+				for _, j := range jobs {
+					b.want(j, workload.Completed)
+				}
+			})
+		})
+	}
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -96,10 +96,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[fmt.Sprintf("w%02d:1", i)]
-	faults := Faults{w.silent, w.failAll, w.hang, w.slow, w.rate, w.wireLost, w.late, w.lateBy}
+	faults := Faults{w.silent, w.failAll, w.hang, w.slow, w.rate, w.wireLost, w.late, w.lateBy, w.refuse}
 	change(&faults)
 	w.silent, w.failAll, w.hang, w.slow, w.rate = faults.Silent, faults.FailAll, faults.Hang, faults.Slow, faults.ClockRate
-	w.wireLost, w.late, w.lateBy = faults.LoseAnswers, faults.LateOrders, faults.LateBy
+	w.wireLost, w.late, w.lateBy, w.refuse = faults.LoseAnswers, faults.LateOrders, faults.LateBy, faults.RefuseOrders
 }
 
 // Faults are the switches of a worker.
@@ -112,6 +112,8 @@
 	LoseAnswers int // next orders that are carried out without an answer
 	LateOrders  int // next orders that are carried out late, without an answer
 	LateBy      time.Duration
+	// RefuseOrders is how many orders after the lost ones are refused as unhealthy.
+	RefuseOrders int
 }
 
 // Restart lets a worker crash and start anew under its ID.
@@ -335,6 +337,11 @@
 		<-ctx.Done()
 		return fleet.OrderReply{Verdict: fleet.Unanswered}, errSilent
 	}
+	if w.wireLost == 0 && w.refuse > 0 {
+		w.refuse--
+		f.mu.Unlock()
+		return fleet.OrderReply{Verdict: fleet.Unhealthy}, nil
+	}
 	verdict := carryOut(w)
 	reply := fleet.OrderReply{Verdict: verdict, ClockMS: w.clockMS()}
 	lost := w.wireLost > 0
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -60,6 +60,7 @@
 	wireLost int // answers that get lost, the order having been carried out
 	late     int // orders that are carried out late
 	lateBy   time.Duration
+	refuse   int // orders refused as unhealthy after those whose answers get lost
 }
 
 func (w *Worker) clockMS() int64 {
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -215,24 +215,27 @@
 	r.orderedAt = now
 	o.mu.Unlock()
 
-	verdict := Unanswered
-	for try := 0; try < orderTries && verdict == Unanswered && o.awaitValid(); try++ {
+	if verdict := o.tryStart(address, id, start); verdict == Accepted {
+		o.startAccepted(w, r)
+	} else {
+		o.startFailed(w, r, verdict)
+	}
+}
+
+// tryStart repeats a start until it is answered. After an unanswered try only
+// an acceptance settles the matter: a refusal speaks of the repetition.
+func (o *Owner) tryStart(address, id string, start StartOrder) Verdict {
+	for try := 0; try < orderTries && o.awaitValid(); try++ {
 		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 		reply, err := o.opts.Workers.Start(ctx, address, id, start)
 		cancel()
-		if try > 0 && reply.Verdict == NotSent {
-			continue // the first try may still be carried out
-		}
-		verdict = reply.Verdict
-		if err != nil {
-			o.opts.Log.V(1).Info("start not answered", "task", start.Task.String(), "run", start.Run, "worker", id, "try", try+1, "reason", err.Error())
+		if reply.Verdict == Accepted || reply.Verdict == Fenced || (try == 0 && reply.Verdict != Unanswered) {
+			return reply.Verdict
 		}
+		o.opts.Log.V(1).Info("start not answered", "task", start.Task.String(), "run", start.Run, "worker", id, "try", try+1,
+			"verdict", reply.Verdict, "error", errorText(err))
 	}
-	if verdict == Accepted {
-		o.startAccepted(w, r)
-		return
-	}
-	o.startFailed(w, r, verdict)
+	return Unanswered
 }
 
 func (o *Owner) startAccepted(w *worker, r *run) {
