fleet: runs move from leaving workers in time; a successor takes over with fewer calls

Runs with a checkpoint or little done move at once, others just before the worker may be gone. Test fails first: TestRunsMoveFromLeavingWorkers.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -69,7 +69,7 @@
 		o.moveFromLeaving(now)
 		o.moveFromStalled(now)
 	}
-	waiting := o.placeWaiting(now)
+	waiting := o.placeWaiting(now) || o.anyLeaving()
 	o.endCompleted()
 	o.collect(now)
 	return waiting
--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -178,11 +178,7 @@
 		wait.Sleep(ctx, LeaseTTL)
 		return
 	}
-	delay := time.Duration(float64(smallVMDelay)*max(0, 1-e.cpuShare)) + rand.N(candidacySpread)
-	if !wait.Sleep(ctx, delay) {
-		return
-	}
-	if vacant, err := e.read(ctx); err != nil || !vacant {
+	if taken, err := e.standBack(ctx); err != nil || taken {
 		return
 	}
 	claim, err := e.claim(ctx)
@@ -204,6 +200,31 @@
 	owner.release()
 }
 
+// standBack waits so that VMs with more processor time come first, and reports
+// whether one of them has taken ownership.
+func (e *Elector) standBack(ctx context.Context) (taken bool, err error) {
+	delay := time.Duration(float64(smallVMDelay)*max(0, 1-e.cpuShare)) + rand.N(candidacySpread)
+	e.mu.Lock()
+	after := e.revision
+	e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, delay+storeTimeout)
+	defer cancel()
+	changes, err := e.opts.Store.Poll(ctx, OwnerKey, after, delay)
+	if err != nil {
+		return false, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.revision = changes.Revision
+	for _, event := range changes.Events {
+		if event.Entry.Key == OwnerKey && !event.Deleted {
+			e.learn(event.Entry.Value)
+			taken = true
+		}
+	}
+	return taken, nil
+}
+
 // ownership is a held owner key. Its version is the fencing token.
 type ownership struct {
 	lease      platform.LeaseID
@@ -224,15 +245,18 @@
 	if err != nil {
 		return ownership{}, errkind.Wrap(err, errkind.Internal, "owner record")
 	}
-	_, commitErr := e.opts.Store.Commit(ctx, platform.Txn{
+	res, err := e.opts.Store.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: OwnerKey}},
 		Writes:     []platform.Write{{Key: OwnerKey, Value: value, Lease: lease}},
 	})
-	if commitErr != nil && !errkind.Is(commitErr, errkind.StoreUnavailable) {
-		return ownership{}, commitErr
+	validUntil := sentAt + LeaseTTL - leaseMargin
+	if err == nil {
+		return ownership{lease: lease, token: res.Revision, validUntil: validUntil}, nil
+	}
+	if !errkind.Is(err, errkind.StoreUnavailable) {
+		return ownership{}, err
 	}
-	// The answer may be lost, and the key's own version is the token, so it is
-	// read back in each case.
+	// The answer was lost; the key tells whether the write was done.
 	entry, err := e.opts.Store.Get(ctx, OwnerKey)
 	if err != nil {
 		return ownership{}, err
@@ -241,5 +265,5 @@
 	if err := cbor.Unmarshal(entry.Value, &r); err != nil || r.Nonce != e.nonce || entry.Lease != lease {
 		return ownership{}, errkind.New(errkind.Conflict, "%s was faster", r.Name)
 	}
-	return ownership{lease: lease, token: entry.Version, validUntil: sentAt + LeaseTTL - leaseMargin}, nil
+	return ownership{lease: lease, token: entry.Version, validUntil: validUntil}, nil
 }
--- a/pkg/fleet/evacuate.go
+++ b/pkg/fleet/evacuate.go
@@ -11,6 +11,11 @@
 	stallShare = 1.5
 	// leaveMargin is kept between the end of a run and its worker's departure.
 	leaveMargin = 300 * time.Millisecond
+	// littleDone is the share of a run that is cheaper to repeat than to risk.
+	littleDone = 0.2
+	// overtime is how much longer than promised a worker is trusted to stay;
+	// workers usually stay a little longer.
+	overtime = 700 * time.Millisecond
 )
 
 // moveFromLeaving stops runs that cannot end before their worker leaves, so
@@ -29,18 +34,40 @@
 				o.evacuateRun(r, "the worker leaves")
 				continue
 			}
-			if o.remaining(r, now)+leaveMargin <= left {
-				continue
-			}
-			// Without a checkpoint a stop loses the work at once, while the worker
-			// may well stay longer than it has promised.
-			if r.group.spec().Checkpointing || o.lostWork(r, now) == 0 {
+			if o.leavesTooSoon(r, now, left) {
 				o.stopRun(r, "the worker leaves before the run ends")
 			}
 		}
 	}
 }
 
+// anyLeaving reports whether runs on leaving workers have to be watched; the
+// lock is held.
+func (o *Owner) anyLeaving() bool {
+	for _, w := range o.workers {
+		if w.Draining && len(w.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// leavesTooSoon decides whether a run is stopped because its worker leaves.
+// With a checkpoint, or with little done, it moves at once. Otherwise it goes on
+// until the worker may be gone any moment: a run that dies with its worker is
+// only given up when its lease has run out.
+func (o *Owner) leavesTooSoon(r *run, now, left time.Duration) bool {
+	remaining := o.remaining(r, now)
+	if remaining+leaveMargin <= left {
+		return false
+	}
+	elapsed := now - r.startedAt
+	if r.group.spec().Checkpointing || float64(elapsed) < littleDone*float64(elapsed+remaining) {
+		return true
+	}
+	return left <= leaveMargin && remaining > overtime
+}
+
 // moveFromStalled stops runs that stand still; the lock is held.
 func (o *Owner) moveFromStalled(now time.Duration) {
 	for _, w := range o.workers {
--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -139,3 +139,28 @@
 		b.want(urgent, workload.Completed)
 	})
 }
+
+// Guards against runs that die with a leaving worker: they would only be given
+// up when the worker's lease has run out.
+func TestRunsMoveFromLeavingWorkers(t *testing.T) {
+	for name, step := range map[string]workload.Step{"separate tasks": small(8), "gang": gang(2, 4)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1, 4)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Takes: 6 * time.Second} })
+				step.Estimate = 6 * time.Second
+				j := b.submit(step)
+				b.sleep(2 * time.Second)
+				for i := range 4 {
+					if b.workers.Busy(i) {
+						b.workers.Drain(i, 2*time.Second)
+						time.AfterFunc(2200*time.Millisecond, func() { b.workers.Leave(i) })
+						break
+					}
+				}
+				b.sleep(9 * time.Second)
+				b.want(j, workload.Completed)
+			})
+		})
+	}
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -178,6 +178,24 @@
 	f.publish(w)
 }
 
+// Leave lets a worker exit: everything on it ends without a word, and its entry
+// is removed.
+func (f *Fleet) Leave(i int) {
+	id := fmt.Sprintf("w%02d", i)
+	f.crash(id)
+	_, err := f.store.Commit(context.Background(), platform.Txn{Deletes: []string{WorkerDir + id}})
+	if err != nil {
+		time.AfterFunc(publishPause, func() { f.Leave(i) })
+	}
+}
+
+// Busy reports whether anything runs on a worker.
+func (f *Fleet) Busy(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.workers[fmt.Sprintf("w%02d:1", i)].runs) > 0
+}
+
 // Violations returns the promises that were broken so far.
 func (f *Fleet) Violations() []string {
 	f.mu.Lock()
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
@@ -15,15 +17,22 @@
 func (o *Owner) load() (jobsFrom, workersFrom int64, err error) {
 	startedAt := o.opts.Clock()
 	progress := map[string]platform.Entry{}
-	if _, err := o.listAll(ProgressPrefix, func(e platform.Entry) { progress[e.Key] = e }); err != nil {
-		return 0, 0, err
-	}
-	var jobs []platform.Entry
-	if jobsFrom, err = o.listAll(JobPrefix, func(e platform.Entry) { jobs = append(jobs, e) }); err != nil {
-		return 0, 0, err
-	}
-	var workers []platform.Entry
-	if workersFrom, err = o.listAll(o.opts.WorkerDir, func(e platform.Entry) { workers = append(workers, e) }); err != nil {
+	var jobs, workers []platform.Entry
+	// Only the owner writes progress, so the order of the readings is free.
+	var readings errgroup.Group
+	readings.Go(func() error {
+		_, err := o.listAll(ProgressPrefix, func(e platform.Entry) { progress[e.Key] = e })
+		return err
+	})
+	readings.Go(func() (err error) {
+		jobsFrom, err = o.listAll(JobPrefix, func(e platform.Entry) { jobs = append(jobs, e) })
+		return err
+	})
+	readings.Go(func() (err error) {
+		workersFrom, err = o.listAll(o.opts.WorkerDir, func(e platform.Entry) { workers = append(workers, e) })
+		return err
+	})
+	if err := readings.Wait(); err != nil {
 		return 0, 0, err
 	}
 	o.mu.Lock()
