Timeouts of store calls adapt to its answers; a lost store is probed with short reads

Cause: after a silent outage of the store, VMs waited up to 1.7 s for calls that had been sent during it.

--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -13,6 +13,7 @@
 	"github.com/carawayusher/carawayusher/pkg/catalog"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/storecall"
 )
 
 // Timings of the watch.
@@ -50,6 +51,7 @@
 	revision int64
 	freshAt  time.Duration // when the last answered call was sent
 	reached  bool
+	timeout  storecall.Timeout // of readings
 }
 
 // New returns a Source; Run has to be called.
@@ -105,19 +107,14 @@
 
 func (s *Source) step(ctx context.Context) error {
 	s.mu.Lock()
-	after := s.revision
+	after, reached := s.revision, s.reached
 	s.mu.Unlock()
+	if after == 0 || !reached {
+		return s.read(ctx)
+	}
 	sentAt := s.opts.Clock()
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
-	if after == 0 {
-		list, err := s.opts.Store.List(ctx, s.opts.Key, "", 0)
-		if err != nil {
-			return err
-		}
-		s.apply(list.Entries, list.Revision, sentAt)
-		return nil
-	}
 	changes, err := s.opts.Store.Poll(ctx, s.opts.Key, after, pollWait)
 	if errkind.Is(err, errkind.Conflict) {
 		s.opts.Log.Info("history of the store is gone; reading the configuration again")
@@ -139,6 +136,21 @@
 	return nil
 }
 
+// read reads the configuration itself: at the start, and after the store was
+// lost, when a short call shows sooner than a watch that it is back.
+func (s *Source) read(ctx context.Context) error {
+	sentAt, sentTime := s.opts.Clock(), time.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.timeout.Next())
+	defer cancel()
+	list, err := s.opts.Store.List(ctx, s.opts.Key, "", 0)
+	s.timeout.Note(sentTime, !errkind.Is(err, errkind.StoreUnavailable))
+	if err != nil {
+		return err
+	}
+	s.apply(list.Entries, list.Revision, sentAt)
+	return nil
+}
+
 // apply takes over entries that were read by a call sent at a time.
 func (s *Source) apply(entries []platform.Entry, revision int64, sentAt time.Duration) {
 	s.mu.Lock()
--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -138,9 +138,11 @@
 	}
 	pause := retryPause
 	for o.awaitValid() {
-		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		sentAt := time.Now()
+		ctx, cancel := context.WithTimeout(o.ctx, o.timeout.Next())
 		res, err := o.opts.Store.Commit(ctx, b.txn)
 		cancel()
+		o.timeout.Note(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
 		switch {
 		case err == nil:
 			return o.stored(b, res.Revision)
--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -22,7 +22,9 @@
 
 // Timings of the election.
 const (
-	ownerPoll = 20 * time.Second
+	// ownerPoll bounds a watch of the owner key, and so the time until a
+	// connection that went silent is noticed.
+	ownerPoll = 2500 * time.Millisecond
 	// candidacySpread keeps candidates from writing all at once.
 	candidacySpread = 30 * time.Millisecond
 	// smallVMDelay is the head start of a VM with a whole core over one with none.
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -40,6 +41,8 @@
 	machinesAt time.Duration
 	fetched    map[string]string // machines from standby, and their home pool
 
+	timeout storecall.Timeout // of writes
+
 	wake  chan struct{} // work for the cycle
 	valid chan struct{} // closed and replaced when ownership is renewed
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,14 +14,12 @@
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
 // Timings of calls.
 const (
-	// storeTry bounds one call to the store, so that a silent connection leaves
-	// time for another try.
-	storeTry = 800 * time.Millisecond
 	// retryPause is the pause after a refused call to the store.
 	retryPause = 60 * time.Millisecond
 	// refuseAfter is how long an acceptance is tried against a store that refuses
@@ -57,7 +55,8 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	opts Options
+	opts    Options
+	timeout storecall.Timeout
 }
 
 // New returns a Gateway.
@@ -113,9 +112,11 @@
 func (g *Gateway) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	startedAt, unknown := g.opts.Now(), false
 	for {
-		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
+		sentAt := time.Now()
+		tryCtx, cancel := context.WithTimeout(ctx, g.timeout.Next())
 		res, err := g.opts.Store.Commit(tryCtx, txn)
 		cancel()
+		g.timeout.Note(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
 		switch {
 		case err == nil || errkind.Is(err, errkind.Conflict):
 			return res, err
@@ -281,9 +282,11 @@
 	var entries []platform.Entry
 	after := ""
 	for {
-		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
+		sentAt := time.Now()
+		tryCtx, cancel := context.WithTimeout(ctx, g.timeout.Next())
 		page, err := g.opts.Store.List(tryCtx, prefix, after, 0)
 		cancel()
+		g.timeout.Note(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
 		if err != nil {
 			if !wait.Sleep(ctx, retryPause) {
 				return nil, errkind.Wrap(err, errkind.Timeout, "the store did not answer in time")
--- /dev/null
+++ b/pkg/storecall/storecall.go
@@ -0,0 +1,65 @@
+// Package storecall chooses how long to wait for an answer of the platform's
+// store. A store or a connection that went silent is noticed soon, while one
+// that is merely slow still gets its time.
+package storecall
+
+import (
+	"sync"
+	"time"
+)
+
+// Bounds of a timeout.
+const (
+	// shortest is many times the usual answer of 4 ms and a lost packet.
+	shortest = 300 * time.Millisecond
+	// longest is twice the answer of a very slow store.
+	longest = time.Second
+	// factor is how many times the recent answer time a call may take.
+	factor = 3
+	// weight of a new answer time in the moving average.
+	weight = 0.3
+)
+
+// Timeout adapts to the recent answers. It is safe for concurrent use; the zero
+// value is ready.
+type Timeout struct {
+	mu       sync.Mutex
+	average  float64 // seconds
+	failures int     // calls in a row without an answer
+}
+
+// Next returns how long the next call may take. It doubles with each call that
+// got no answer.
+func (t *Timeout) Next() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := max(shortest, time.Duration(factor*t.average*float64(time.Second)))
+	for range min(t.failures, 4) {
+		d *= 2
+	}
+	return min(d, longest)
+}
+
+// Answered notes the time of an answered call.
+func (t *Timeout) Answered(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures = 0
+	t.average += weight * (took.Seconds() - t.average)
+}
+
+// Silent notes a call without an answer.
+func (t *Timeout) Silent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures++
+}
+
+// Note records a call that was sent at a time by whether it was answered.
+func (t *Timeout) Note(sentAt time.Time, answered bool) {
+	if answered {
+		t.Answered(time.Since(sentAt))
+		return
+	}
+	t.Silent()
+}
