--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -27,8 +27,9 @@
 
 // regressionSeeds failed once, with the cause.
 var regressionSeeds = []uint64{
-	338373479289, // a gang fitted nowhere but on workers that had failed it, and kept away from them for ever
-	734465192688, // a start was repeated after the end of its run, to a new life of the worker
+	338373479289,  // a gang fitted nowhere but on workers that had failed it, and kept away from them for ever
+	1081490985790, // a run was given up while the lease of a former owner lasted
+	734465192688,  // a start was repeated after the end of its run, to a new life of the worker
 }
 
 // Guards against lost, doubled and partial work under random faults of workers,
--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -31,6 +31,7 @@
 			o.goRun(func() { o.followJobs(jobsFrom) })
 			o.goRun(func() { o.followWorkers(workersFrom) })
 			o.goRun(o.duties)
+			o.goRun(o.followHold)
 			break
 		}
 		if !wait.Sleep(o.ctx, pause) {
@@ -118,6 +119,7 @@
 	j.progress.FinishedUnixMS = o.opts.Now().UnixMilli()
 	o.touch(j)
 	delete(o.live, j.ID)
+	o.opts.Metrics.JobEnded(string(s))
 	o.opts.Log.Info("job ends", "job", j.ID, "queue", j.Queue, "state", s, "tookMS", (o.opts.Clock() - j.firstAt).Milliseconds())
 }
 
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -151,6 +151,7 @@
 
 // concludeRun applies the end of the newest run of a task; the lock is held.
 func (o *Owner) concludeRun(w *worker, g *group, t *workload.Task, end RunEnd) {
+	o.opts.Metrics.RunEnded(string(end.Reason))
 	o.opts.Log.Info("run ended", "task", end.Task.String(), "run", end.Run, "worker", w.ID, "reason", end.Reason,
 		"checkpoint", end.Checkpoint, "failures", t.Failures)
 	o.keepCheckpoint(g, end.Task.Index, end.Run, end.Checkpoint)
@@ -282,6 +283,7 @@
 			if r.phase == planned || r.phase == starting {
 				continue
 			}
+			o.opts.Metrics.Event("run_lapsed")
 			o.opts.Log.Info("run has lapsed on a silent worker", "task", r.group.taskID(r.index).String(), "run", r.number,
 				"worker", w.ID, "silentMS", (now - w.answeredAt).Milliseconds())
 			o.notStarted(r)
--- a/pkg/fleet/evacuate.go
+++ b/pkg/fleet/evacuate.go
@@ -83,6 +83,7 @@
 			if r.percent > 0 && now-r.startedAt < time.Duration(stallShare*float64(expected)) {
 				continue
 			}
+			o.opts.Metrics.Event("run_stalled")
 			o.opts.Log.Info("run stands still", "task", r.group.taskID(r.index).String(), "run", r.number, "worker", w.ID,
 				"percent", r.percent, "sinceMS", (now - r.progressAt).Milliseconds())
 			r.group.shun(w, now)
--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/carawayusher/carawayusher/pkg/catalog"
 	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -115,9 +115,7 @@
 func TestHoldStopsPreemption(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 0, 1)
-		var held atomic.Bool
-		held.Store(true)
-		b.change = func(o *fleet.Options) { o.Held = held.Load }
+		b.write(fleet.HoldKey, []byte(`{"hold":true,"reason":"holiday"}`))
 		b.startVM()
 		b.sleep(time.Second)
 		b.workers.SetOutcome(func(task workload.TaskID, _ int64) fleettest.Outcome {
@@ -134,7 +132,9 @@
 		b.accept(urgent)
 		b.sleep(2 * time.Second)
 		b.want(urgent, workload.Queued)
-		held.Store(false)
+		if err := b.store.Delete(t.Context(), fleet.HoldKey, platform.AnyVersion); err != nil {
+			t.Fatal(err)
+		}
 		b.sleep(3 * time.Second)
 		b.want(urgent, workload.Completed)
 	})
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -294,3 +294,34 @@
 		})
 	}
 }
+
+// Guards against giving up a run while the lease that a former owner gave its
+// worker still lasts.
+func TestLeaseOfFormerOwnerCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 2)
+		b.workers.SetOutcome(func(task workload.TaskID, _ int64) fleettest.Outcome {
+			if task.Job == "0000000000000003" {
+				return fleettest.Outcome{Takes: 8 * time.Second}
+			}
+			return fleettest.Outcome{Takes: 500 * time.Millisecond}
+		})
+		b.submit(gang(1, 8)) // both workers get a lease from the first owner
+		b.submit(gang(1, 8))
+		b.sleep(time.Second)
+		b.replaceOwner()
+		b.sleep(3 * time.Second)
+		for i := range 2 {
+			b.workers.Change(i, func(f *fleettest.Faults) { f.LoseAnswers = 2 })
+		}
+		j := b.submit(gang(1, 8))
+		b.sleep(200 * time.Millisecond)
+		for i := range 2 {
+			if b.workers.Busy(i) {
+				b.workers.Change(i, func(f *fleettest.Faults) { f.Silent = true })
+			}
+		}
+		b.sleep(40 * time.Second)
+		b.want(j, workload.Completed)
+	})
+}
--- /dev/null
+++ b/pkg/fleet/hold.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"encoding/json"
+
+	"github.com/carawayusher/carawayusher/pkg/platform"
+)
+
+// HoldKey holds the operators' switch of all automatic actions. What it says is
+// in force at once; without the key nothing is held.
+const HoldKey = "automation"
+
+// Hold is the value of HoldKey, as JSON.
+type Hold struct {
+	Hold   bool   `json:"hold"`
+	Reason string `json:"reason,omitempty"`
+	By     string `json:"by,omitempty"`
+}
+
+// followHold keeps the switch as the store has it. While it cannot be read, the
+// last known state stays in force.
+func (o *Owner) followHold() {
+	read := func() (int64, error) {
+		found := false
+		revision, err := o.listAll(HoldKey, func(e platform.Entry) {
+			if e.Key == HoldKey {
+				found = true
+				o.setHold(e.Value)
+			}
+		})
+		if err == nil && !found {
+			o.setHold(nil)
+		}
+		return revision, err
+	}
+	o.follow(HoldKey, 0, 0, func(events []platform.Event) {
+		for _, e := range events {
+			if e.Entry.Key == HoldKey {
+				o.setHold(e.Entry.Value)
+			}
+		}
+	}, read)
+}
+
+func (o *Owner) setHold(value []byte) {
+	var h Hold
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &h); err != nil {
+			o.opts.Log.Error(err, "the switch of automatic actions cannot be read; it stays as it was")
+			return
+		}
+	}
+	if o.holding.Swap(h.Hold) != h.Hold {
+		o.opts.Log.Info("automatic actions", "held", h.Hold, "reason", h.Reason, "by", h.By)
+		o.signal()
+	}
+}
+
+// held reports whether an operator holds all automatic actions.
+func (o *Owner) held() bool { return o.holding.Load() }
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -148,17 +148,22 @@
 			r := &run{group: g, index: i, number: t.Run, worker: w, phase: settling, demand: g.spec().Demand(), orderedAt: o.tookOverAt, pace: unknownPace}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
-			w.unknownTill = o.tookOverAt + LeaseTTL + lapseBound
 			o.send(w, order{kind: orderAdopt, run: r})
 		}
 	}
 }
 
 // follow applies changes below a prefix until ownership ends. After changes it
-// pauses, so that frequent ones share a call. When the history is gone it lists
-// again.
+// pauses, so that frequent ones share a call. When the history is gone, or the
+// revision is 0, it lists first.
 func (o *Owner) follow(prefix string, after int64, gather time.Duration, apply func([]platform.Event), relist func() (int64, error)) {
 	pause := retryPause
+	for after == 0 && o.ctx.Err() == nil {
+		var err error
+		if after, err = relist(); err != nil && !wait.Sleep(o.ctx, retryPause) {
+			return
+		}
+	}
 	for o.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(o.ctx, watchWait+storeTimeout)
 		changes, err := o.opts.Store.Poll(ctx, prefix, after, watchWait)
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/metrics"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 )
 
@@ -73,8 +74,7 @@
 	Waves      WaveBoard
 	Advice     AdvicePort
 	UpkeepTime time.Duration // how long a machine's upkeep takes
-	// Held reports whether an operator holds all automatic actions; nil means never.
-	Held func() bool
+	Metrics    *metrics.Set  // nil records nothing
 	// EarlyStart is how long before its time an occurrence may start.
 	EarlyStart time.Duration
 	// Reclaim bounds the start of urgent work within a workspace's guarantee.
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawayusher/carawayusher/internal/wait"
@@ -34,6 +35,7 @@
 	rates       map[string]*rate // learned run times by queue
 	nextCollect time.Duration
 	adviceCalls chan adviceCall
+	holding     atomic.Bool // an operator holds all automatic actions
 
 	// Used by the duties loop only.
 	waves      map[int64]*waveState
@@ -64,6 +66,7 @@
 	stop := context.AfterFunc(ctx, o.cancel)
 	defer stop()
 	o.opts.Log.Info("took ownership of the fleet", "token", o.lease.token)
+	o.opts.Metrics.Event("takeover")
 	o.goRun(o.renew)
 	o.goRun(o.cycle)
 	o.goRun(o.adviceLoop)
@@ -83,6 +86,7 @@
 func (o *Owner) lose(reason string) {
 	if o.ctx.Err() == nil {
 		o.opts.Log.Info("ownership lost", "token", o.lease.token, "reason", reason)
+		o.opts.Metrics.Event("ownership_lost")
 	}
 	o.cancel()
 }
@@ -176,9 +180,6 @@
 	}
 }
 
-// held reports whether an operator holds all automatic actions.
-func (o *Owner) held() bool { return o.opts.Held != nil && o.opts.Held() }
-
 // signal asks for a cycle.
 func (o *Owner) signal() {
 	select {
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -302,6 +302,7 @@
 		o.assign(p, c, outcome, now)
 	case placement.Preempting:
 		for _, victim := range outcome.Victims {
+			o.opts.Metrics.Event("preemption")
 			o.opts.Log.Info("preempted for urgent work", "job", p.groups[victim][0].group.job.ID, "for", g.job.ID,
 				"entitled", c.entitled, "waitedMS", waited.Milliseconds())
 			for _, r := range p.groups[victim] {
@@ -361,6 +362,7 @@
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
 	}
+	o.opts.Metrics.Placed(now - g.readySince)
 	o.opts.Log.Info("placed", "job", g.job.ID, "occurrence", g.occurrence, "step", g.step, "tasks", len(started), "of", g.spec().Tasks,
 		"run", number, "waitedMS", (now - g.readySince).Milliseconds(), "slackMS", c.slack.Milliseconds(), "spread", outcome.Spread)
 	g.job.after = append(g.job.after, func() {
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -40,6 +40,8 @@
 	w := &worker{
 		WorkerEntry: entry, runs: map[*run]struct{}{}, strikes: map[string]bool{},
 		orders: make(chan order, orderQueue), poke: make(chan struct{}, 1), acked: make(chan struct{}),
+		// A former owner may have renewed the lease just before it lost ownership.
+		unknownTill: o.tookOverAt + LeaseTTL + lapseBound,
 	}
 	o.workers[entry.ID] = w
 	o.goRun(func() { o.orderLoop(w) })
