fleet: a silent worker is probed, not sent task after task

Cause, from the log of the test for leases of former owners: unanswered starts did not count against a worker, so a task went to the same silent worker every 4 s; and a worker that had been silent with no run left was never looked at again, so its room was lost. Test fails first: TestSilentWorkerIsProbedBeforeItIsUsed.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -325,3 +325,22 @@
 		b.want(j, workload.Completed)
 	})
 }
+
+// Guards against sending a task to a silent worker again and again, and against
+// never using a worker again that was silent once.
+func TestSilentWorkerIsProbedBeforeItIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		b.submit(small(2))
+		b.sleep(3 * time.Second)
+		b.workers.Change(0, func(f *fleettest.Faults) { f.Silent = true })
+		j := b.submit(gang(1, 8))
+		b.sleep(14 * time.Second)
+		b.want(j, workload.Completed)
+		b.workers.Change(0, func(f *fleettest.Faults) { f.Silent = false })
+		b.sleep(3 * time.Second)
+		both := b.submit(gang(2, 8))
+		b.sleep(3 * time.Second)
+		b.want(both, workload.Completed)
+	})
+}
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -291,6 +291,8 @@
 		return
 	case Unanswered, OtherLife:
 		w.backoffTill = now + silentPause
+		w.failing++
+		o.kick(w)
 		o.settle(r)
 		return
 	case NoRoom:
@@ -458,13 +460,28 @@
 			delay = 0 // the worker would answer at once with the same ends
 		}
 		if !o.look(w, delay, true) {
-			wait.Sleep(o.ctx, settlePause)
+			wait.Sleep(o.ctx, o.probePause(w))
 			continue
 		}
 		o.awaitAck(w)
 	}
 }
 
+// Pauses between looks at a worker that does not answer.
+const (
+	probeBusy = 300 * time.Millisecond // runs of it wait to be settled
+	probeIdle = time.Second            // it only waits to be used again
+)
+
+func (o *Owner) probePause(w *worker) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(w.runs) > 0 {
+		return probeBusy
+	}
+	return probeIdle
+}
+
 // lookState reports whether a worker needs looks and whether ends of it wait
 // for their durable note.
 func (o *Owner) lookState(w *worker) (busy, pending, failing, shared, stopped bool) {
@@ -474,7 +491,7 @@
 	for r := range w.runs {
 		present = present || r.phase != planned
 	}
-	return w.Address != "" && (present || w.ackTo < w.endSeen || w.ackDue), w.ackTo < w.endSeen, w.failing > 0, w.shares(), w.stopped
+	return w.Address != "" && (present || w.ackTo < w.endSeen || w.ackDue || (w.failing > 0 && w.listed)), w.ackTo < w.endSeen, w.failing > 0, w.shares(), w.stopped
 }
 
 // awaitAck waits until the ends of the last look are durable, so that the next
