--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -3,16 +3,24 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/explain"
 	"github.com/carawayusher/carawayusher/pkg/logging"
+	"github.com/carawayusher/carawayusher/pkg/metrics"
 	"github.com/carawayusher/carawayusher/platform"
 )
 
+// operatorTimeout bounds a command that writes to the platform's store.
+const operatorTimeout = 10 * time.Second
+
 func main() {
 	if err := newRootCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "carawayusher-node:", err)
@@ -25,32 +33,87 @@
 		Use: "carawayusher-node", Short: "carawayusher on the users' platform",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(&cobra.Command{
+	root.AddCommand(newFrontCommand(), newCheckCommand(), newExplainCommand(),
+		newSwitchCommand("hold", "Hold all automatic actions: preemption, moves, upkeep, evacuation", true),
+		newSwitchCommand("release", "Give all automatic actions back", false))
+	return root
+}
+
+func loadSettings() (*platform.Settings, error) {
+	return platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+}
+
+func newFrontCommand() *cobra.Command {
+	var metricsPort int
+	cmd := &cobra.Command{
 		Use: "front", Short: "Serve callers and take part in scheduling", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return serve() },
-	}, &cobra.Command{
+		RunE: func(*cobra.Command, []string) error {
+			settings, err := loadSettings()
+			if err != nil {
+				return err
+			}
+			out := logging.NewAsyncWriter(os.Stdout)
+			defer out.Close()
+			log, _, err := logging.New(logging.Options{Writer: out})
+			if err != nil {
+				return err
+			}
+			return platform.Serve(settings, log, metrics.New(out.Dropped), metricsPort)
+		},
+	}
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics at this VM's address; 0 serves none")
+	return cmd
+}
+
+func newCheckCommand() *cobra.Command {
+	return &cobra.Command{
 		Use: "check-config", Short: "Check the settings file and print the first fault", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv)); err != nil {
+			if _, err := loadSettings(); err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "no faults")
 			return nil
 		},
-	})
-	return root
+	}
 }
 
-func serve() error {
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
-	if err != nil {
-		return err
+func newExplainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "explain ID [FILE]", Short: "Show what log lines (of a file or standard input) say about a job", Args: cobra.RangeArgs(1, 2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			in := cmd.InOrStdin()
+			if len(args) > 1 {
+				f, err := os.Open(args[1])
+				if err != nil {
+					return errkind.Wrap(err, errkind.NotFound, "log file")
+				}
+				defer f.Close()
+				in = f
+			}
+			return explain.Job(in, cmd.OutOrStdout(), args[0])
+		},
 	}
-	out := logging.NewAsyncWriter(os.Stdout)
-	defer out.Close()
-	log, _, err := logging.New(logging.Options{Writer: out})
-	if err != nil {
-		return err
+}
+
+// newSwitchCommand makes a command that shows what it would change, and changes
+// it only with --confirm.
+func newSwitchCommand(name, short string, hold bool) *cobra.Command {
+	var reason string
+	var confirm bool
+	cmd := &cobra.Command{
+		Use: name, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := loadSettings()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), operatorTimeout)
+			defer cancel()
+			return platform.Automation(ctx, settings, hold, reason, confirm, io.Writer(cmd.OutOrStdout()))
+		},
 	}
-	return platform.Serve(settings, log)
+	cmd.Flags().StringVar(&reason, "reason", "", "why, for the log")
+	cmd.Flags().BoolVar(&confirm, "confirm", false, "carry the plan out")
+	return cmd
 }
