--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"regexp"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/go-logr/logr/testr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/carawayusher/carawayusher/pkg/catalog"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -31,6 +34,9 @@
 	catalog *catalog.Catalog
 
 	pending []*time.Timer // ends of faults
+
+	logLock sync.Mutex
+	lines   []string
 }
 
 type vm struct {
@@ -56,15 +62,35 @@
 		for _, v := range b.workers.Violations() {
 			t.Error(v)
 		}
+		if t.Failed() {
+			b.explain()
+		}
 	})
 	return b
 }
 
 func (b *bench) log() logr.Logger {
-	if testing.Verbose() {
-		return testr.NewWithOptions(b.t, testr.Options{Verbosity: 1})
+	return funcr.New(func(_, args string) {
+		b.logLock.Lock()
+		defer b.logLock.Unlock()
+		b.lines = append(b.lines, fmt.Sprintf("%8.3f %s", time.Since(b.started).Seconds(), args))
+	}, funcr.Options{Verbosity: 1})
+}
+
+// explain prints the log lines about the jobs that a violation names, and about
+// owners and workers that started anew.
+func (b *bench) explain() {
+	b.logLock.Lock()
+	defer b.logLock.Unlock()
+	wanted := regexp.MustCompile(`"(token|source)"=`)
+	if ids := regexp.MustCompile(`0[0-9a-f]{15}`).FindAllString(strings.Join(b.workers.Violations(), " "), -1); len(ids) > 0 {
+		wanted = regexp.MustCompile(strings.Join(append(ids, wanted.String()), "|"))
+	}
+	for _, line := range b.lines {
+		if wanted.MatchString(line) {
+			b.t.Log(line)
+		}
 	}
-	return logr.Discard()
 }
 
 func (b *bench) startVM() {
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -243,7 +243,7 @@
 	f.starts[r.task]++
 	f.running[r.task]++
 	if f.running[r.task] > 1 {
-		f.violate("two runs of %s at the same time, the second on %s", r.task, w.entry.ID)
+		f.violate("two runs of %s at the same time, the second on %s; %s", r.task, w.entry.ID, f.otherRuns(r))
 	}
 	if f.doneAcked[r.task] {
 		f.violate("%s started again on %s after its successful end was acknowledged", r.task, w.entry.ID)
@@ -253,6 +253,18 @@
 	}
 }
 
+// otherRuns describes the present runs of a task beside r.
+func (f *Fleet) otherRuns(r *activeRun) string {
+	text := ""
+	for _, w := range f.workers {
+		if other := w.runs[r.task]; other != nil && other != r {
+			text += fmt.Sprintf("run %d on %s since %v, lease for %d ms, life %d, silent %v", other.number, w.entry.ID,
+				time.Since(other.arrived), w.lease-w.clockMS(), w.entry.Born, w.silent)
+		}
+	}
+	return text
+}
+
 func (f *Fleet) noteEnd(r *activeRun, reason fleet.EndReason) {
 	f.running[r.task]--
 	if reason == fleet.EndFailed {
