--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -25,6 +25,7 @@
 // Fleet is a set of emulated workers. It implements fleet.WorkerPort.
 type Fleet struct {
 	store   platform.Transactor
+	encode  Encoder
 	mu      sync.Mutex
 	workers map[string]*Worker
 	jobs    map[string]*workload.Job
@@ -41,17 +42,28 @@
 	tickets    map[string]time.Time // end of a ticket by step and worker; nil asks for none
 }
 
+// Encoder returns the key and the value of a worker's entry in the store.
+type Encoder func(fleet.WorkerEntry) (key string, value []byte)
+
 // New returns a fleet of n workers with the given capacity, in racks.
 func New(store platform.Transactor, n, perRack int, capacity workload.Resources) *Fleet {
+	return NewWith(store, n, perRack, capacity, encode, func(i int) string { return workerAddress(i) })
+}
+
+// workerAddress is the address of a worker within the fleet.
+func workerAddress(i int) string { return fmt.Sprintf("w%02d:1", i) }
+
+// NewWith is New with entries of another form and other addresses in them.
+func NewWith(store platform.Transactor, n, perRack int, capacity workload.Resources, encoder Encoder, address func(int) string) *Fleet {
 	f := &Fleet{
-		store: store, delay: callDelay, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
+		store: store, encode: encoder, delay: callDelay, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
 		takes:  func(workload.TaskID, int64) Outcome { return Outcome{Takes: time.Second} },
 		starts: map[workload.TaskID]int{}, running: map[workload.TaskID]int{}, doneAcked: map[workload.TaskID]bool{}, failed: map[workload.TaskID]int{},
 	}
 	for i := range n {
 		rack := fmt.Sprintf("r%d", i/perRack)
 		f.add(fleet.WorkerEntry{
-			ID: fmt.Sprintf("w%02d", i), Born: 1, Service: "service", Address: fmt.Sprintf("w%02d:1", i),
+			ID: fmt.Sprintf("w%02d", i), Born: 1, Service: "service", Address: address(i),
 			Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 		})
 	}
@@ -63,12 +75,15 @@
 		fleet: f, entry: e, bornAt: time.Now(), runs: map[workload.TaskID]*activeRun{}, highest: map[workload.TaskID]int64{},
 		changed: make(chan struct{}), rate: 1, endedAt: map[int64]int64{},
 	}
-	f.workers[e.Address] = w
+	f.workers[e.ID+":1"] = w
 	f.publish(w)
 }
 
 func (f *Fleet) publish(w *Worker) {
-	_, err := f.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: WorkerDir + w.entry.ID, Value: w.entryValue()}}})
+	f.mu.Lock()
+	key, value := f.encode(w.entry)
+	f.mu.Unlock()
+	_, err := f.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
 	if err != nil {
 		time.AfterFunc(publishPause, func() { f.publish(w) }) // the store is down
 	}
@@ -183,7 +198,10 @@
 func (f *Fleet) Leave(i int) {
 	id := fmt.Sprintf("w%02d", i)
 	f.crash(id)
-	_, err := f.store.Commit(context.Background(), platform.Txn{Deletes: []string{WorkerDir + id}})
+	f.mu.Lock()
+	key, _ := f.encode(f.workers[id+":1"].entry)
+	f.mu.Unlock()
+	_, err := f.store.Commit(context.Background(), platform.Txn{Deletes: []string{key}})
 	if err != nil {
 		time.AfterFunc(publishPause, func() { f.Leave(i) })
 	}
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -247,13 +247,13 @@
 	return reply
 }
 
-// entryValue is the worker's entry in the store, in a form that Decode reads.
-func (w *Worker) entryValue() []byte {
-	data, err := json.Marshal(w.entry)
+// encode is the Encoder whose entries Decode reads.
+func encode(e fleet.WorkerEntry) (key string, value []byte) {
+	value, err := json.Marshal(e)
 	if err != nil {
 		panic(fmt.Sprintf("worker entry: %v", err)) // plain data, it can be encoded
 	}
-	return data
+	return WorkerDir + e.ID, value
 }
 
 // Decode reads an entry that an emulated worker has written.
