--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -82,6 +82,13 @@
 	return s.current != nil && s.opts.Clock()-s.freshAt <= s.opts.RevokeIn-deafness-safety
 }
 
+// Age returns how long ago the copy was certainly the newest.
+func (s *Source) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.Clock() - s.freshAt
+}
+
 // Reached reports whether there is a configuration and the store has answered
 // lately.
 func (s *Source) Reached() bool {
--- /dev/null
+++ b/pkg/configsource/source_test.go
@@ -0,0 +1,90 @@
+package configsource
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/platform/memory"
+)
+
+const key = "config"
+
+func decode(value []byte) (*catalog.Catalog, error) {
+	version, err := strconv.ParseInt(string(value), 10, 64)
+	return &catalog.Catalog{Version: version}, err
+}
+
+func play(t *testing.T, f func(t *testing.T, store *memory.Store, s *Source)) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		store := memory.NewStore(memory.Options{})
+		s := New(Options{
+			Store: store, Key: key, Decode: decode, Clock: func() time.Duration { return time.Since(started) + time.Hour },
+			RevokeIn: 5 * time.Second, Log: logr.Discard(),
+		})
+		go s.Run(t.Context())
+		f(t, store, s)
+	})
+}
+
+func put(t *testing.T, store *memory.Store, value string) {
+	t.Helper()
+	if _, err := store.Put(t.Context(), key, []byte(value), platform.AnyVersion, 0); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+}
+
+func version(s *Source) int64 {
+	if c := s.Catalog(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Guards against versions that go down, unreadable ones that take effect, and
+// changes that are missed.
+func TestVersionsOnlyRise(t *testing.T) {
+	play(t, func(t *testing.T, store *memory.Store, s *Source) {
+		for _, step := range []struct {
+			value string
+			want  int64
+		}{{"3", 3}, {"7", 7}, {"5", 7}, {"rubbish", 7}, {"8", 8}} {
+			put(t, store, step.value)
+			if got := version(s); got != step.want {
+				t.Errorf("after %q version %d is in force, want %d", step.value, got, step.want)
+			}
+		}
+	})
+}
+
+// Guards against serving with keys that may have been taken away while the
+// store cannot be reached, and against refusing longer than needed.
+func TestKeysFailClosed(t *testing.T) {
+	play(t, func(t *testing.T, store *memory.Store, s *Source) {
+		if s.KeysCertain() || s.Reached() {
+			t.Error("certain without a configuration")
+		}
+		put(t, store, "1")
+		time.Sleep(10 * time.Second)
+		if !s.KeysCertain() || !s.Reached() {
+			t.Error("not certain on a calm day")
+		}
+		store.UpdateFaults(func(f *memory.Faults) { f.Outage = true })
+		time.Sleep(4500 * time.Millisecond)
+		if s.KeysCertain() || s.Reached() {
+			t.Error("certain 4.5 s into an outage; a key may be refused too late")
+		}
+		store.UpdateFaults(func(f *memory.Faults) { f.Outage = false })
+		time.Sleep(time.Second)
+		if !s.KeysCertain() || !s.Reached() {
+			t.Error("not certain 1 s after the outage")
+		}
+	})
+}
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -285,7 +285,7 @@
 			}
 			o.opts.Metrics.Event("run_lapsed")
 			o.opts.Log.Info("run has lapsed on a silent worker", "task", r.group.taskID(r.index).String(), "run", r.number,
-				"worker", w.ID, "silentMS", (now - w.answeredAt).Milliseconds())
+				"worker", w.ID, "silentMS", (now - max(w.answeredAt, o.tookOverAt)).Milliseconds())
 			o.notStarted(r)
 		}
 	}
--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/platform/memory"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// noOwner stands for a time without an owner.
+type noOwner struct{}
+
+func (noOwner) State(context.Context, string, string) (workload.State, error) {
+	return "", errkind.New(errkind.Unavailable, "no owner")
+}
+
+func (noOwner) Waiting(context.Context, string) (int, error) {
+	return 0, errkind.New(errkind.Unavailable, "no owner")
+}
+func (noOwner) Submitted(*workload.Job) {}
+func (noOwner) CancelRequested(string)  {}
+
+// troubled is a store whose commits go wrong in a way.
+type troubled struct {
+	*memory.Store
+	commit func(context.Context, platform.Txn) (platform.TxnResult, error)
+}
+
+func (s *troubled) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	return s.commit(ctx, txn)
+}
+
+func newJob() *workload.Job {
+	return &workload.Job{ID: "0123456789abcdef", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}
+}
+
+// Guards against a refusal that says "not run" for a job that may be stored, and
+// against an acceptance of one that is not.
+func TestAcceptRefusesOnlyWhatWasNotStored(t *testing.T) {
+	refused := errkind.New(errkind.Overloaded, "503")
+	lost := errkind.New(errkind.StoreUnavailable, "no answer")
+	tests := map[string]struct {
+		commit func(s *memory.Store, try int, txn platform.Txn) error
+		want   errkind.Kind
+		stored bool
+	}{
+		"calm":               {func(s *memory.Store, _ int, txn platform.Txn) error { return commit(s, txn) }, "", true},
+		"refused throughout": {func(*memory.Store, int, platform.Txn) error { return refused }, errkind.Unavailable, false},
+		"silent throughout":  {func(*memory.Store, int, platform.Txn) error { return lost }, errkind.Timeout, false},
+		"refused after a try": {func(_ *memory.Store, try int, _ platform.Txn) error {
+			return map[bool]error{true: lost, false: refused}[try == 0]
+		}, errkind.Timeout, false},
+		"answer lost, carried out": {func(s *memory.Store, try int, txn platform.Txn) error {
+			err := commit(s, txn)
+			if try == 0 {
+				return lost
+			}
+			return err
+		}, "", true},
+		"answer lost, then refused": {func(s *memory.Store, try int, txn platform.Txn) error {
+			if try == 0 {
+				_ = commit(s, txn)
+				return lost
+			}
+			return refused
+		}, errkind.Timeout, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &troubled{Store: memory.NewStore(memory.Options{})}
+				try := -1
+				store.commit = func(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+					try++
+					time.Sleep(4 * time.Millisecond)
+					err := tc.commit(store.Store, try, txn)
+					var res platform.TxnResult
+					if errkind.Is(err, errkind.Conflict) {
+						entry, _ := store.Get(t.Context(), txn.Conditions[0].Key) // it exists
+						res.Current = []platform.Entry{entry}
+					}
+					return res, err
+				}
+				g := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()})
+				ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+				defer cancel()
+				err := g.Accept(ctx, newJob())
+				if (err == nil) != (tc.want == "") || (err != nil && errkind.Of(err) != tc.want) {
+					t.Errorf("error %v, want kind %q", err, tc.want)
+				}
+				if _, err := store.Get(t.Context(), fleet.JobKey(newJob().ID)); (err == nil) != tc.stored {
+					t.Errorf("stored: %v", err)
+				}
+			})
+		})
+	}
+}
+
+func commit(s *memory.Store, txn platform.Txn) error {
+	_, err := s.Commit(context.Background(), txn)
+	return err
+}
+
+// Guards against two jobs under one ID, unknown jobs that are shown, and
+// questions that stay open without an owner.
+func TestWithoutOwner(t *testing.T) {
+	store := memory.NewStore(memory.Options{})
+	g := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()})
+	ctx := t.Context()
+	for range 2 { // a repeated call is the same job
+		if err := g.Accept(ctx, newJob()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	other := newJob()
+	other.Queue = "other"
+	if err := g.Accept(ctx, other); !errkind.Is(err, errkind.Conflict) {
+		t.Errorf("another job under the ID: %v", err)
+	}
+	if s, err := g.State(ctx, newJob().ID, "q"); err != nil || s != workload.Queued {
+		t.Errorf("state %q, %v", s, err)
+	}
+	if n, err := g.Waiting(ctx, "q"); err != nil || n != 1 {
+		t.Errorf("waiting %d, %v", n, err)
+	}
+	for id, queue := range map[string]string{"ffffffffffffffff": "q", newJob().ID: "other"} {
+		if _, err := g.State(ctx, id, queue); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("state of %s in %s: %v", id, queue, err)
+		}
+		if err := g.Cancel(ctx, id, queue); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("cancel of %s in %s: %v", id, queue, err)
+		}
+	}
+	for range 2 { // a repeated cancel is harmless
+		if err := g.Cancel(ctx, newJob().ID, "q"); err != nil {
+			t.Error(err)
+		}
+	}
+	p := workload.NewProgress(newJob())
+	p.State = workload.Completed
+	data, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Put(ctx, fleet.ProgressKey(newJob().ID), data, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := g.State(ctx, newJob().ID, "q"); err != nil || s != workload.Completed {
+		t.Errorf("state %q, %v", s, err)
+	}
+}
