--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"time"
 
@@ -110,7 +109,7 @@
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), operatorTimeout)
 			defer cancel()
-			return platform.Automation(ctx, settings, hold, reason, confirm, io.Writer(cmd.OutOrStdout()))
+			return platform.Automation(ctx, settings, hold, reason, confirm, cmd.OutOrStdout())
 		},
 	}
 	cmd.Flags().StringVar(&reason, "reason", "", "why, for the log")
--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -128,14 +128,14 @@
 
 // fault brings about one random fault.
 func (b *bench) fault(r *rand.Rand) {
-	i, for_ := r.IntN(chaosWorkers), time.Duration(500+r.IntN(14_000))*time.Millisecond
+	i, length := r.IntN(chaosWorkers), time.Duration(500+r.IntN(14_000))*time.Millisecond
 	change := func(f func(*fleettest.Faults, bool)) {
 		b.workers.Change(i, func(x *fleettest.Faults) { f(x, true) })
-		b.later(for_, func() { b.workers.Change(i, func(x *fleettest.Faults) { f(x, false) }) })
+		b.later(length, func() { b.workers.Change(i, func(x *fleettest.Faults) { f(x, false) }) })
 	}
 	store := func(f func(*memory.Faults, bool)) {
 		b.store.UpdateFaults(func(x *memory.Faults) { f(x, true) })
-		b.later(for_/2, func() { b.store.UpdateFaults(func(x *memory.Faults) { f(x, false) }) })
+		b.later(length/2, func() { b.store.UpdateFaults(func(x *memory.Faults) { f(x, false) }) })
 	}
 	switch r.IntN(12) {
 	case 0, 1:
@@ -149,7 +149,7 @@
 			f.LoseAnswers, f.RefuseOrders = 1+r.IntN(4), r.IntN(2)
 		})
 	case 5:
-		b.workers.Change(i, func(f *fleettest.Faults) { f.LateOrders, f.LateBy = 1+r.IntN(4), for_ })
+		b.workers.Change(i, func(f *fleettest.Faults) { f.LateOrders, f.LateBy = 1+r.IntN(4), length })
 	case 6:
 		b.workers.Restart(i)
 	case 7, 8, 9:
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -45,30 +45,36 @@
 		want     Outcome
 	}{
 		"packs small tasks": {
-			"breaking up whole workers with small tasks", fleetOf(0, 4, 7), Request{Demand: gpus(1), Count: 2},
+			"breaking up whole workers with small tasks", fleetOf(0, 4, 7),
+			Request{Demand: gpus(1), Count: 2},
 			Outcome{Code: Placed, Workers: []int{2, 1}},
 		},
 		"some of separate tasks": {
-			"waiting until all separate tasks fit", fleetOf(8, 6), Request{Demand: gpus(1), Count: 5},
+			"waiting until all separate tasks fit", fleetOf(8, 6),
+			Request{Demand: gpus(1), Count: 5},
 			Outcome{Code: Placed, Workers: []int{1, 1}},
 		},
 		"a gang is all or nothing": {
 			"a partial gang", fleetOf(8, 6), Request{Demand: gpus(1), Count: 3, Gang: true}, Outcome{Code: Blocked},
 		},
 		"one rack": {
-			"spreading a gang that wants one rack", fleetOf(8, 8, 8, 0, 0, 8, 8, 0), Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
+			"spreading a gang that wants one rack", fleetOf(8, 8, 8, 0, 0, 8, 8, 0),
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
 			Outcome{Code: Placed, Workers: []int{4, 7}},
 		},
 		"waits for a rack": {
-			"spreading before it is allowed", fleetOf(8, 8, 8, 0, 0, 8, 8, 8), Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
+			"spreading before it is allowed", fleetOf(8, 8, 8, 0, 0, 8, 8, 8),
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
 			Outcome{Code: Blocked},
 		},
 		"spans when allowed": {
-			"waiting for a rack for ever", fleetOf(8, 8, 8, 0, 0, 8, 8, 8), Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, MaySpan: true},
+			"waiting for a rack for ever", fleetOf(8, 8, 8, 0, 0, 8, 8, 8),
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, MaySpan: true},
 			Outcome{Code: Placed, Workers: []int{3, 4}, Spread: true},
 		},
 		"spans when no rack can hold it": {
-			"waiting for a rack that cannot exist", fleetOf(0, 0, 0, 0, 0), Request{Demand: gpus(8), Count: 5, Gang: true, SameRack: true},
+			"waiting for a rack that cannot exist", fleetOf(0, 0, 0, 0, 0),
+			Request{Demand: gpus(8), Count: 5, Gang: true, SameRack: true},
 			Outcome{Code: Placed, Workers: []int{0, 1, 2, 3, 4}, Spread: true},
 		},
 		"closed workers": {"starts on draining workers", closed, Request{Demand: gpus(8), Count: 2}, Outcome{Code: Placed, Workers: []int{1}}},
@@ -76,23 +82,28 @@
 		"only":           {"starts without a ticket", fleetOf(0, 0), Request{Demand: gpus(1), Count: 1, Only: map[string]bool{"b": true}}, Outcome{Code: Placed, Workers: []int{1}}},
 		"limit per worker": {
 			"more tasks on a worker than allowed", fleetOf(0, 0),
-			Request{Demand: gpus(1), Count: 4, MaxPerWorker: 2, PerWorker: map[string]int{"a": 1}}, Outcome{Code: Placed, Workers: []int{0, 1, 1}},
+			Request{Demand: gpus(1), Count: 4, MaxPerWorker: 2, PerWorker: map[string]int{"a": 1}},
+			Outcome{Code: Placed, Workers: []int{0, 1, 1}},
 		},
 		"data": {"running away from the data", fleetOf(7, 0, 0, 0, 0), Request{Demand: gpus(1), Count: 1, Affinity: "B"}, Outcome{Code: Placed, Workers: []int{4}}},
 		"room that comes": {
-			"preempting for room that is about to be free", draining, Request{Demand: gpus(8), Count: 2, Gang: true, MayPreempt: true, MaxCost: math.Inf(1)},
+			"preempting for room that is about to be free", draining,
+			Request{Demand: gpus(8), Count: 2, Gang: true, MayPreempt: true, MaxCost: math.Inf(1)},
 			Outcome{Code: Draining},
 		},
 		"cheapest victims": {
-			"stopping dear work first", fleetOf(8, 2, 5), Request{Demand: gpus(8), Count: 1, Gang: true, MayPreempt: true, MaxCost: math.Inf(1)},
+			"stopping dear work first", fleetOf(8, 2, 5),
+			Request{Demand: gpus(8), Count: 1, Gang: true, MayPreempt: true, MaxCost: math.Inf(1)},
 			Outcome{Code: Preempting, Victims: []int{1}},
 		},
 		"too dear": {
-			"destroying more than it is worth", fleetOf(8, 2, 5), Request{Demand: gpus(8), Count: 1, Gang: true, MayPreempt: true, MaxCost: 1},
+			"destroying more than it is worth", fleetOf(8, 2, 5),
+			Request{Demand: gpus(8), Count: 1, Gang: true, MayPreempt: true, MaxCost: 1},
 			Outcome{Code: Blocked},
 		},
 		"equal priority": {
-			"preempting work of the same priority", fleetOf(8), Request{Demand: gpus(8), Count: 1, Gang: true, Priority: 2, MayPreempt: true, MaxCost: math.Inf(1)},
+			"preempting work of the same priority", fleetOf(8),
+			Request{Demand: gpus(8), Count: 1, Gang: true, Priority: 2, MayPreempt: true, MaxCost: math.Inf(1)},
 			Outcome{Code: Blocked},
 		},
 	}
