--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 	}
 	wanted := o.waitingServices()
 	moves := 0
-	for _, id := range sortedKeys(o.machines) {
+	for _, id := range slices.Sorted(maps.Keys(o.machines)) {
 		m := o.machines[id]
 		if !slices.Contains(standby, m.Pool) || m.State != MachineUp || moves == movesAtOnce {
 			continue
@@ -138,12 +139,3 @@
 	}
 	return false
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
