placement: a gang spreads over racks only when waiting for one costs more

Excluded: room (racks were free within the run time). Waits count anew after each run, and spreading is weighed against the earliest rack.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -169,6 +169,9 @@
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
 		t.Phase = workload.Pending
 	}
+	if end.Reason != EndDone {
+		g.ready = false // it waits anew
+	}
 	if g.spec().Gang && end.Reason != EndDone {
 		o.stopGroup(g, "a member ended as "+string(end.Reason))
 	}
@@ -247,6 +250,7 @@
 	o.dropRun(r)
 	if t := &r.group.tasks()[r.index]; t.Phase == workload.Assigned && t.Run == r.number {
 		t.Phase = workload.Pending
+		r.group.ready = false // it waits anew
 		o.touch(r.group.job)
 	}
 }
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -20,11 +20,9 @@
 	// maxReservations bounds how many blocked gangs keep room at a time; more
 	// would leave the fleet idle.
 	maxReservations = 3
-	// spanWait is how long an urgent gang waits for one rack before it takes
-	// several, on which it runs longer.
+	// spanWait is how long a gang within its guarantee waits for one rack before
+	// it takes several: it has to begin within 2.7 s on the platform.
 	spanWait = time.Second
-	// spanPatience is the same for other gangs, in run times.
-	spanPatience = 2
 	// preemptRatio bounds the work that an urgent job outside its guarantee may
 	// destroy, as a share of its own work.
 	preemptRatio = 0.5
@@ -282,7 +280,7 @@
 		Affinity: spec.Affinity, MaxPerWorker: spec.MaxPerWorker, PerWorker: perWorker(g), Avoid: g.avoid,
 		Priority: c.priority, Duration: c.expected, MayPreempt: c.priority == 0 && c.tier < 2,
 		MaxCost: preemptRatio * spec.Demand().Cores() * c.expected.Seconds() * float64(len(c.pending)),
-		MaySpan: o.maySpan(c, waited), Reserve: mayReserve && waited >= reserveAfter,
+		MaySpan: c.entitled && waited >= spanWait, Far: o.opts.FarFactor, Reserve: mayReserve && waited >= reserveAfter,
 	}
 	if o.held() {
 		request.MayPreempt = false
@@ -321,13 +319,6 @@
 	return 0
 }
 
-func (o *Owner) maySpan(c candidate, waited time.Duration) bool {
-	if c.priority == 0 {
-		return waited >= spanWait
-	}
-	return waited >= spanPatience*c.expected
-}
-
 func perWorker(g *group) map[string]int {
 	if g.spec().MaxPerWorker == 0 {
 		return nil
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -76,7 +76,8 @@
 	Count        int
 	Gang         bool
 	SameRack     bool
-	MaySpan      bool // a gang that wants one rack accepts several
+	MaySpan      bool    // a gang that wants one rack accepts several now
+	Far          float64 // how many times longer it runs on several racks; 0 if unknown
 	Requires     string
 	Affinity     string
 	MaxPerWorker int
@@ -184,12 +185,27 @@
 		scopes = append(scopes, rack)
 		possible = possible || p.couldHold(r, rack)
 	}
-	if r.MaySpan || !possible {
+	if r.MaySpan || !possible || p.rackIsFar(r) {
 		scopes = append(scopes, p.all())
 	}
 	return scopes
 }
 
+// rackIsFar reports whether waiting for one rack takes longer than the gang
+// loses by running on several.
+func (p *Planner) rackIsFar(r Request) bool {
+	if r.Far <= 1 {
+		return false
+	}
+	loss := time.Duration((r.Far - 1) * float64(r.Duration))
+	for _, rack := range p.racks {
+		if chosen, at := p.earliest(r, rack); chosen != nil && at <= loss {
+			return false
+		}
+	}
+	return true
+}
+
 // couldHold reports whether empty workers of the set would hold the gang.
 func (p *Planner) couldHold(r Request, scope []int) bool {
 	n := 0
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -72,6 +72,15 @@
 			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, MaySpan: true},
 			Outcome{Code: Placed, Workers: []int{3, 4}, Spread: true},
 		},
+		"spans when a rack takes too long": {
+			"waiting longer for a rack than spreading costs", fleetOf(8, 8, 8, 0, 0, 8, 8, 8),
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, Far: 3, Duration: 2 * time.Second},
+			Outcome{Code: Placed, Workers: []int{3, 4}, Spread: true},
+		},
+		"waits when a rack is near": {
+			"spreading although a rack is free sooner than that costs", fleetOf(8, 8, 8, 0, 0, 8, 8, 8),
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, Far: 3, Duration: 6 * time.Second}, Outcome{Code: Blocked},
+		},
 		"spans when no rack can hold it": {
 			"waiting for a rack that cannot exist", fleetOf(0, 0, 0, 0, 0),
 			Request{Demand: gpus(8), Count: 5, Gang: true, SameRack: true},
