fleet: a worker that is silent at first is used later; a replaced one is given up at once

An address that answers as another worker proves that the former process has ended, so its runs no longer wait for the lease. Tests fail first: TestWorkerSilentAtFirstIsUsedLater, TestReplacedWorkerIsGivenUpAtOnce.

--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -151,7 +151,11 @@
 	case 5:
 		b.workers.Change(i, func(f *fleettest.Faults) { f.LateOrders, f.LateBy = 1+r.IntN(4), length })
 	case 6:
-		b.workers.Restart(i)
+		if r.IntN(2) == 0 {
+			b.workers.Restart(i)
+		} else {
+			b.workers.Replace(i)
+		}
 	case 7, 8, 9:
 		b.replaceOwner()
 	case 10:
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -370,3 +370,43 @@
 		b.want(both, workload.Completed)
 	})
 }
+
+// Guards against losing the room of a worker that was silent when it was first
+// spoken to.
+func TestWorkerSilentAtFirstIsUsedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		b.workers.Change(0, func(f *fleettest.Faults) { f.Silent = true })
+		first := b.submit(gang(1, 8))
+		b.sleep(4 * time.Second)
+		b.want(first, workload.Completed)
+		b.workers.Change(0, func(f *fleettest.Faults) { f.Silent = false })
+		b.sleep(4 * time.Second)
+		both := b.submit(gang(2, 8))
+		b.sleep(3 * time.Second)
+		b.want(both, workload.Completed)
+	})
+}
+
+// Guards against waiting for the lease of a worker whose address answers as
+// another one: the former process has certainly ended.
+func TestReplacedWorkerIsGivenUpAtOnce(t *testing.T) {
+	for name, step := range map[string]workload.Step{"separate tasks": small(16), "gang": gang(2, 8)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1, 4)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Takes: 2 * time.Second} })
+				j := b.submit(step)
+				b.sleep(time.Second)
+				for i := range 4 {
+					if b.workers.Busy(i) {
+						b.workers.Replace(i)
+						break
+					}
+				}
+				b.sleep(6 * time.Second)
+				b.want(j, workload.Completed)
+			})
+		})
+	}
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -184,6 +184,25 @@
 	f.violate(format, args...)
 }
 
+// Replace lets a worker crash and another one start at its address, under an ID
+// of its own. The entry of the former one stays for a while.
+func (f *Fleet) Replace(i int) {
+	f.crash(fmt.Sprintf("w%02d", i))
+	f.mu.Lock()
+	w := f.workers[workerAddress(i)]
+	old, _ := f.encode(w.entry)
+	w.entry.ID += "b"
+	w.silent, w.bornAt = false, time.Now()
+	f.mu.Unlock()
+	f.publish(w)
+	time.AfterFunc(silentEntry, func() {
+		_, _ = f.store.Commit(context.Background(), platform.Txn{Deletes: []string{old}}) // a stale entry harms nothing
+	})
+}
+
+// silentEntry is how long the entry of a worker that crashed stays.
+const silentEntry = 4500 * time.Millisecond
+
 // Drain lets a worker report that it leaves.
 func (f *Fleet) Drain(i int, left time.Duration) {
 	f.mu.Lock()
@@ -363,6 +382,9 @@
 
 var errSilent = errors.New("no answer")
 
+// isOther reports whether a call names another worker.
+func (w *Worker) isOther(instance string) bool { return instance != "" && instance != w.entry.ID }
+
 // reach waits for the way to a worker and finds it; the lock is not held.
 func (f *Fleet) reach(ctx context.Context, address string) (*Worker, error) {
 	f.mu.Lock()
@@ -381,12 +403,16 @@
 }
 
 // order carries out an order with the faults of the worker.
-func (f *Fleet) order(ctx context.Context, address string, carryOut func(w *Worker) fleet.Verdict) (fleet.OrderReply, error) {
+func (f *Fleet) order(ctx context.Context, address, instance string, carryOut func(w *Worker) fleet.Verdict) (fleet.OrderReply, error) {
 	w, err := f.reach(ctx, address)
 	if err != nil {
 		return fleet.OrderReply{Verdict: fleet.Unanswered}, err
 	}
 	f.mu.Lock()
+	if w.isOther(instance) {
+		f.mu.Unlock()
+		return fleet.OrderReply{Verdict: fleet.OtherLife}, nil
+	}
 	if w.late > 0 {
 		w.late--
 		life := w.entry.Born
@@ -421,22 +447,26 @@
 }
 
 // Start implements fleet.WorkerPort.
-func (f *Fleet) Start(ctx context.Context, address, _ string, o fleet.StartOrder) (fleet.OrderReply, error) {
-	return f.order(ctx, address, func(w *Worker) fleet.Verdict { return w.start(o) })
+func (f *Fleet) Start(ctx context.Context, address, instance string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	return f.order(ctx, address, instance, func(w *Worker) fleet.Verdict { return w.start(o) })
 }
 
 // Stop implements fleet.WorkerPort.
-func (f *Fleet) Stop(ctx context.Context, address, _ string, task workload.TaskID, run, token int64) (fleet.OrderReply, error) {
-	return f.order(ctx, address, func(w *Worker) fleet.Verdict { return w.stop(task, run, token) })
+func (f *Fleet) Stop(ctx context.Context, address, instance string, task workload.TaskID, run, token int64) (fleet.OrderReply, error) {
+	return f.order(ctx, address, instance, func(w *Worker) fleet.Verdict { return w.stop(task, run, token) })
 }
 
 // Hold implements fleet.WorkerPort.
-func (f *Fleet) Hold(ctx context.Context, address, _ string, r fleet.HoldRequest) (fleet.HoldReply, fleet.Verdict, error) {
+func (f *Fleet) Hold(ctx context.Context, address, instance string, r fleet.HoldRequest) (fleet.HoldReply, fleet.Verdict, error) {
 	w, err := f.reach(ctx, address)
 	if err != nil {
 		return fleet.HoldReply{}, fleet.Unanswered, err
 	}
 	f.mu.Lock()
+	if w.isOther(instance) {
+		f.mu.Unlock()
+		return fleet.HoldReply{}, fleet.OtherLife, nil
+	}
 	verdict := w.hold(r)
 	waits := r.Wait > 0 && len(w.ended) == 0
 	changed := w.changed
@@ -463,8 +493,8 @@
 }
 
 // Pace implements fleet.WorkerPort; emulated tasks do not disturb each other.
-func (f *Fleet) Pace(ctx context.Context, address, _ string, o fleet.PaceOrder) (fleet.OrderReply, error) {
-	return f.order(ctx, address, func(w *Worker) fleet.Verdict {
+func (f *Fleet) Pace(ctx context.Context, address, instance string, o fleet.PaceOrder) (fleet.OrderReply, error) {
+	return f.order(ctx, address, instance, func(w *Worker) fleet.Verdict {
 		if o.Token < w.token {
 			return fleet.Fenced
 		}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -190,7 +190,11 @@
 	case Fenced:
 		o.lose("worker " + w.ID + " has seen a higher token")
 		return
-	case Unanswered, OtherLife:
+	case OtherLife:
+		o.endLife(w)
+		w.failing++
+		o.kick(w)
+	case Unanswered:
 		w.backoffTill = now + silentPause
 		w.failing++
 		o.kick(w)
@@ -294,7 +298,14 @@
 	if !wanted {
 		return
 	}
-	if v := o.stop(w, r); v == Accepted {
+	v := o.stop(w, r)
+	if v == OtherLife {
+		o.mu.Lock()
+		o.endLife(w)
+		o.mu.Unlock()
+		return
+	}
+	if v == Accepted {
 		if lookedAt := o.opts.Clock(); o.look(w, 0, false) {
 			o.settled(w, r, lookedAt)
 			return
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -225,7 +225,7 @@
 		pw := placement.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
 			Free: w.Capacity.Sub(all), Soon: w.Capacity.Sub(all).Add(beingStopped),
-			Open:    w.listed && !w.Draining && !w.cordoned && now >= w.backoffTill && w.failing == 0,
+			Open:    o.isOpen(w, now),
 			Penalty: len(w.strikes),
 		}
 		for r := range w.runs {
@@ -308,6 +308,7 @@
 			}
 		}
 	case placement.Blocked:
+		o.noteWaiting(p, c, waited, now)
 		if len(g.avoid) > 0 && now-g.shunnedAt > avoidFor {
 			clear(g.avoid) // better a worker that failed once than none
 		}
@@ -319,6 +320,38 @@
 	return 0
 }
 
+// waitNote is the pause between two log lines about a group that waits.
+const waitNote = 5 * time.Second
+
+// noteWaiting logs what a group waits for; the lock is held.
+func (o *Owner) noteWaiting(p *fleetPlanner, c candidate, waited, now time.Duration) {
+	if waited < waitNote || now-c.group.notedAt < waitNote {
+		return
+	}
+	c.group.notedAt = now
+	open, empty, silent := 0, 0, 0
+	for _, w := range p.workers {
+		switch {
+		case w.failing > 0:
+			silent++
+		case o.isOpen(w, now):
+			open++
+			if len(w.runs) == 0 {
+				empty++
+			}
+		}
+	}
+	spec := c.group.spec()
+	o.opts.Log.Info("waits for room", "job", c.group.job.ID, "step", c.group.step, "tasks", len(c.pending), "gang", spec.Gang, "sameRack", spec.SameRack,
+		"accelerators", spec.Request.Accelerators, "requires", spec.Requires, "waitedMS", waited.Milliseconds(), "avoided", len(c.group.avoid),
+		"workers", len(p.workers), "open", open, "empty", empty, "silent", silent)
+}
+
+// isOpen reports whether a worker takes new tasks; the lock is held.
+func (o *Owner) isOpen(w *worker, now time.Duration) bool {
+	return w.listed && !w.Draining && !w.cordoned && now >= w.backoffTill && w.failing == 0
+}
+
 func perWorker(g *group) map[string]int {
 	if g.spec().MaxPerWorker == 0 {
 		return nil
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -45,6 +45,7 @@
 	done       int
 	failedRun  int64           // newest run number whose failure was counted
 	avoid      map[string]bool // workers on which it failed
+	notedAt    time.Duration   // when its waiting was last logged
 	shunnedAt  time.Duration   // when avoid last grew
 	readySince time.Duration
 	ready      bool
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -78,6 +78,19 @@
 	o.kick(w)
 }
 
+// endLife gives up everything on a worker whose address answers as another one:
+// the process that was meant has ended. The lock is held.
+func (o *Owner) endLife(w *worker) {
+	if len(w.runs) > 0 {
+		o.opts.Log.Info("another worker answers at the address; the former one has ended", "worker", w.ID, "runs", len(w.runs))
+	}
+	for r := range w.runs {
+		if r.phase != planned {
+			o.notStarted(r)
+		}
+	}
+}
+
 // newLife handles a worker that has started anew: nothing of its former life
 // runs. Orders to it may still be on their way, so each run is settled at the
 // new life; the lock is held.
