--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -79,7 +79,8 @@
 		},
 		"waits when a rack is near": {
 			"spreading although a rack is free sooner than that costs", fleetOf(8, 8, 8, 0, 0, 8, 8, 8),
-			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, Far: 3, Duration: 6 * time.Second}, Outcome{Code: Blocked},
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true, Far: 3, Duration: 6 * time.Second},
+			Outcome{Code: Blocked},
 		},
 		"spans when no rack can hold it": {
 			"waiting for a rack that cannot exist", fleetOf(0, 0, 0, 0, 0),
