fleet: a full order queue repeats the order; unused settings go

Found on the last read: an order that found the queue full was never sent again, so its run could have waited for ever. The test of the operations page reads the page under its new name.

--- a/pkg/admin/metrics.go
+++ b/pkg/admin/metrics.go
@@ -10,7 +10,7 @@
 	"github.com/carawayusher/carawayusher/pkg/membership"
 )
 
-// Metrics collects the gauges on which the alerts of docs/operations.md rest.
+// Metrics collects the gauges on which the alerts of docs/OPERATIONS.md rest.
 // It reads memory only.
 type Metrics struct {
 	Source configsync.Source
--- a/pkg/ctl/operations_test.go
+++ b/pkg/ctl/operations_test.go
@@ -16,7 +16,7 @@
 // Guards against an operations page that shows commands or flags which do not
 // exist, or leaves an error kind, an intent or a gauge out.
 func TestOperationsPage(t *testing.T) {
-	data, err := os.ReadFile("../../docs/operations.md")
+	data, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -68,15 +68,10 @@
 	KeepEnded   time.Duration // how long ended jobs can be asked for
 	CheckpointS float64       // seconds of work between checkpoints
 	FarFactor   float64       // how many times longer a task runs away from its data
-	StopGrace   time.Duration // longest time until a stopped run ends
 	// Machines, Waves and Advice are nil where the platform has no such part.
 	Machines   MachinePort
 	Waves      WaveBoard
 	Advice     AdvicePort
 	UpkeepTime time.Duration // how long a machine's upkeep takes
 	Metrics    *metrics.Set  // nil records nothing
-	// EarlyStart is how long before its time an occurrence may start.
-	EarlyStart time.Duration
-	// Reclaim bounds the start of urgent work within a workspace's guarantee.
-	Reclaim time.Duration
 }
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -46,7 +46,7 @@
 	default:
 		o.opts.Log.Info("order queue is full", "worker", w.ID)
 		if ord.run != nil {
-			ord.run.phase = settling
+			o.sendLater(w, ord)
 		}
 	}
 }
@@ -114,7 +114,6 @@
 	}
 	w.maxDeadline = max(w.maxDeadline, start.Deadline)
 	address, id := w.Address, w.ID
-	r.orderedAt = now
 	o.mu.Unlock()
 
 	if verdict := o.tryStart(r, address, id, start); verdict == Accepted {
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -89,10 +89,6 @@
 				timed = true
 				continue
 			}
-			if now < g.notBefore {
-				timed = true
-				continue
-			}
 			if !o.stepsDone(g) {
 				continue
 			}
@@ -382,7 +378,7 @@
 			number = t.Run + 1
 		}
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Born: w.Born}
-		r := &run{group: g, index: i, number: number, worker: w, phase: planned, demand: g.spec().Demand(), orderedAt: now, pace: 100}
+		r := &run{group: g, index: i, number: number, worker: w, phase: planned, demand: g.spec().Demand(), pace: 100}
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -28,7 +28,6 @@
 	percent    int
 	progressAt time.Duration // when percent last rose
 	startedAt  time.Duration // when the worker confirmed it
-	orderedAt  time.Duration
 	missing    int           // looks in a row that did not list it
 	barred     bool          // a stop was ordered
 	tail       time.Duration // tail latency of a service task
@@ -50,7 +49,6 @@
 	readySince time.Duration
 	ready      bool
 	spread     bool // runs on several racks although it wants one
-	notBefore  time.Duration
 	advice     *advice
 }
 
@@ -85,7 +83,7 @@
 	firstAt  time.Duration // owner's clock when it was accepted
 
 	cancelRequested bool
-	giveUp          workload.State // final state that waits for the runs to end
+	giveUp          workload.State // final state that the next cycle gives it
 
 	changed   int64    // counts changes of the progress
 	committed int64    // the change that the store holds
