--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -79,16 +79,6 @@
 // Queue returns the queue with a name, or nil.
 func (c *Catalog) Queue(name string) *Queue { return c.byName[name] }
 
-// Service returns the service with a name, or nil.
-func (c *Catalog) Service(name string) *Service {
-	for i := range c.Services {
-		if c.Services[i].Name == name {
-			return &c.Services[i]
-		}
-	}
-	return nil
-}
-
 // Route returns the queue with the longest prefix of the path at a host and the
 // rest of the path, or not_found.
 func (c *Catalog) Route(host, path string) (*Queue, string, error) {
--- a/pkg/workload/job.go
+++ b/pkg/workload/job.go
@@ -159,17 +159,6 @@
 	return nil
 }
 
-// Fits reports whether a task of each step can run on a worker of the given
-// capacity.
-func (j *Job) Fits(capacity Resources) bool {
-	for i := range j.Steps {
-		if !j.Steps[i].Demand().Fits(capacity) {
-			return false
-		}
-	}
-	return true
-}
-
 // Demand is what a task of the step takes from a worker's capacity.
 func (s *Step) Demand() Resources {
 	r := s.Request
