Test of racing operators: make both plans before either is confirmed

The test confirmed the first plan while it made the second. On a loaded machine the confirmation ended first, so the second plan rested on the new revision and was rightly carried out. With the confirmation forced to end first the old test fails every time with the same message. Excluded: a second write on one revision; each write carries the store's version as its condition.

Change: both plans are made first, the test checks that they rest on one revision (new check), and only then both are confirmed at the same time.

--- a/test/cluster/config_test.go
+++ b/test/cluster/config_test.go
@@ -13,16 +13,21 @@
 func TestConfirmedChangeOutlivesItsVM(t *testing.T) {
 	s := start(t)
 	vms := s.VMs()
-	weight := 2.0
-	var wg sync.WaitGroup
-	records, errs := make([]plan.Record, 2), make([]error, 2)
+	operators, plans := make([]*cluster.Operator, 2), make([]plan.Plan, 2)
 	for i, vm := range vms[:2] {
-		o, err := s.Operator(vm)
+		var err error
+		operators[i], err = s.Operator(vm)
 		s.must(err)
-		p, err := o.PlanWeight(s.ctx, cluster.Lautoka, weight)
+		plans[i], err = operators[i].PlanWeight(s.ctx, cluster.Lautoka, float64(2+i))
 		s.must(err)
-		wg.Go(func() { records[i], errs[i] = o.Confirm(s.ctx, p) })
-		weight++
+	}
+	if plans[0].Base != plans[1].Base {
+		t.Fatalf("the plans rest on revisions %d and %d, want one", plans[0].Base, plans[1].Base)
+	}
+	var wg sync.WaitGroup
+	records, errs := make([]plan.Record, 2), make([]error, 2)
+	for i, o := range operators {
+		wg.Go(func() { records[i], errs[i] = o.Confirm(s.ctx, plans[i]) })
 	}
 	wg.Wait()
 	if (errs[0] == nil) == (errs[1] == nil) {
