Send a call to the store once more when its answer is late

Cause: in a store that loses answers (platform_lost, a third of the writes) an acceptance waited for the timeout of 0.3 s and more, which is most of the aim of urgent work. Excluded: a shorter timeout, since the first calls into a slow store (240 ms) would all time out and leave their outcome unknown.

Change: storecall.Hedge sends the same conditional write on another connection after 50 ms or three usual answer times. The first answer that tells what the store holds counts; a refusal counts only if no other try went unanswered. Only times of answers are learned, otherwise the pause would grow with each loss.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -112,11 +112,9 @@
 func (g *Gateway) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	startedAt, unknown := g.opts.Now(), false
 	for {
-		sentAt := time.Now()
-		tryCtx, cancel := context.WithTimeout(ctx, g.timeout.Next())
-		res, err := g.opts.Store.Commit(tryCtx, txn)
-		cancel()
-		g.timeout.Note(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
+		res, err := storecall.Hedge(ctx, &g.timeout, func(ctx context.Context) (platform.TxnResult, error) {
+			return g.opts.Store.Commit(ctx, txn)
+		})
 		switch {
 		case err == nil || errkind.Is(err, errkind.Conflict):
 			return res, err
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -157,3 +157,30 @@
 		t.Errorf("state %q, %v", s, err)
 	}
 }
+
+// Guards against holding callers for the timeout of a call whose answer was
+// lost, though the store already holds their job.
+func TestLostAnswerDoesNotHoldTheCaller(t *testing.T) {
+	const aim = 250 * time.Millisecond // the users' aim for urgent work
+	synctest.Test(t, func(t *testing.T) {
+		store := &troubled{Store: memory.NewStore(memory.Options{})}
+		tries := 0
+		store.commit = func(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+			tries++
+			res, err := store.Store.Commit(ctx, txn)
+			if tries == 1 {
+				<-ctx.Done()
+				return platform.TxnResult{}, errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "answer lost")
+			}
+			return res, err
+		}
+		g := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()})
+		began := time.Now()
+		if err := g.Accept(t.Context(), newJob()); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > aim {
+			t.Errorf("accepted after %v, want %v at most", took, aim)
+		}
+	})
+}
--- a/pkg/storecall/storecall.go
+++ b/pkg/storecall/storecall.go
@@ -16,6 +16,10 @@
 	longest = time.Second
 	// factor is how many times the recent answer time a call may take.
 	factor = 3
+	// hedgeFactor is how many times the recent answer time passes before a call is
+	// sent a second time; hedgeShortest covers a usual answer and its way back.
+	hedgeFactor   = 3
+	hedgeShortest = 50 * time.Millisecond
 	// weight of a new answer time in the moving average.
 	weight = 0.3
 )
@@ -40,6 +44,14 @@
 	return min(d, longest)
 }
 
+// HedgeAfter returns how long to wait for an answer before the call is sent once
+// more.
+func (t *Timeout) HedgeAfter() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(hedgeShortest, time.Duration(hedgeFactor*t.average*float64(time.Second)))
+}
+
 // Answered notes the time of an answered call.
 func (t *Timeout) Answered(took time.Duration) {
 	t.mu.Lock()
