fleet: hedge writes, write several batches at a time, learn ends meanwhile

An answer that was lost held all writes of the owner for a timeout, and the conflict that showed it led to the same write anew. A slow store (240 ms) made each change wait for the batch before it. Further ends on a worker were learned only after the first was durable. Excluded: the workers (no run waits there), the election (the owner stays), the timeouts (none runs out in a slow store).

Change: the owner's writes are hedged; a conflict whose present values are the written ones counts as stored; up to four batches are on their way, each job in one of them at most; a look waits 100 ms for ends to become durable.

Tests: TestLostAnswersLeaveUrgentWorkInTime and TestSlowStoreDelaysEachChangeByOneAnswer fail on the former code.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -1,12 +1,14 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -52,8 +54,7 @@
 			return
 		}
 		waiting := o.step()
-		for o.persist() && o.ctx.Err() == nil {
-		}
+		o.startWrites()
 		tick.Reset(map[bool]time.Duration{true: busyTick, false: idleTick}[waiting])
 	}
 }
@@ -131,28 +132,46 @@
 	txn     platform.Txn
 }
 
-// persist writes one batch of changed jobs, and then sends the orders that had
-// to wait for it. It returns whether more is to be written.
-func (o *Owner) persist() bool {
-	b := o.takeBatch()
-	if b == nil {
-		return false
+// maxWrites bounds the batches that are being written. A slow store then delays
+// each change by one answer, not by that of the batch before it as well.
+const maxWrites = 4
+
+// startWrites begins to write the changed jobs, in batches of their own.
+func (o *Owner) startWrites() {
+	for o.ctx.Err() == nil {
+		select {
+		case o.writes <- struct{}{}:
+		default:
+			return // the end of a write signals the next cycle
+		}
+		b := o.takeBatch()
+		if b == nil {
+			<-o.writes
+			return
+		}
+		o.goRun(func() {
+			more := o.persist(b)
+			<-o.writes
+			if more {
+				o.signal()
+			}
+		})
 	}
+}
+
+// persist writes a batch of changed jobs, and then sends the orders that had to
+// wait for it. It returns whether more is to be written.
+func (o *Owner) persist(b *batch) (more bool) {
 	pause := retryPause
 	for o.awaitValid() {
-		sentAt := time.Now()
-		ctx, cancel := context.WithTimeout(o.ctx, o.timeout.Next())
-		res, err := o.opts.Store.Commit(ctx, b.txn)
-		cancel()
-		o.timeout.Note(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
+		res, err := storecall.Hedge(o.ctx, &o.timeout, func(ctx context.Context) (platform.TxnResult, error) {
+			return o.opts.Store.Commit(ctx, b.txn)
+		})
 		switch {
 		case err == nil:
 			return o.stored(b, res.Revision)
 		case errkind.Is(err, errkind.Conflict):
-			if !o.resolveConflict(b, res.Current) {
-				return false
-			}
-			return true
+			return o.resolveConflict(b, res.Current)
 		}
 		if o.ctx.Err() == nil {
 			o.opts.Log.Info("progress not stored", "jobs", len(b.jobs), "reason", err.Error())
@@ -168,11 +187,11 @@
 func (o *Owner) takeBatch() *batch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.dirty) == 0 {
-		return nil
-	}
 	b := &batch{txn: platform.Txn{Conditions: []platform.Condition{{Key: OwnerKey, Version: o.lease.token}}}}
 	for j := range o.dirty {
+		if j.writing {
+			continue // its next write needs the version of this one
+		}
 		data, err := j.progress.Encode()
 		if err != nil {
 			o.opts.Log.Error(err, "progress cannot be encoded", "job", j.ID)
@@ -185,11 +204,14 @@
 		b.jobs = append(b.jobs, j)
 		b.changes = append(b.changes, j.changed)
 		b.after = append(b.after, j.after)
-		j.after = nil
+		j.after, j.writing = nil, true
 		if len(b.jobs) == batchJobs {
 			break
 		}
 	}
+	if len(b.jobs) == 0 {
+		return nil
+	}
 	return b
 }
 
@@ -197,7 +219,14 @@
 func (o *Owner) stored(b *batch, revision int64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.noteStored(b, revision)
+	return len(o.dirty) > 0
+}
+
+// noteStored does the work of stored; the lock is held.
+func (o *Owner) noteStored(b *batch, revision int64) {
 	for n, j := range b.jobs {
+		j.writing = false
 		j.version, j.committed, j.shown = revision, b.changes[n], o.durableState(b, n)
 		if j.changed == b.changes[n] {
 			delete(o.dirty, j)
@@ -211,7 +240,6 @@
 			o.advanceAck(w)
 		}
 	}
-	return len(o.dirty) > 0
 }
 
 // durableState is the state that a stored record shows.
@@ -237,7 +265,12 @@
 		o.lose("the store names another owner")
 		return false
 	}
+	if revision, own := b.writtenAs(current); own {
+		o.noteStored(b, revision)
+		return len(o.dirty) > 0
+	}
 	for n, j := range b.jobs {
+		j.writing = false
 		j.version = versions[ProgressKey(j.ID)]
 		j.after = append(b.after[n], j.after...)
 		o.dirty[j] = struct{}{}
@@ -245,6 +278,23 @@
 	return true
 }
 
+// writtenAs reports whether the store holds what the batch has written, and at
+// which revision: its answer was lost, or it was sent twice.
+func (b *batch) writtenAs(current []platform.Entry) (revision int64, own bool) {
+	values := map[string]platform.Entry{}
+	for _, e := range current {
+		values[e.Key] = e
+	}
+	for _, w := range b.txn.Writes {
+		e, ok := values[w.Key]
+		if !ok || !bytes.Equal(e.Value, w.Value) || (revision != 0 && e.Version != revision) {
+			return 0, false
+		}
+		revision = e.Version
+	}
+	return revision, true
+}
+
 // collect deletes the records of jobs that ended long ago; the lock is held.
 func (o *Owner) collect(now time.Duration) {
 	if now < o.nextCollect {
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -9,6 +9,7 @@
 
 // lookLoop renews the lease of a busy worker and waits for ends on it.
 func (o *Owner) lookLoop(w *worker) {
+	unacked := 0 // looks in a row whose ends were not durable in time
 	for o.ctx.Err() == nil {
 		need := o.lookNeeds(w)
 		if need.stopped {
@@ -35,7 +36,13 @@
 			wait.Sleep(o.ctx, o.probePause(w))
 			continue
 		}
-		o.awaitAck(w)
+		pause := ackPause
+		if unacked >= patientLooks {
+			pause = outagePause
+		}
+		if unacked++; o.awaitAck(w, pause) {
+			unacked = 0
+		}
 	}
 }
 
@@ -74,21 +81,24 @@
 	return n
 }
 
-// awaitAck waits until the ends of the last look are durable, so that the next
-// look acknowledges them.
-func (o *Owner) awaitAck(w *worker) {
-	for deadline := o.opts.Clock() + ackPause; o.opts.Clock() < deadline; {
+// awaitAck waits a while until the ends of the last look are durable, so that the
+// next look acknowledges them, and reports whether they are.
+func (o *Owner) awaitAck(w *worker, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
 		o.mu.Lock()
 		pending, acked := w.ackTo < w.endSeen, w.acked
 		o.mu.Unlock()
 		if !pending {
-			return
+			return true
 		}
 		select {
 		case <-acked:
-		case <-time.After(ackPause):
+		case <-timer.C:
+			return false
 		case <-o.ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -42,8 +42,12 @@
 	holdWait = 2 * time.Second
 	// holdMargin is added to the wait before a look is given up.
 	holdMargin = 700 * time.Millisecond
-	// ackPause bounds the wait for the durable note of ends before the next look.
-	ackPause = 700 * time.Millisecond
+	// ackPause bounds the wait for the durable note of ends before the next look,
+	// so that further ends are learned while the store is slow. After patientLooks
+	// of them the store counts as lost and outagePause applies.
+	ackPause     = 100 * time.Millisecond
+	patientLooks = 8
+	outagePause  = 800 * time.Millisecond
 	// contactAge is the age of a clock reading after which a worker is asked anew
 	// before a start; 2% of it stays below the start window.
 	contactAge = 15 * time.Second
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -87,6 +87,7 @@
 
 	changed   int64    // counts changes of the progress
 	committed int64    // the change that the store holds
+	writing   bool     // a batch with it is on its way to the store
 	after     []func() // run under the lock once the present change is stored
 }
 
