gateway: store through another VM when the store does not answer this one

A third of the callers reach such a VM; their jobs were refused after 0.6 s or left open until the deadline, though the other VMs served.

Change: after 120 ms, or at once while the store is known not to answer, the gateway asks another VM to do the same conditional write: the last known owner, then a VM that is connected to this one. A refusal says 'not run' only if neither way may have stored the job. Questions go to the last known owner also while the owner key cannot be read.

--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -62,6 +62,14 @@
 	return e.owner.Address, nil
 }
 
+// LastOwner returns the address of the VM that was last known as the owner, also
+// while the store cannot be asked; empty if none was ever known.
+func (e *Elector) LastOwner() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner.Address
+}
+
 // Resign gives up ownership and stops this VM from taking it again.
 func (e *Elector) Resign() {
 	e.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -49,6 +49,7 @@
 type Options struct {
 	Store platform.Transactor
 	Owner Owner
+	Relay Relay // nil: there is no other VM to ask
 	Now   func() time.Time
 	Log   logr.Logger
 }
@@ -74,6 +75,15 @@
 	if err != nil {
 		return err
 	}
+	return g.withRelay(ctx, func(ctx context.Context) error {
+		return g.store(ctx, j, value)
+	}, func(ctx context.Context) error {
+		return g.opts.Relay.Accept(ctx, j)
+	})
+}
+
+// store writes the record of a job that is not there yet.
+func (g *Gateway) store(ctx context.Context, j *workload.Job, value []byte) error {
 	key := fleet.JobKey(j.ID)
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
@@ -134,6 +144,14 @@
 
 // Cancel marks a job as cancelled; an unknown job has kind not_found.
 func (g *Gateway) Cancel(ctx context.Context, id, queue string) error {
+	return g.withRelay(ctx, func(ctx context.Context) error {
+		return g.cancel(ctx, id, queue)
+	}, func(ctx context.Context) error {
+		return g.opts.Relay.Cancel(ctx, id, queue)
+	})
+}
+
+func (g *Gateway) cancel(ctx context.Context, id, queue string) error {
 	entries, err := g.list(ctx, fleet.JobKey(id))
 	if err != nil {
 		return err
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,11 +165,10 @@
 	const aim = 250 * time.Millisecond // the users' aim for urgent work
 	synctest.Test(t, func(t *testing.T) {
 		store := &troubled{Store: memory.NewStore(memory.Options{})}
-		tries := 0
+		var tries atomic.Int64
 		store.commit = func(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
-			tries++
 			res, err := store.Store.Commit(ctx, txn)
-			if tries == 1 {
+			if tries.Add(1) == 1 {
 				<-ctx.Done()
 				return platform.TxnResult{}, errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "answer lost")
 			}
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -120,6 +120,22 @@
 	return c
 }
 
+// Connected returns the addresses of the peers with an open connection, in no
+// order.
+func (n *Node) Connected() []string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	seen := map[string]bool{}
+	var addresses []string
+	for c := range n.conns {
+		if c.peer != "" && !seen[c.peer] {
+			seen[c.peer] = true
+			addresses = append(addresses, c.peer)
+		}
+	}
+	return addresses
+}
+
 // Call implements Caller. A call to the own address runs the handler directly.
 func (n *Node) Call(ctx context.Context, address, method string, req, resp any) error {
 	body, err := encode(req)
--- a/pkg/storecall/storecall.go
+++ b/pkg/storecall/storecall.go
@@ -52,6 +52,13 @@
 	return max(hedgeShortest, time.Duration(hedgeFactor*t.average*float64(time.Second)))
 }
 
+// Failing reports whether the last call got no answer.
+func (t *Timeout) Failing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failures > 0
+}
+
 // Answered notes the time of an answered call.
 func (t *Timeout) Answered(took time.Duration) {
 	t.mu.Lock()
