partition: take reports of a claimed attempt before its first offer

What the domain reported in between was taken for a foreign attempt. A success was dropped, the domain forgot the result, and the later resolution found a started task without a result. A running attempt was told to stop. Found by reading the ways to outcome_unknown. Excluded: tasks that are given up as silent (their lease of 15 s is longer than the test), forgotten identities (kept for longer), ends that are not durable (the domain waits for them).

Change: the recovered claim names its failure domain.

Test: TestReportOfClaimedAttemptBeforeTheFirstOffer, both cases fail on the former code.

--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -277,6 +277,41 @@
 	})
 }
 
+// Guards against dropping what a failure domain reports of a claimed attempt
+// between the recovery of the partition and its first offer: the domain would
+// forget the result, and the outcome would be unknown though the worker lives.
+func TestReportOfClaimedAttemptBeforeTheFirstOffer(t *testing.T) {
+	for name, tc := range map[string]struct {
+		report domain.Report
+		want   api.State
+	}{
+		"ended":   {domain.Report{Outcome: api.OutcomeSucceeded}, api.StateSucceeded},
+		"running": {domain.Report{State: api.StateRunning}, api.StateRunning},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				old := f.start(t, 1)
+				st := submit(t, old, order, "k")
+				places := []api.Allocation{{Worker: "w1", Incarnation: 5}}
+				if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7, Places: places}); err != nil {
+					t.Fatal(err)
+				}
+				successor := f.start(t, 2)
+				synctest.Wait()
+				r := tc.report
+				r.Job, r.Attempt, r.Domain, r.Epoch, r.Allocations = st.ID, 1, testDomain, 7, places
+				if err := successor.Report(t.Context(), r); err != nil {
+					t.Errorf("report: %v", err)
+				}
+				if got := get(t, successor, st.ID); got.State != tc.want {
+					t.Errorf("state = %s, want %s", got.State, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a job that is answered with 202 and then forgotten: a durable
 // job survives its owner, and its result too.
 func TestDurableJobSurvivesOwner(t *testing.T) {
--- a/pkg/partition/records.go
+++ b/pkg/partition/records.go
@@ -105,9 +105,10 @@
 	case recordClaimed:
 		j.claim = &claim{attempt: r.Attempt, domain: r.Domain, places: r.Places, at: r.At}
 		j.status.Attempt = max(j.status.Attempt, r.Attempt)
+		j.status.FailureDomain = r.Domain // which may report before the attempt is offered again
 	case recordClaimReleased:
 		if j.claim != nil && j.claim.attempt == r.Attempt {
-			j.claim = nil
+			j.claim, j.status.FailureDomain = nil, ""
 		}
 	case recordCancelRequested:
 		j.cancelRequested = true
