fleet: urgent work may destroy four times its own work instead of half

Change: the bound is four, the worth of urgent work against that of the least work on the users' sheets.

Test: TestUrgentWorkPreemptsInProportion plays the load; it fails with 0.5 (the urgent caller waits) and with 100 (work with much to lose is stopped).

--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -24,8 +24,9 @@
 	// it takes several: it has to begin within 2.7 s on the platform.
 	spanWait = time.Second
 	// preemptRatio bounds the work that an urgent job outside its guarantee may
-	// destroy, as a share of its own work.
-	preemptRatio = 0.5
+	// destroy, in multiples of its own work. On the users' sheets urgent work is
+	// worth four times the least work.
+	preemptRatio = 4.0
 	// avoidFor is how long a group that fits nowhere else keeps away from workers
 	// that failed it.
 	avoidFor = time.Second
