gateway: refuse a job at once that no worker can hold

Cause: a task that asks for more than any worker has was accepted and waited for ever; its caller learned nothing.

A repeated call for a job that is stored already succeeds. Labels and whole gangs are not judged: machines of another kind or a returning zone may serve them.

Tests: TestImpossibleJobsAreRefusedAtOnce, TestCapacities.

--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,36 @@
 		})
 	}
 }
+
+// Guards against judging jobs by workers that have left, and against forgetting
+// one of two kinds of workers.
+func TestCapacities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		owner := func() map[string][]workload.Resources {
+			_, mine := b.vms[0].elector.Owner()
+			return mine.Capacities()
+		}
+		if got := owner()["service"]; len(got) != 1 || got[0] != capacity {
+			t.Errorf("capacities of equal workers: %v", got)
+		}
+		larger := capacity
+		larger.MilliCPU *= 2
+		entry, err := json.Marshal(fleet.WorkerEntry{ID: "large", Born: 1, Service: "service", Address: "large:1", Capacity: larger})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.write(fleettest.WorkerDir+"large", entry)
+		b.sleep(2 * time.Second)
+		if got := owner()["service"]; len(got) != 1 || got[0] != larger {
+			t.Errorf("capacities with a larger worker: %v", got)
+		}
+		if _, err := b.store.Commit(t.Context(), platform.Txn{Deletes: []string{fleettest.WorkerDir + "large"}}); err != nil {
+			t.Fatal(err)
+		}
+		b.sleep(2 * time.Second)
+		if got := owner()["service"]; len(got) != 1 || got[0] != capacity {
+			t.Errorf("capacities after it has left: %v", got)
+		}
+	})
+}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,3 +246,26 @@
 	}
 	return n, o.loaded
 }
+
+// Capacities returns, by service, the capacities of its workers that no other
+// worker of it exceeds; nil while the workers are not loaded.
+func (o *Owner) Capacities() map[string][]workload.Resources {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.loaded {
+		return nil
+	}
+	largest := map[string][]workload.Resources{}
+	for _, w := range o.workers {
+		if !w.listed || w.Address == "" {
+			continue
+		}
+		known := largest[w.Service]
+		if slices.ContainsFunc(known, w.Capacity.Fits) {
+			continue
+		}
+		known = slices.DeleteFunc(known, func(r workload.Resources) bool { return r.Fits(w.Capacity) })
+		largest[w.Service] = append(known, w.Capacity)
+	}
+	return largest
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,6 +31,9 @@
 	// RetryAfter is what refused callers are told: another VM, or this one after
 	// the usual trouble of the store, may accept the job then.
 	RetryAfter = time.Second
+	// impossibleRetry is what callers of a job are told that no worker can hold:
+	// only other machines would help, and those take longer to come.
+	impossibleRetry = time.Minute
 )
 
 // Owner answers questions about the jobs of the fleet.
@@ -39,6 +43,9 @@
 	State(ctx context.Context, id, queue string) (workload.State, error)
 	// Waiting returns the number of a queue's jobs that have not started.
 	Waiting(ctx context.Context, queue string) (int, error)
+	// Capacities returns those of a service's workers that no other worker of it
+	// exceeds; none if they are not known.
+	Capacities(service string) []workload.Resources
 	// Submitted and CancelRequested pass on what was just stored. They do not
 	// block and may fail silently: the owner follows the store as well.
 	Submitted(j *workload.Job)
@@ -63,9 +70,9 @@
 // New returns a Gateway.
 func New(opts Options) *Gateway { return &Gateway{opts: opts} }
 
-// Accept stores a job. Kind unavailable means that it certainly was not
-// accepted; kind timeout that it may have been. A repeated call for the same
-// job succeeds.
+// Accept stores a job. Kinds unavailable and impossible mean that it certainly
+// was not accepted; kind timeout that it may have been. A repeated call for the
+// same job succeeds.
 func (g *Gateway) Accept(ctx context.Context, j *workload.Job) error {
 	if err := j.Validate(); err != nil {
 		return err
@@ -75,6 +82,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.possible(ctx, j); err != nil {
+		return err
+	}
 	return g.withRelay(ctx, func(ctx context.Context) error {
 		return g.store(ctx, j, value)
 	}, func(ctx context.Context) error {
@@ -82,6 +92,32 @@
 	})
 }
 
+// possible refuses a job with a task that no worker of its service could hold if
+// it was empty: it would wait for ever. A job that is stored already, when there
+// were larger workers, stays accepted.
+func (g *Gateway) possible(ctx context.Context, j *workload.Job) error {
+	capacities := g.opts.Owner.Capacities(j.Class.Service)
+	if len(capacities) == 0 {
+		return nil
+	}
+	for n := range j.Steps {
+		demand := j.Steps[n].Demand()
+		if slices.ContainsFunc(capacities, demand.Fits) {
+			continue
+		}
+		entries, err := g.list(ctx, fleet.JobKey(j.ID))
+		if err != nil {
+			return err
+		}
+		if stored, _, err := g.findJob(entries, j.ID); err != nil || stored != nil {
+			return err
+		}
+		return errkind.New(errkind.Impossible, "step %d: no worker holds a task with %d accelerators, %d thousandths of a core and %d MiB",
+			n, demand.Accelerators, demand.MilliCPU, demand.MemoryMiB).WithRetryAfter(impossibleRetry)
+	}
+	return nil
+}
+
 // store writes the record of a job that is not there yet.
 func (g *Gateway) store(ctx context.Context, j *workload.Job, value []byte) error {
 	key := fleet.JobKey(j.ID)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -26,8 +26,9 @@
 func (noOwner) Waiting(context.Context, string) (int, error) {
 	return 0, errkind.New(errkind.Unavailable, "no owner")
 }
-func (noOwner) Submitted(*workload.Job) {}
-func (noOwner) CancelRequested(string)  {}
+func (noOwner) Capacities(string) []workload.Resources { return nil }
+func (noOwner) Submitted(*workload.Job)                {}
+func (noOwner) CancelRequested(string)                 {}
 
 // troubled is a store whose commits go wrong in a way.
 type troubled struct {
@@ -184,3 +185,56 @@
 		}
 	})
 }
+
+// sized is a time without an owner in which the workers are known.
+type sized struct {
+	noOwner
+	capacities []workload.Resources
+}
+
+func (o sized) Capacities(string) []workload.Resources { return o.capacities }
+
+// Guards against accepting a job that would wait for ever, against refusing one
+// that fits or whose size cannot be judged, and against refusing a repeated call
+// for a job that was accepted when there were larger workers.
+func TestImpossibleJobsAreRefusedAtOnce(t *testing.T) {
+	wide := workload.Resources{MilliCPU: 64_000, MemoryMiB: 100, Accelerators: 1}
+	deep := workload.Resources{MilliCPU: 1000, MemoryMiB: 100, Accelerators: 8}
+	tests := map[string]struct {
+		capacities []workload.Resources
+		demand     workload.Resources
+		filler     bool
+		stored     bool
+		want       errkind.Kind
+	}{
+		"workers not known":           {nil, workload.Resources{Accelerators: 99}, false, false, ""},
+		"fits the one":                {[]workload.Resources{wide, deep}, workload.Resources{MilliCPU: 64_000, Accelerators: 1}, false, false, ""},
+		"fits the other":              {[]workload.Resources{wide, deep}, workload.Resources{MilliCPU: 1000, Accelerators: 8}, false, false, ""},
+		"fits only both together":     {[]workload.Resources{wide, deep}, workload.Resources{MilliCPU: 2000, Accelerators: 8}, false, false, errkind.Impossible},
+		"more memory than any":        {[]workload.Resources{wide, deep}, workload.Resources{MemoryMiB: 101}, false, false, errkind.Impossible},
+		"processor time of a filler":  {[]workload.Resources{deep}, workload.Resources{MilliCPU: 9000}, true, false, ""},
+		"accepted before it was that": {[]workload.Resources{deep}, workload.Resources{Accelerators: 9}, false, true, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := memory.NewStore(memory.Options{})
+			j := newJob()
+			j.Steps = []workload.Step{{Tasks: 1, Request: workload.Resources{MilliCPU: 1}}, {Tasks: 2, Request: tc.demand, Filler: tc.filler}}
+			if tc.stored {
+				before := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()})
+				if err := before.Accept(t.Context(), j); err != nil {
+					t.Fatal(err)
+				}
+			}
+			g := New(Options{Store: store, Owner: sized{capacities: tc.capacities}, Now: time.Now, Log: logr.Discard()})
+			err := g.Accept(t.Context(), j)
+			if (err == nil) != (tc.want == "") || (err != nil && errkind.Of(err) != tc.want) {
+				t.Errorf("error %v, want kind %q", err, tc.want)
+			}
+			_, err = store.Get(t.Context(), fleet.JobKey(j.ID))
+			if stored := err == nil; stored != (tc.want == "") {
+				t.Errorf("stored: %v", stored)
+			}
+		})
+	}
+}
