--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -24,9 +24,9 @@
 	// it takes several: it has to begin within 2.7 s on the platform.
 	spanWait = time.Second
 	// preemptRatio bounds the work that an urgent job outside its guarantee may
-	// destroy, in multiples of its own work. On the users' sheets urgent work is
-	// worth four times the least work.
-	preemptRatio = 4.0
+	// destroy, in multiples of its own work. Beyond it, callers gain nothing more;
+	// docs/measurements.md compares the bounds.
+	preemptRatio = 2.0
 	// avoidFor is how long a group that fits nowhere else keeps away from workers
 	// that failed it.
 	avoidFor = time.Second
