--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -92,6 +93,8 @@
 				if n := relay.calls.Load(); n != tc.calls {
 					t.Errorf("%d calls to the other VM, want %d", n, tc.calls)
 				}
+				cancel()
+				time.Sleep(2 * linger) // the own try ends
 			})
 		})
 	}
@@ -122,6 +125,33 @@
 		if took := time.Since(began); took > 0 {
 			t.Errorf("took %v, want no wait", took)
 		}
+		time.Sleep(2 * unboundedTry) // the own tries end
+	})
+}
+
+// Guards against doubling the calls to a store that is merely slow.
+func TestSlowStoreIsNotRelayed(t *testing.T) {
+	const delay = 240 * time.Millisecond // 60 times the usual answer, by the users' sites
+	synctest.Test(t, func(t *testing.T) {
+		store := &troubled{Store: memory.NewStore(memory.Options{})}
+		store.commit = func(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+			time.Sleep(delay)
+			return store.Store.Commit(ctx, txn)
+		}
+		relay := &relayTo{gateway: newGateway(store.Store, nil, nil), answer: func(err error) error { return err }}
+		g := New(Options{Store: store, Owner: noOwner{}, Relay: relay, Now: time.Now, Log: logr.Discard()})
+		const learning, calls = 5, 20
+		for i := range calls {
+			j := newJob()
+			j.ID = fmt.Sprintf("%016x", i)
+			if err := g.Accept(t.Context(), j); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := relay.calls.Load(); n > learning {
+			t.Errorf("%d of %d calls went to another VM, want those of the first %d at most", n, calls, learning)
+		}
+		time.Sleep(2 * unboundedTry) // the own tries end
 	})
 }
 
