configsource: another VM vouches for the configuration

Change: while the store does not answer, the VM asks another one for its copy. The copy's age counts from before the question was sent. It proves freshness only if its revision is the one that is in force here afterwards; an older or unreadable one proves nothing. Whether the VM reports ready still depends on its own way to the store, so new connections go to the other VMs.

--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -39,19 +39,31 @@
 	Decode   func([]byte) (*catalog.Catalog, error)
 	Clock    func() time.Duration // counts suspended time
 	RevokeIn time.Duration        // how soon a key that was taken away must be refused
-	Log      logr.Logger
+	// Ask returns the copy of another VM, which may reach the store when this one
+	// does not; nil: there is none to ask.
+	Ask func(ctx context.Context) (Copy, error)
+	Log logr.Logger
+}
+
+// Copy is the configuration as a VM holds it.
+type Copy struct {
+	Revision int64
+	Value    []byte
+	Age      time.Duration // it was certainly the newest this long ago
 }
 
 // Source holds the newest configuration.
 type Source struct {
 	opts Options
 
-	mu       sync.Mutex
-	current  *catalog.Catalog
-	revision int64
-	freshAt  time.Duration // when the last answered call was sent
-	reached  bool
-	timeout  storecall.Timeout // of readings
+	mu        sync.Mutex
+	current   *catalog.Catalog
+	entry     platform.Entry // that current was decoded from
+	revision  int64
+	freshAt   time.Duration // when the copy was certainly the newest
+	reachedAt time.Duration // when the last answered call was sent
+	reached   bool
+	timeout   storecall.Timeout // of readings
 }
 
 // New returns a Source; Run has to be called.
@@ -94,7 +106,7 @@
 func (s *Source) Reached() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current != nil && s.opts.Clock()-s.freshAt <= contactBound
+	return s.current != nil && s.opts.Clock()-s.reachedAt <= contactBound
 }
 
 // Run follows the configuration until ctx ends.
@@ -107,6 +119,7 @@
 			continue
 		}
 		s.noteLost(err)
+		s.askOther(ctx)
 		wait.Sleep(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
@@ -167,7 +180,8 @@
 			s.take(e)
 		}
 	}
-	s.revision, s.freshAt = revision, sentAt
+	s.revision, s.reachedAt = revision, sentAt
+	s.freshAt = max(s.freshAt, sentAt)
 	if !s.reached {
 		s.reached = true
 		s.opts.Log.Info("store reached", "revision", revision)
@@ -184,7 +198,7 @@
 	if s.current != nil && c.Version <= s.current.Version {
 		return
 	}
-	s.current = c
+	s.current, s.entry = c, e
 	s.opts.Log.Info("configuration in force", "version", c.Version, "revision", e.Version, "queues", len(c.Queues), "workspaces", len(c.Workspaces))
 }
 
@@ -196,3 +210,42 @@
 		s.opts.Log.Info("store lost", "reason", err.Error())
 	}
 }
+
+// Copy returns the configuration for another VM, or unavailable while none is
+// known.
+func (s *Source) Copy() (Copy, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil {
+		return Copy{}, errkind.New(errkind.Unavailable, "no configuration yet")
+	}
+	return Copy{Revision: s.entry.Version, Value: s.entry.Value, Age: s.opts.Clock() - s.freshAt}, nil
+}
+
+// askTime bounds the question to another VM, which is a few milliseconds away.
+const askTime = 300 * time.Millisecond
+
+// askOther takes over the copy of another VM while the store does not answer
+// this one. Its age counts from before the question was sent.
+func (s *Source) askOther(ctx context.Context) {
+	if s.opts.Ask == nil {
+		return
+	}
+	sentAt := s.opts.Clock()
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	other, err := s.opts.Ask(ctx)
+	if err != nil {
+		s.opts.Log.V(1).Info("no other VM tells the configuration", "reason", err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil || other.Revision > s.entry.Version {
+		s.take(platform.Entry{Key: s.opts.Key, Value: other.Value, Version: other.Revision})
+	}
+	// An older copy, or one that cannot be read, proves nothing.
+	if s.current != nil && other.Revision == s.entry.Version {
+		s.freshAt = max(s.freshAt, sentAt-other.Age)
+	}
+}
--- a/pkg/configsource/source_test.go
+++ b/pkg/configsource/source_test.go
@@ -1,6 +1,7 @@
 package configsource
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/platform/memory"
 )
@@ -21,12 +23,16 @@
 }
 
 func play(t *testing.T, f func(t *testing.T, store *memory.Store, s *Source)) {
+	playWith(t, nil, f)
+}
+
+func playWith(t *testing.T, ask func(context.Context) (Copy, error), f func(t *testing.T, store *memory.Store, s *Source)) {
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		store := memory.NewStore(memory.Options{})
 		s := New(Options{
 			Store: store, Key: key, Decode: decode, Clock: func() time.Duration { return time.Since(started) + time.Hour },
-			RevokeIn: 5 * time.Second, Log: logr.Discard(),
+			RevokeIn: 5 * time.Second, Ask: ask, Log: logr.Discard(),
 		})
 		go s.Run(t.Context())
 		f(t, store, s)
@@ -88,3 +94,43 @@
 		}
 	})
 }
+
+// Guards against refusing callers on a VM that has lost the store while another
+// VM knows the configuration, and against trusting a copy that proves nothing.
+func TestOtherVMVouchesForTheConfiguration(t *testing.T) {
+	const outage = 20 * time.Second
+	tests := map[string]struct {
+		other   func() (Copy, error)
+		certain bool
+		version int64
+	}{
+		"fresh copy":         {func() (Copy, error) { return Copy{Revision: 1, Value: []byte("1"), Age: time.Second}, nil }, true, 1},
+		"newer version":      {func() (Copy, error) { return Copy{Revision: 9, Value: []byte("2"), Age: time.Second}, nil }, true, 2},
+		"old copy":           {func() (Copy, error) { return Copy{Revision: 1, Value: []byte("1"), Age: 4 * time.Second}, nil }, false, 1},
+		"older version":      {func() (Copy, error) { return Copy{Revision: 0, Value: []byte("0")}, nil }, false, 1},
+		"unreadable version": {func() (Copy, error) { return Copy{Revision: 9, Value: []byte("rubbish")}, nil }, false, 1},
+		"no answer":          {func() (Copy, error) { return Copy{}, errkind.New(errkind.Timeout, "no answer") }, false, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ask := func(context.Context) (Copy, error) { return tc.other() }
+			playWith(t, ask, func(t *testing.T, store *memory.Store, s *Source) {
+				put(t, store, "1")
+				if c, err := s.Copy(); err != nil || c.Revision != 1 || string(c.Value) != "1" {
+					t.Fatalf("copy for others: %+v, %v", c, err)
+				}
+				store.UpdateFaults(func(f *memory.Faults) { f.Outage = true })
+				time.Sleep(outage)
+				if got := s.KeysCertain(); got != tc.certain {
+					t.Errorf("keys certain: %v, want %v (copy %v old)", got, tc.certain, s.Age())
+				}
+				if s.Reached() {
+					t.Error("the store counts as reached")
+				}
+				if got := version(s); got != tc.version {
+					t.Errorf("version %d in force, want %d", got, tc.version)
+				}
+			})
+		})
+	}
+}
