--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,10 @@
 	@mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ ./cmd/...
 
-## run: submit a mixed load to an embedded system and check the outcome.
+## run: submit a mixed load to an embedded system, and to an emulated platform with faults, and check the outcome.
 run: build
 	$(BIN)/carawayusherd demo
+	$(BIN)/carawayusherd demo --platform
 
 ## test: formatter, linter and all tests with the race detector.
 test: lint unit
--- a/cmd/carawayusherd/main.go
+++ b/cmd/carawayusherd/main.go
@@ -13,6 +13,7 @@
 	"github.com/carawayusher/carawayusher/pkg/daemon"
 	"github.com/carawayusher/carawayusher/pkg/demo"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/fleetdemo"
 	"github.com/carawayusher/carawayusher/pkg/logging"
 	"github.com/carawayusher/carawayusher/pkg/settings"
 )
@@ -103,16 +104,22 @@
 }
 
 func newDemoCommand() *cobra.Command {
-	return &cobra.Command{
+	var platform bool
+	cmd := &cobra.Command{
 		Use: "demo", Short: "Run a mixed load on an embedded system and check the outcome", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			log, _, err := logging.New(logging.Options{Level: "error", Format: "console"})
 			if err != nil {
 				return err
 			}
+			if platform {
+				return fleetdemo.Run(cmd.Context(), cmd.OutOrStdout(), log)
+			}
 			return demo.Run(cmd.Context(), cmd.OutOrStdout(), log)
 		},
 	}
+	cmd.Flags().BoolVar(&platform, "platform", false, "the mode of the users' platform, with a killed owner and a store outage")
+	return cmd
 }
 
 func newVersionCommand() *cobra.Command {
--- /dev/null
+++ b/pkg/fleetdemo/system.go
@@ -0,0 +1,178 @@
+// Package fleetdemo runs the platform's mode in one process on emulated parts:
+// VMs, a store and workers. It submits a mixed load, kills the owner of the
+// fleet, takes the store away for a while and silences workers, and checks that
+// no job was lost or run twice.
+package fleetdemo
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/gateway"
+	"github.com/carawayusher/carawayusher/pkg/platform/memory"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Sizes of the emulated deployment.
+const (
+	vmCount       = 3
+	workerCount   = 12
+	workersByRack = 4
+)
+
+// capacity is that of each worker, as on the users' sheets.
+var capacity = workload.Resources{MilliCPU: 64_000, MemoryMiB: 256_000, Accelerators: 8}
+
+// system is a deployment in one process.
+type system struct {
+	store   *memory.Store
+	workers *fleettest.Fleet
+	gateway *gateway.Gateway
+	log     logr.Logger
+	started time.Time
+
+	mu     sync.Mutex
+	vms    []*vm
+	nextVM int
+}
+
+// vm is one VM that stands for election.
+type vm struct {
+	name    string
+	elector *fleet.Elector
+	kill    context.CancelFunc
+	done    chan struct{}
+}
+
+func newSystem(log logr.Logger) *system {
+	s := &system{store: memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1}), log: log, started: time.Now()}
+	s.workers = fleettest.New(s.store, workerCount, workersByRack, capacity)
+	s.gateway = gateway.New(gateway.Options{Store: s.store, Owner: s, Now: time.Now, Log: log})
+	for range vmCount {
+		s.startVM()
+	}
+	return s
+}
+
+func (s *system) startVM() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextVM++
+	v := &vm{name: fmt.Sprintf("vm-%d", s.nextVM), done: make(chan struct{})}
+	v.elector = fleet.NewElector(fleet.Options{
+		Store: s.store, Workers: s.workers, Decode: fleettest.Decode, WorkerDir: fleettest.WorkerDir,
+		Catalog: func() *catalog.Catalog { return nil }, Clock: s.clock, Now: time.Now, Log: s.log.WithName(v.name),
+		Address: v.name, Name: v.name, KeepEnded: time.Hour, CheckpointS: 1, FarFactor: 3,
+	}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	v.kill = cancel
+	go func() {
+		defer close(v.done)
+		v.elector.Run(ctx)
+	}()
+	s.vms = append(s.vms, v)
+}
+
+func (s *system) clock() time.Duration { return time.Since(s.started) }
+
+// killOwner ends the VM that owns the fleet without a word to the store and
+// returns its name.
+func (s *system) killOwner() string {
+	for _, v := range s.all() {
+		if _, mine := v.elector.Owner(); mine == nil {
+			continue
+		}
+		s.end(v)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.vms = slices.DeleteFunc(s.vms, func(other *vm) bool { return other == v })
+		return v.name
+	}
+	return "none"
+}
+
+func (s *system) end(v *vm) {
+	v.kill()
+	<-v.done
+}
+
+func (s *system) stop() {
+	for _, v := range s.all() {
+		s.end(v)
+	}
+}
+
+func (s *system) all() []*vm {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.vms)
+}
+
+// owner returns the present owner of the fleet, or nil.
+func (s *system) owner() *fleet.Owner {
+	for _, v := range s.all() {
+		if _, mine := v.elector.Owner(); mine != nil {
+			return mine
+		}
+	}
+	return nil
+}
+
+var errNoOwner = errkind.New(errkind.Unavailable, "no VM owns the fleet")
+
+// State implements gateway.Owner.
+func (s *system) State(_ context.Context, id, queue string) (workload.State, error) {
+	if o := s.owner(); o != nil {
+		if state, known := o.State(id, queue); known {
+			return state, nil
+		}
+	}
+	return "", errNoOwner
+}
+
+// Waiting implements gateway.Owner.
+func (s *system) Waiting(_ context.Context, queue string) (int, error) {
+	if o := s.owner(); o != nil {
+		if n, known := o.Waiting(queue); known {
+			return n, nil
+		}
+	}
+	return 0, errNoOwner
+}
+
+// Capacities implements gateway.Owner.
+func (s *system) Capacities(service string) []workload.Resources {
+	if o := s.owner(); o != nil {
+		return o.Capacities()[service]
+	}
+	return nil
+}
+
+// Submitted implements gateway.Owner.
+func (s *system) Submitted(j *workload.Job) {
+	if o := s.owner(); o != nil {
+		o.Submitted(j)
+	}
+}
+
+// CancelRequested implements gateway.Owner.
+func (s *system) CancelRequested(id string) {
+	if o := s.owner(); o != nil {
+		o.CancelRequested(id)
+	}
+}
+
+// States of the store.
+var (
+	memoryOutage = memory.Faults{Outage: true}
+	memoryCalm   = memory.Faults{}
+)
