--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -247,17 +247,24 @@
 	}
 }
 
+// claimed returns an owner that has given a claim, with the job and its places.
+func claimed(t *testing.T, f *fixture) (*Partition, api.JobStatus, []api.Allocation) {
+	t.Helper()
+	p := f.start(t, 1)
+	st := submit(t, p, order, "k")
+	places := []api.Allocation{{Worker: "w1", Incarnation: 5}}
+	if err := p.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7, Places: places}); err != nil {
+		t.Fatal(err)
+	}
+	return p, st, places
+}
+
 // Guards against a claim that is lost with its owner: the successor offers the
 // attempt with its claimed places, so that it is resolved and not run anew.
 func TestSuccessorKeepsClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
-		old := f.start(t, 1)
-		st := submit(t, old, order, "k")
-		places := []api.Allocation{{Worker: "w1", Incarnation: 5}}
-		if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7, Places: places}); err != nil {
-			t.Fatal(err)
-		}
+		old, st, _ := claimed(t, f)
 		successor := f.start(t, 2)
 		synctest.Wait()
 		time.Sleep(time.Second)
@@ -291,12 +298,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture()
-				old := f.start(t, 1)
-				st := submit(t, old, order, "k")
-				places := []api.Allocation{{Worker: "w1", Incarnation: 5}}
-				if err := old.Claim(t.Context(), domain.Claim{Job: st.ID, Attempt: 1, Domain: testDomain, Epoch: 7, Places: places}); err != nil {
-					t.Fatal(err)
-				}
+				_, st, places := claimed(t, f)
 				successor := f.start(t, 2)
 				synctest.Wait()
 				r := tc.report
