fleet: an owner that is cut off from the store asks another VM to take over

Change: when two renewals went unanswered and the store has served this VM nothing for 0.55 s, the owner probes the store once more and then asks other VMs. The former owner goes on until it is fenced; all that it may still send has been written before, so the successor knows of it.

--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -38,7 +38,7 @@
 func TestChaos(t *testing.T) {
 	for _, seed := range chaosSeeds(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playChaos(t, seed) })
+			synctest.Test(t, func(t *testing.T) { playChaos(t, seed, newBench(t, chaosVMs, chaosWorkers), func() {}) })
 		})
 	}
 }
@@ -67,9 +67,34 @@
 	return seeds
 }
 
-func playChaos(t *testing.T, seed uint64) {
+// Guards against the same while single VMs are cut off from the store, the owner
+// first, and ask others to take over.
+func TestChaosWithCutVMs(t *testing.T) {
+	for _, seed := range chaosSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, paths := pathBench(t, chaosVMs, chaosWorkers)
+				r := rand.New(rand.NewPCG(seed, 1))
+				playChaos(t, seed, b, func() {
+					if r.IntN(6) > 0 {
+						return
+					}
+					cut := r.IntN(len(*paths))
+					if owner := b.owning(); owner >= 0 && r.IntN(2) == 0 {
+						cut = owner
+					}
+					path := (*paths)[cut]
+					path.cut.Store(true)
+					b.later(time.Duration(300+r.IntN(6000))*time.Millisecond, func() { path.cut.Store(false) })
+				})
+			})
+		})
+	}
+}
+
+// playChaos plays random faults on a bench; more adds faults of its own.
+func playChaos(t *testing.T, seed uint64, b *bench, more func()) {
 	r := rand.New(rand.NewPCG(seed, 0))
-	b := newBench(t, chaosVMs, chaosWorkers)
 	b.workers.SetOutcome(func(task workload.TaskID, run int64) fleettest.Outcome {
 		h := rand.New(rand.NewPCG(seed+uint64(task.Index), uint64(run)+uint64(task.Step)<<8))
 		return fleettest.Outcome{Takes: time.Duration(200+h.IntN(5000)) * time.Millisecond, Fails: h.IntN(25) == 0}
@@ -80,6 +105,7 @@
 	var jobs, cancelled []*workload.Job
 	for end := time.Now().Add(chaosSpan); time.Now().Before(end); {
 		b.sleep(time.Duration(r.IntN(600)) * time.Millisecond)
+		more()
 		switch r.IntN(3) {
 		case 0:
 			b.fault(r)
@@ -102,6 +128,7 @@
 		}
 	}
 	b.heal()
+	b.reconnect()
 	b.sleep(chaosSettle)
 	for _, j := range jobs {
 		if s := b.state(j); s != workload.Completed && s != workload.Failed {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -34,6 +34,7 @@
 	catalog *catalog.Catalog
 
 	pending []*time.Timer // ends of faults
+	paths   []*pathStore  // ways of the VMs to the store; empty if they share one
 
 	logLock sync.Mutex
 	lines   []string
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,6 +19,11 @@
 	// renewEvery leaves three tries within a lease. Renewals overlap, so that an
 	// answer that takes long does not delay the next one.
 	renewEvery = LeaseTTL / 4
+	// inviteAfter is the age of the last renewal, and of the last answer of the
+	// store, at which the owner asks another VM to take over.
+	inviteAfter = 2*renewEvery - 50*time.Millisecond
+	// probeTimeout is many times the usual answer of 4 ms.
+	probeTimeout = 100 * time.Millisecond
 	// leaseMargin is how much earlier than the store the owner gives up.
 	leaseMargin = 150 * time.Millisecond
 	// storeTimeout bounds a call to the store; a slow store answers within 0.4 s.
@@ -59,19 +65,24 @@
 
 // Options configures an Owner.
 type Options struct {
-	Store       platform.Transactor
-	Workers     WorkerPort
-	Decode      WorkerDecoder
-	WorkerDir   string // prefix of the workers' entries in the store
-	Catalog     func() *catalog.Catalog
-	Clock       Clock
-	Now         func() time.Time
-	Log         logr.Logger
-	Address     string // where other VMs reach this one
-	Name        string
-	KeepEnded   time.Duration // how long ended jobs can be asked for
-	CheckpointS float64       // seconds of work between checkpoints
-	FarFactor   float64       // how many times longer a task runs away from its data
+	Store     platform.Transactor
+	Workers   WorkerPort
+	Decode    WorkerDecoder
+	WorkerDir string // prefix of the workers' entries in the store
+	Catalog   func() *catalog.Catalog
+	Clock     Clock
+	Now       func() time.Time
+	Log       logr.Logger
+	Address   string // where other VMs reach this one
+	// Invite asks another VM to take ownership over from the owner with a token,
+	// and StoreAnswered tells when the store last served a call of this VM. Without
+	// them a successor waits for the end of the lease.
+	Invite        func(ctx context.Context, token int64) error
+	StoreAnswered func() time.Duration
+	Name          string
+	KeepEnded     time.Duration // how long ended jobs can be asked for
+	CheckpointS   float64       // seconds of work between checkpoints
+	FarFactor     float64       // how many times longer a task runs away from its data
 	// Machines, Waves and Advice are nil where the platform has no such part.
 	Machines   MachinePort
 	Waves      WaveBoard
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -117,6 +117,9 @@
 func (o *Owner) renew() {
 	open := make(chan struct{}, maxRenewals)
 	for wait.Sleep(o.ctx, renewEvery) {
+		if o.isCutOff() {
+			o.goRun(o.inviteOther)
+		}
 		select {
 		case open <- struct{}{}:
 			o.goRun(func() {
@@ -128,6 +131,41 @@
 	}
 }
 
+// isCutOff reports whether the store has served this VM nothing lately. While it
+// merely loses answers or is slow, some of the other calls are served.
+func (o *Owner) isCutOff() bool {
+	if o.opts.Invite == nil || o.opts.StoreAnswered == nil {
+		return false
+	}
+	now := o.opts.Clock()
+	renewedAt := o.validity() - LeaseTTL + leaseMargin
+	return now-renewedAt >= inviteAfter && now-o.opts.StoreAnswered() >= inviteAfter
+}
+
+// inviteOther asks another VM to take over, which is quicker than to let the lease
+// run out. Until the successor has fenced it, this owner goes on as before: what
+// it may still send has been written, so the successor knows of it.
+func (o *Owner) inviteOther() {
+	if o.reachesStore() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, renewEvery)
+	defer cancel()
+	err := o.opts.Invite(ctx, o.lease.token)
+	o.opts.Log.Info("asked another VM to take over", "token", o.lease.token, "outcome", errorText(err))
+	if err == nil {
+		o.opts.Metrics.Event("ownership_offered")
+	}
+}
+
+// reachesStore makes a short call to the store, which may just have come back.
+func (o *Owner) reachesStore() bool {
+	ctx, cancel := context.WithTimeout(o.ctx, probeTimeout)
+	defer cancel()
+	_, err := o.opts.Store.Get(ctx, OwnerKey)
+	return err == nil
+}
+
 // maxRenewals bounds the renewals that wait for an answer.
 const maxRenewals = 3
 
