--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -59,8 +59,8 @@
 			}
 		}
 	}
-	if errkind.Is(ownErr, errkind.Unavailable) {
-		return otherErr
+	if errkind.Is(ownErr, errkind.Unavailable) && !errkind.Is(otherErr, errkind.Unavailable) {
+		return otherErr // it may have been stored there
 	}
 	return ownErr
 }
