--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -47,9 +47,9 @@
 
 // Copy is the configuration as a VM holds it.
 type Copy struct {
-	Revision int64
-	Value    []byte
-	Age      time.Duration // it was certainly the newest this long ago
+	Revision int64         `cbor:"1,keyasint"`
+	Value    []byte        `cbor:"2,keyasint"`
+	Age      time.Duration `cbor:"3,keyasint"` // it was certainly the newest this long ago
 }
 
 // Source holds the newest configuration.
--- a/pkg/storecall/storecall.go
+++ b/pkg/storecall/storecall.go
@@ -1,6 +1,7 @@
 // Package storecall chooses how long to wait for an answer of the platform's
-// store. A store or a connection that went silent is noticed soon, while one
-// that is merely slow still gets its time.
+// store, and sends a call once more whose answer is late. A store or a connection
+// that went silent is noticed soon, while one that is merely slow still gets its
+// time.
 package storecall
 
 import (
