fleet: a former owner stops when it learns of its successor; two races in tests

TestHedgeLearnsTheTimeOfAnswersOnly counted its calls without a lock, and the bench of TestChaosWithCutVMs read its list of VMs while a VM was being replaced; both are in the tests. The log of the second showed that a replaced owner went on asking others until its lease had run out, though they answered that the store names another owner.

Change: such an answer ends the ownership at once. The tests use an atomic counter and a lock. TestCutOffOwnerHandsOver checks that one VM takes itself for the owner 0.4 s later.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,6 +37,7 @@
 	pending []*time.Timer // ends of faults
 	paths   []*pathStore  // ways of the VMs to the store; empty if they share one
 
+	vmLock  sync.Mutex // guards changes of vms
 	logLock sync.Mutex
 	lines   []string
 }
@@ -114,9 +116,18 @@
 		defer close(v.done)
 		elector.Run(ctx)
 	}()
+	b.vmLock.Lock()
+	defer b.vmLock.Unlock()
 	b.vms = append(b.vms, v)
 }
 
+// allVMs returns the VMs; unlike vms it may be read by the VMs themselves.
+func (b *bench) allVMs() []*vm {
+	b.vmLock.Lock()
+	defer b.vmLock.Unlock()
+	return slices.Clone(b.vms)
+}
+
 // killVM ends a VM without a word to the store.
 func (b *bench) killVM(i int) {
 	b.vms[i].stop()
--- a/pkg/fleet/handover_test.go
+++ b/pkg/fleet/handover_test.go
@@ -90,7 +90,7 @@
 		o.Store, o.StoreAnswered = path, path.answered
 		o.Invite = func(ctx context.Context, token int64) error {
 			err := error(errkind.New(errkind.Unavailable, "alone"))
-			for i, v := range b.vms {
+			for i, v := range b.allVMs() {
 				if i == self {
 					continue
 				}
@@ -135,6 +135,16 @@
 				t.Errorf("task %d was started %d times %v after the cut", i, n, bound)
 			}
 		}
+		b.sleep(400 * time.Millisecond) // the next invitation tells the former owner
+		owners := 0
+		for _, v := range b.vms {
+			if _, mine := v.elector.Owner(); mine != nil {
+				owners++
+			}
+		}
+		if owners != 1 {
+			t.Errorf("%d VMs take themselves for the owner", owners)
+		}
 		b.reconnect()
 		b.sleep(10 * time.Second)
 		for _, done := range []*workload.Job{before, j} {
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -74,9 +74,10 @@
 	Now       func() time.Time
 	Log       logr.Logger
 	Address   string // where other VMs reach this one
-	// Invite asks another VM to take ownership over from the owner with a token,
-	// and StoreAnswered tells when the store last served a call of this VM. Without
-	// them a successor waits for the end of the lease.
+	// Invite asks another VM to take ownership over from the owner with a token;
+	// kind conflict means that there is another owner. StoreAnswered tells when the
+	// store last served a call of this VM. Without them a successor waits for the
+	// end of the lease.
 	Invite        func(ctx context.Context, token int64) error
 	StoreAnswered func() time.Duration
 	Name          string
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -143,8 +143,8 @@
 }
 
 // inviteOther asks another VM to take over, which is quicker than to let the lease
-// run out. Until the successor has fenced it, this owner goes on as before: what
-// it may still send has been written, so the successor knows of it.
+// run out. Until it learns of the successor, this owner goes on as before: what it
+// may still send has been written, so the successor knows of it.
 func (o *Owner) inviteOther() {
 	if o.reachesStore() {
 		return
@@ -153,8 +153,11 @@
 	defer cancel()
 	err := o.opts.Invite(ctx, o.lease.token)
 	o.opts.Log.Info("asked another VM to take over", "token", o.lease.token, "outcome", errorText(err))
-	if err == nil {
+	switch {
+	case err == nil:
 		o.opts.Metrics.Event("ownership_offered")
+	case errkind.Is(err, errkind.Conflict):
+		o.lose("another VM has taken over")
 	}
 }
 
--- a/pkg/storecall/hedge_test.go
+++ b/pkg/storecall/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,11 +90,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		var timeout Timeout
 		for range 20 {
-			lost := false
+			var calls atomic.Int64
 			if _, err := Hedge(t.Context(), &timeout, func(ctx context.Context) (int, error) {
 				c := try{takes: 4e6}
-				if !lost {
-					lost, c.takes = true, -1
+				if calls.Add(1) == 1 {
+					c.takes = -1 // its answer is lost
 				}
 				return 0, c.play(ctx)
 			}); err != nil {
