fleet: free the owner key of a cut off owner instead of handing it to one VM

The log names the cause: the owner without the store asked front-dk-east-c-11, one of the small VMs (0.19 cores, 10 Mbit/s), which took the fleet of 350 workers over; its lines came 20 ms late and orders waited. The election prefers VMs with more processor time, the invitation did not. Excluded: the reconciliation after a takeover (fine under large VMs).

Change: the VM that is asked deletes the owner key under the condition of its revision, and the usual election follows. The former owner stops at once. The code is shorter than the invitation.

--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -42,13 +42,11 @@
 	revision  int64 // of the last poll
 	mine      *Owner
 	resigning bool
-	invited   int64         // token of the owner that has asked this VM to take over; 0: none
-	invite    chan struct{} // interrupts the watch of the owner key
 }
 
 // NewElector returns an Elector; cpuShare is this VM's share of a core.
 func NewElector(opts Options, cpuShare float64) *Elector {
-	return &Elector{opts: opts, cpuShare: cpuShare, nonce: rand.Uint64(), invite: make(chan struct{}, 1)}
+	return &Elector{opts: opts, cpuShare: cpuShare, nonce: rand.Uint64()}
 }
 
 // Owner returns the address of the present owner and, on that VM, its Owner.
@@ -83,42 +81,28 @@
 	}
 }
 
-// inviteTry bounds the look of an invited VM at the owner key: only a VM that
-// the store answers as usual takes over.
-const inviteTry = 200 * time.Millisecond
+// vacateTry bounds the calls of a VM that frees the owner key: only a VM that the
+// store answers as usual does so.
+const vacateTry = 200 * time.Millisecond
 
-// TakeOver is called on behalf of the owner with a token, which has lost the
-// store. An error means that this VM cannot take over.
-func (e *Elector) TakeOver(ctx context.Context, token int64) error {
-	ctx, cancel := context.WithTimeout(ctx, inviteTry)
+// Vacate frees the owner key on behalf of the owner with a token, which has lost
+// the store, so that the VMs elect another one by their usual order. Kind
+// conflict means that there is another owner already.
+func (e *Elector) Vacate(ctx context.Context, token int64) error {
+	ctx, cancel := context.WithTimeout(ctx, vacateTry)
 	defer cancel()
 	entry, err := e.opts.Store.Get(ctx, OwnerKey)
+	if errkind.Is(err, errkind.NotFound) || (err == nil && entry.Version != token) {
+		return errkind.New(errkind.Conflict, "the store no longer names that owner")
+	}
 	if err != nil {
 		return err
 	}
-	if entry.Version != token {
-		return errkind.New(errkind.Conflict, "the store names another owner")
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.resigning || e.mine != nil {
-		return errkind.New(errkind.Unavailable, "this VM shuts down or owns the fleet")
-	}
-	e.invited = token
-	select {
-	case e.invite <- struct{}{}:
-	default:
-	}
-	return nil
-}
-
-// invitation returns the token of the owner to replace, once; 0 if there is none.
-func (e *Elector) invitation() int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	token := e.invited
-	e.invited = 0
-	return token
+	_, err = e.opts.Store.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: OwnerKey, Version: token}}, Deletes: []string{OwnerKey},
+	})
+	e.opts.Log.Info("owner key freed for an owner without the store", "token", token, "outcome", errorText(err))
+	return err
 }
 
 // Run follows the owner key until ctx ends.
@@ -126,11 +110,6 @@
 	backoff := retryPause
 	for ctx.Err() == nil {
 		vacant, err := e.follow(ctx)
-		if token := e.invitation(); token != 0 {
-			e.opts.Log.Info("asked to take ownership over", "token", token)
-			e.campaign(ctx, token)
-			continue
-		}
 		if err != nil {
 			wait.Sleep(ctx, backoff)
 			backoff = min(2*backoff, maxRetryPause)
@@ -138,7 +117,7 @@
 		}
 		backoff = retryPause
 		if vacant {
-			e.campaign(ctx, 0)
+			e.campaign(ctx)
 		}
 	}
 }
@@ -154,13 +133,6 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ownerPoll+storeTimeout)
 	defer cancel()
-	go func() {
-		select {
-		case <-e.invite:
-			cancel()
-		case <-callCtx.Done():
-		}
-	}()
 	changes, err := e.opts.Store.Poll(callCtx, OwnerKey, after, ownerPoll)
 	if err != nil {
 		e.forget()
@@ -230,9 +202,9 @@
 	e.owner, e.known = r, true
 }
 
-// campaign tries to become the owner, in place of the one with a token (0: of
-// none), and, when it succeeds, runs the Owner until ownership is lost.
-func (e *Elector) campaign(ctx context.Context, over int64) {
+// campaign tries to become the owner and, when it succeeds, runs the Owner
+// until ownership is lost.
+func (e *Elector) campaign(ctx context.Context) {
 	e.mu.Lock()
 	resigning := e.resigning
 	e.mu.Unlock()
@@ -240,12 +212,10 @@
 		wait.Sleep(ctx, LeaseTTL)
 		return
 	}
-	if over == 0 {
-		if taken, err := e.standBack(ctx); err != nil || taken {
-			return
-		}
+	if taken, err := e.standBack(ctx); err != nil || taken {
+		return
 	}
-	claim, err := e.claim(ctx, over)
+	claim, err := e.claim(ctx)
 	if err != nil {
 		e.opts.Log.Info("ownership not taken", "reason", err.Error())
 		return
@@ -296,8 +266,8 @@
 	validUntil time.Duration
 }
 
-// claim writes the owner key under a fresh lease, if it still has a version.
-func (e *Elector) claim(ctx context.Context, version int64) (ownership, error) {
+// claim writes the owner key under a fresh lease.
+func (e *Elector) claim(ctx context.Context) (ownership, error) {
 	ctx, cancel := context.WithTimeout(ctx, LeaseTTL)
 	defer cancel()
 	sentAt := e.opts.Clock()
@@ -310,7 +280,7 @@
 		return ownership{}, errkind.Wrap(err, errkind.Internal, "owner record")
 	}
 	res, err := e.opts.Store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: OwnerKey, Version: version}},
+		Conditions: []platform.Condition{{Key: OwnerKey}},
 		Writes:     []platform.Write{{Key: OwnerKey, Value: value, Lease: lease}},
 	})
 	validUntil := sentAt + LeaseTTL - leaseMargin
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -19,9 +19,9 @@
 	// renewEvery leaves three tries within a lease. Renewals overlap, so that an
 	// answer that takes long does not delay the next one.
 	renewEvery = LeaseTTL / 4
-	// inviteAfter is the age of the last renewal, and of the last answer of the
-	// store, at which the owner asks another VM to take over.
-	inviteAfter = 2*renewEvery - 50*time.Millisecond
+	// vacateAfter is the age of the last renewal, and of the last answer of the
+	// store, at which the owner lets another VM free the owner key.
+	vacateAfter = 2*renewEvery - 50*time.Millisecond
 	// probeTimeout is many times the usual answer of 4 ms.
 	probeTimeout = 100 * time.Millisecond
 	// leaseMargin is how much earlier than the store the owner gives up.
@@ -74,11 +74,11 @@
 	Now       func() time.Time
 	Log       logr.Logger
 	Address   string // where other VMs reach this one
-	// Invite asks another VM to take ownership over from the owner with a token;
-	// kind conflict means that there is another owner. StoreAnswered tells when the
+	// Vacate lets another VM free the owner key of the owner with a token; kind
+	// conflict means that there is another owner. StoreAnswered tells when the
 	// store last served a call of this VM. Without them a successor waits for the
 	// end of the lease.
-	Invite        func(ctx context.Context, token int64) error
+	Vacate        func(ctx context.Context, token int64) error
 	StoreAnswered func() time.Duration
 	Name          string
 	KeepEnded     time.Duration // how long ended jobs can be asked for
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -118,7 +118,7 @@
 	open := make(chan struct{}, maxRenewals)
 	for wait.Sleep(o.ctx, renewEvery) {
 		if o.isCutOff() {
-			o.goRun(o.inviteOther)
+			o.goRun(o.vacate)
 		}
 		select {
 		case open <- struct{}{}:
@@ -134,30 +134,28 @@
 // isCutOff reports whether the store has served this VM nothing lately. While it
 // merely loses answers or is slow, some of the other calls are served.
 func (o *Owner) isCutOff() bool {
-	if o.opts.Invite == nil || o.opts.StoreAnswered == nil {
+	if o.opts.Vacate == nil || o.opts.StoreAnswered == nil {
 		return false
 	}
 	now := o.opts.Clock()
 	renewedAt := o.validity() - LeaseTTL + leaseMargin
-	return now-renewedAt >= inviteAfter && now-o.opts.StoreAnswered() >= inviteAfter
+	return now-renewedAt >= vacateAfter && now-o.opts.StoreAnswered() >= vacateAfter
 }
 
-// inviteOther asks another VM to take over, which is quicker than to let the lease
-// run out. Until it learns of the successor, this owner goes on as before: what it
-// may still send has been written, so the successor knows of it.
-func (o *Owner) inviteOther() {
+// vacate lets another VM free the owner key, which is quicker than to let the lease
+// run out. Until the key is free, this owner goes on as before: what it may still
+// send has been written, so the successor knows of it.
+func (o *Owner) vacate() {
 	if o.reachesStore() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, renewEvery)
 	defer cancel()
-	err := o.opts.Invite(ctx, o.lease.token)
-	o.opts.Log.Info("asked another VM to take over", "token", o.lease.token, "outcome", errorText(err))
-	switch {
-	case err == nil:
+	err := o.opts.Vacate(ctx, o.lease.token)
+	o.opts.Log.Info("asked another VM to free the owner key", "token", o.lease.token, "outcome", errorText(err))
+	if err == nil || errkind.Is(err, errkind.Conflict) {
 		o.opts.Metrics.Event("ownership_offered")
-	case errkind.Is(err, errkind.Conflict):
-		o.lose("another VM has taken over")
+		o.lose("this VM has lost the store; others elect an owner")
 	}
 }
 
