fleet: notice a deaf watch of workers; withdraw starts that waited behind slow orders

Cause: two ways to start work on a worker that leaves. (2) Orders to a worker go out one after the other, so a start can wait for seconds behind orders without an answer, and was sent without another look at the worker.

Excluded: answers of the watch that are cut short; the store answered with up to 427 changes at once and was never behind. An answer of 400 and more is followed at once all the same.

Change: the watch of workers waits no longer than eight missing heartbeats take and then lists; news is gathered for 150 ms instead of 400 ms; a start asks again whether its worker takes work before it is sent. The emulator reports starts later than 2 s after the word of leaving.

Both tests fail before.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -431,3 +431,20 @@
 		})
 	}
 }
+
+// Guards against a start that waited behind slow orders and is sent to a worker
+// that has said meanwhile that it leaves.
+func TestQueuedStartIsWithdrawnFromLeavingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		b.workers.Drain(1, time.Minute)
+		b.sleep(time.Second)
+		b.workers.Change(0, func(f *fleettest.Faults) { f.LoseAnswers = 100 })
+		for range 8 {
+			b.submit(small(1))
+		}
+		b.sleep(200 * time.Millisecond)
+		b.workers.Drain(0, time.Minute)
+		b.sleep(20 * time.Second) // the emulator reports a start that comes too late
+	})
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -88,6 +88,12 @@
 	_, err := f.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
 	if err != nil {
 		time.AfterFunc(publishPause, func() { f.publish(w) }) // the store is down
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.entry.Draining && w.drainedAt.IsZero() {
+		w.drainedAt = time.Now()
 	}
 }
 
@@ -158,6 +164,7 @@
 	w.ended, w.number, w.token, w.lease, w.bornAt = nil, 0, 0, 0, time.Now()
 	w.endedAt, w.failedEnds, w.lapsedAt = map[int64]int64{}, map[int64]*failedEnd{}, 0
 	w.entry.Born++
+	w.entry.Draining, w.drainedAt = false, time.Time{}
 }
 
 // revive starts a crashed worker anew.
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -19,6 +19,9 @@
 	maxLease  = 10 * time.Second
 	stopGrace = 200 * time.Millisecond
 	gangWait  = 3 * time.Second
+	// drainBound is how long after its word that it leaves a worker may still be
+	// given work.
+	drainBound = 2 * time.Second
 )
 
 // Outcome says how a run ends.
@@ -64,7 +67,8 @@
 	wireLost   int // answers that get lost, the order having been carried out
 	late       int // orders that are carried out late
 	lateBy     time.Duration
-	refuse     int // orders refused as unhealthy after those whose answers get lost
+	drainedAt  time.Time // when the store took the word that it leaves
+	refuse     int       // orders refused as unhealthy after those whose answers get lost
 }
 
 func (w *Worker) clockMS() int64 {
@@ -109,6 +113,9 @@
 		w.fleet.rejected++
 		return fleet.NoRoom
 	}
+	if w.entry.Draining && time.Since(w.drainedAt) > drainBound {
+		w.fleet.violate("%s started on %s %v after the word that it leaves was stored", o.Task, w.entry.ID, time.Since(w.drainedAt))
+	}
 	r := &activeRun{task: o.Task, number: o.Run, demand: step.Demand(), arrived: time.Now(), outcome: w.fleet.outcome(o.Task, o.Run), saved: o.Checkpoint}
 	if w.failAll {
 		r.outcome = Outcome{Takes: 50 * time.Millisecond, Fails: true}
--- a/pkg/fleet/hold.go
+++ b/pkg/fleet/hold.go
@@ -33,13 +33,13 @@
 		}
 		return revision, err
 	}
-	o.follow(HoldKey, 0, 0, func(events []platform.Event) {
+	o.follow(feed{prefix: HoldKey, relist: read, apply: func(events []platform.Event) {
 		for _, e := range events {
 			if e.Entry.Key == HoldKey {
 				o.setHold(e.Entry.Value)
 			}
 		}
-	}, read)
+	}}, 0)
 }
 
 func (o *Owner) setHold(value []byte) {
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -153,62 +153,113 @@
 	}
 }
 
-// follow applies changes below a prefix until ownership ends. After changes it
-// pauses, so that frequent ones share a call. When the history is gone, or the
-// revision is 0, it lists first.
-func (o *Owner) follow(prefix string, after int64, gather time.Duration, apply func([]platform.Event), relist func() (int64, error)) {
-	pause := retryPause
+// feed is a prefix of the store that the owner follows.
+type feed struct {
+	prefix string
+	// gather is the pause after changes, so that frequent ones share a call.
+	gather time.Duration
+	// silence returns how long the feed may bring nothing before it is taken for
+	// deaf and listed anew; 0 if nothing is expected of it.
+	silence func() time.Duration
+	apply   func([]platform.Event)
+	relist  func() (int64, error)
+}
+
+// wait returns how long a poll of the feed may wait, and whether it has to bring
+// something within that time.
+func (f feed) wait() (d time.Duration, expected bool) {
+	if f.silence == nil {
+		return watchWait, false
+	}
+	if s := f.silence(); s > 0 && s < watchWait {
+		return s, true
+	}
+	return watchWait, false
+}
+
+// follow applies the changes of a feed until ownership ends. When the history is
+// gone, the feed is deaf, or the revision is 0, it lists.
+func (o *Owner) follow(f feed, after int64) {
 	for after == 0 && o.ctx.Err() == nil {
 		var err error
-		if after, err = relist(); err != nil && !wait.Sleep(o.ctx, retryPause) {
+		if after, err = f.relist(); err != nil && !wait.Sleep(o.ctx, retryPause) {
 			return
 		}
 	}
+	pause := retryPause
 	for o.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(o.ctx, watchWait+storeTimeout)
-		changes, err := o.opts.Store.Poll(ctx, prefix, after, watchWait)
-		cancel()
+		revision, err := o.followOnce(f, after)
 		if err == nil {
-			pause = retryPause
-			after = changes.Revision
-			if len(changes.Events) > 0 {
-				apply(changes.Events)
-				o.signal()
-				wait.Sleep(o.ctx, gather)
-			}
+			after, pause = revision, retryPause
 			continue
 		}
-		if errkind.Is(err, errkind.Conflict) {
-			o.opts.Log.Info("history of the store is gone; listing again", "prefix", prefix)
-			var revision int64
-			if revision, err = relist(); err == nil {
-				after = revision
-				o.signal()
-				continue
-			}
-		}
 		if o.ctx.Err() == nil {
-			o.opts.Log.V(1).Info("watch failed", "prefix", prefix, "reason", err.Error())
+			o.opts.Log.V(1).Info("watch failed", "prefix", f.prefix, "reason", err.Error())
 		}
 		wait.Sleep(o.ctx, pause)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// followOnce polls a feed once and returns the revision to continue from.
+func (o *Owner) followOnce(f feed, after int64) (int64, error) {
+	d, expected := f.wait()
+	ctx, cancel := context.WithTimeout(o.ctx, d+storeTimeout)
+	defer cancel()
+	changes, err := o.opts.Store.Poll(ctx, f.prefix, after, d)
+	switch {
+	case errkind.Is(err, errkind.Conflict):
+		o.opts.Log.Info("history of the store is gone; listing again", "prefix", f.prefix)
+		return o.listFeed(f)
+	case err != nil:
+		return after, err
+	case len(changes.Events) == 0 && expected:
+		o.opts.Log.Info("watch brings nothing; listing again", "prefix", f.prefix, "silentMS", d.Milliseconds())
+		return o.listFeed(f)
+	case len(changes.Events) > 0:
+		f.apply(changes.Events)
+		o.signal()
+		if len(changes.Events) < fullAnswer {
+			wait.Sleep(o.ctx, f.gather)
+		}
+	}
+	return changes.Revision, nil
+}
+
+func (o *Owner) listFeed(f feed) (int64, error) {
+	revision, err := f.relist()
+	if err == nil {
+		o.signal()
+	}
+	return revision, err
+}
+
+// fullAnswer is the number of changes from which on an answer may have been cut
+// short, so that the next poll follows at once: a page of the platform's store
+// holds about 500 items.
+const fullAnswer = 400
+
 // lapseBound is the longest time that a lease given by a former owner may last
 // on a slow worker clock.
 const lapseBound = workerLease * 100 / 98
 
 // workerGather is the pause between two answers with heartbeats of workers. It
-// delays the news that a worker drains, for which the platform allows 2 s.
-const workerGather = 400 * time.Millisecond
+// delays the news that a worker drains, which may leave 1.5 s later.
+const workerGather = 150 * time.Millisecond
+
+// missedBeats is the number of heartbeats, of all workers together, that have to
+// be missing before their watch is taken for deaf; minSilence bounds it from below.
+const (
+	missedBeats = 8
+	minSilence  = 300 * time.Millisecond
+)
 
 // watchWait bounds a watch, and so the time until a silent connection to the
 // store is noticed.
 const watchWait = 2500 * time.Millisecond
 
 func (o *Owner) followJobs(after int64) {
-	o.follow(JobPrefix, after, 0, func(events []platform.Event) {
+	apply := func(events []platform.Event) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range events {
@@ -216,7 +267,8 @@
 				o.applyJob(e.Entry, nil)
 			}
 		}
-	}, func() (int64, error) {
+	}
+	relist := func() (int64, error) {
 		var entries []platform.Entry
 		revision, err := o.listAll(JobPrefix, func(e platform.Entry) { entries = append(entries, e) })
 		if err != nil {
@@ -228,11 +280,12 @@
 			o.applyJob(e, nil)
 		}
 		return revision, nil
-	})
+	}
+	o.follow(feed{prefix: JobPrefix, apply: apply, relist: relist}, after)
 }
 
 func (o *Owner) followWorkers(after int64) {
-	o.follow(o.opts.WorkerDir, after, workerGather, func(events []platform.Event) {
+	apply := func(events []platform.Event) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range events {
@@ -242,7 +295,8 @@
 			}
 			o.applyWorker(e.Entry.Key, e.Entry.Value)
 		}
-	}, func() (int64, error) {
+	}
+	relist := func() (int64, error) {
 		seen := map[string]bool{}
 		var entries []platform.Entry
 		revision, err := o.listAll(o.opts.WorkerDir, func(e platform.Entry) { entries = append(entries, e) })
@@ -261,5 +315,23 @@
 			}
 		}
 		return revision, nil
-	})
+	}
+	o.follow(feed{prefix: o.opts.WorkerDir, gather: workerGather, silence: o.beatSilence, apply: apply, relist: relist}, after)
+}
+
+// beatSilence returns how long the heartbeats of all workers may be missing
+// before their watch is taken for deaf; 0 while too few workers are listed.
+func (o *Owner) beatSilence() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	listed := 0
+	for _, w := range o.workers {
+		if w.listed {
+			listed++
+		}
+	}
+	if listed == 0 || o.opts.Heartbeat <= 0 {
+		return 0
+	}
+	return max(minSilence, missedBeats*o.opts.Heartbeat/time.Duration(listed))
 }
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -82,6 +82,7 @@
 	StoreAnswered func() time.Duration
 	Name          string
 	KeepEnded     time.Duration // how long ended jobs can be asked for
+	Heartbeat     time.Duration // how often a worker writes its entry; 0 expects no writes
 	CheckpointS   float64       // seconds of work between checkpoints
 	FarFactor     float64       // how many times longer a task runs away from its data
 	// Machines, Waves and Advice are nil where the platform has no such part.
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -102,6 +102,10 @@
 	if !o.stillStarting(r) {
 		return
 	}
+	if !o.mayStartOn(w) {
+		o.startFailed(w, r, Withdrawn)
+		return
+	}
 	o.mu.Lock()
 	now := o.opts.Clock()
 	task := &r.group.tasks()[r.index]
@@ -174,6 +178,14 @@
 	return present && r.phase == starting
 }
 
+// mayStartOn reports whether a worker still takes new work. A start may have
+// waited behind orders that took seconds, so this is asked again before it is sent.
+func (o *Owner) mayStartOn(w *worker) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return w.listed && !w.Draining && !w.cordoned
+}
+
 // startFailed handles a start that was not accepted. Only an unanswered start
 // may still be carried out.
 func (o *Owner) startFailed(w *worker, r *run, v Verdict) {
@@ -210,7 +222,7 @@
 			delete(a.tickets, w.ID)
 			delete(a.asked, lifeKey(w))
 		}
-	case StaleRun, Accepted:
+	case StaleRun, Accepted, Withdrawn:
 	case Unhealthy, BadOrder:
 		w.backoffTill = now + unhealthyPause
 		r.group.shun(w, now)
--- a/pkg/fleet/ports.go
+++ b/pkg/fleet/ports.go
@@ -101,6 +101,7 @@
 	BadOrder   Verdict = "bad_order"
 	Unanswered Verdict = "unanswered" // it may still be carried out
 	NotSent    Verdict = "not_sent"   // the worker refused the connection
+	Withdrawn  Verdict = "withdrawn"  // not sent: the worker has stopped taking work meanwhile
 )
 
 // OrderReply is the answer to an order.
--- a/pkg/fleet/store_test.go
+++ b/pkg/fleet/store_test.go
@@ -99,3 +99,49 @@
 	faults(store)
 	return b
 }
+
+// deafStore is a store whose watches of workers bring nothing for a while.
+type deafStore struct {
+	platform.Transactor
+	deaf atomic.Bool
+}
+
+func (s *deafStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Changes, error) {
+	if prefix != fleettest.WorkerDir || !s.deaf.Load() {
+		return s.Transactor.Poll(ctx, prefix, after, wait)
+	}
+	select {
+	case <-time.After(wait):
+		return platform.Changes{Revision: after}, nil
+	case <-ctx.Done():
+		return platform.Changes{}, errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "no answer")
+	}
+}
+
+// Guards against starts on workers that leave while the watch of their entries is
+// deaf: the store drops its history and watches hear nothing of changes.
+func TestDeafWatchOfWorkersIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workers = 16
+		b := newBench(t, 0, workers)
+		store := &deafStore{Transactor: b.store}
+		b.change = func(o *fleet.Options) { o.Store, o.Heartbeat = store, 1500*time.Millisecond }
+		b.startVM()
+		b.sleep(3 * time.Second)
+		store.deaf.Store(true)
+		b.sleep(100 * time.Millisecond)
+		for i := range workers - 1 {
+			b.workers.Drain(i, time.Minute)
+		}
+		b.sleep(time.Second)
+		b.submit(small(8))
+		b.sleep(500 * time.Millisecond)
+		for i := range workers - 1 {
+			if b.workers.Busy(i) {
+				t.Errorf("worker %d has work 1.5 s after its word that it leaves", i)
+			}
+		}
+		store.deaf.Store(false)
+		b.sleep(5 * time.Second)
+	})
+}
