--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -15,6 +15,14 @@
 	idleTick = time.Second            // only leases of silent workers are watched
 	// gatherPause lets events that belong together share one write.
 	gatherPause = 3 * time.Millisecond
+	// cycleRest is the pause after a cycle in multiples of the time that it took, and
+	// maxRest its bound: with a backlog, cycles would otherwise leave no processor
+	// time for the orders that they decide on.
+	cycleRest = 3
+	maxRest   = 100 * time.Millisecond
+	// scanEvery is the pause between two looks through all runs and leases, whose
+	// times are in seconds.
+	scanEvery = 100 * time.Millisecond
 )
 
 // cycle decides, stores and sends, until ownership ends.
@@ -38,15 +46,18 @@
 	o.signal()
 	tick := time.NewTimer(idleTick)
 	defer tick.Stop()
+	rest := gatherPause
 	for {
 		select {
 		case <-o.wake:
-			wait.Sleep(o.ctx, gatherPause)
+			wait.Sleep(o.ctx, rest)
 		case <-tick.C:
 		case <-o.ctx.Done():
 			return
 		}
+		begunAt := o.opts.Clock()
 		waiting := o.step()
+		rest = min(maxRest, max(gatherPause, cycleRest*(o.opts.Clock()-begunAt)))
 		o.startWrites()
 		tick.Reset(map[bool]time.Duration{true: busyTick, false: idleTick}[waiting])
 	}
@@ -57,10 +68,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.opts.Clock()
-	o.lapseSilent(now)
+	scan := o.scannedAt == 0 || now-o.scannedAt >= scanEvery
+	if scan {
+		o.scannedAt = now
+		o.lapseSilent(now)
+	}
 	o.endCancelled()
 	o.endFailed()
-	if !o.held() {
+	if scan && !o.held() {
 		o.moveFromLeaving(now)
 		o.moveFromStalled(now)
 	}
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -278,7 +278,7 @@
 // lapseSilent gives up the runs of workers that have not answered until their
 // lease has run out for certain; the lock is held.
 func (o *Owner) lapseSilent(now time.Duration) {
-	for _, w := range o.workers {
+	for _, w := range o.workersInOrder() {
 		if len(w.runs) == 0 || now < w.lapsedBy()+lapseMargin {
 			continue
 		}
--- a/pkg/fleet/estimate.go
+++ b/pkg/fleet/estimate.go
@@ -20,6 +20,7 @@
 type rate struct {
 	runs    int
 	logMean float64 // moving average of the logarithm of seconds
+	seconds float64 // geometric mean
 }
 
 // learn adds a successful run of a task; the lock is held.
@@ -38,6 +39,7 @@
 	q.runs++
 	weight := max(learnWeight, 1/float64(q.runs))
 	q.logMean += weight * (math.Log(took.Seconds()) - q.logMean)
+	q.seconds = math.Exp(q.logMean)
 }
 
 // expected estimates the run time of a task of a group: the geometric mean of
@@ -52,7 +54,7 @@
 	if q == nil || q.runs < learnedRuns {
 		return declared
 	}
-	return time.Duration(math.Sqrt(declared.Seconds()*math.Exp(q.logMean)) * float64(time.Second))
+	return time.Duration(math.Sqrt(declared.Seconds()*q.seconds) * float64(time.Second))
 }
 
 // chainOf is the longest chain of work of one occurrence.
--- a/pkg/fleet/evacuate.go
+++ b/pkg/fleet/evacuate.go
@@ -21,7 +21,7 @@
 // moveFromLeaving stops runs that cannot end before their worker leaves, so
 // that their checkpoints are kept and they start anew elsewhere; the lock is held.
 func (o *Owner) moveFromLeaving(now time.Duration) {
-	for _, w := range o.workers {
+	for _, w := range o.workersInOrder() {
 		if !w.Draining {
 			continue
 		}
@@ -44,7 +44,7 @@
 // anyLeaving reports whether runs on leaving workers have to be watched; the
 // lock is held.
 func (o *Owner) anyLeaving() bool {
-	for _, w := range o.workers {
+	for _, w := range o.workersInOrder() {
 		if w.Draining && len(w.runs) > 0 {
 			return true
 		}
@@ -70,7 +70,7 @@
 
 // moveFromStalled stops runs that stand still; the lock is held.
 func (o *Owner) moveFromStalled(now time.Duration) {
-	for _, w := range o.workers {
+	for _, w := range o.workersInOrder() {
 		for r := range w.runs {
 			if r.phase != running || r.group.spec().Service || r.group.spec().Filler {
 				continue
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -32,6 +32,10 @@
 	jobs        map[string]*job
 	live        map[string]*job // jobs without a final state in the store
 	workers     map[string]*worker
+	inOrder     []*worker                // workers by ID; nil after a change of the set
+	planners    map[string]*fleetPlanner // by service
+	cycles      int64                    // placements so far
+	scannedAt   time.Duration            // when runs and leases were last gone through
 	dirty       map[*job]struct{}
 	rates       map[string]*rate // learned run times by queue
 	nextCollect time.Duration
@@ -57,7 +61,7 @@
 		opts: opts, lease: lease, ctx: ctx, cancel: cancel,
 		validUntil: lease.validUntil,
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, rates: map[string]*rate{},
+		dirty: map[*job]struct{}{}, planners: map[string]*fleetPlanner{}, rates: map[string]*rate{},
 		waves: map[int64]*waveState{}, fetched: map[string]string{}, adviceCalls: make(chan adviceCall, adviceQueue),
 		wake: make(chan struct{}, 1), writes: make(chan struct{}, maxWrites), valid: make(chan struct{}),
 	}
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -57,14 +57,13 @@
 	}
 	o.markEntitled(waiting)
 	slices.SortFunc(waiting, compareRank)
-	planners := map[string]*fleetPlanner{}
+	o.cycles++
 	reservations := 0
 	for _, c := range waiting {
 		service := o.serviceOf(c.group.job)
-		p := planners[service]
-		if p == nil {
+		p := o.planners[service]
+		if p == nil || p.cycle != o.cycles {
 			p = o.newPlanner(service, now)
-			planners[service] = p
 		}
 		reservations += o.placeOne(p, c, now, reservations < maxReservations)
 	}
@@ -197,24 +196,43 @@
 	return j.Class.Service
 }
 
-// fleetPlanner is a planner over the workers of one service.
+// victim is what is stopped together: a gang, or a single run.
+type victim struct {
+	group *group
+	run   *run // nil for a gang
+}
+
+// stop orders the victim's runs to stop; the lock is held.
+func (v victim) stop(o *Owner, reason string) {
+	if v.run != nil {
+		o.stopRun(v.run, reason)
+		return
+	}
+	o.stopGroup(v.group, reason)
+}
+
+// fleetPlanner is a planner over the workers of one service. Its buffers are used
+// again by the next cycle.
 type fleetPlanner struct {
 	*placement.Planner
-	workers []*worker
-	groups  [][]*run // runs of each group of the snapshot
+	cycle    int64
+	snapshot placement.Snapshot
+	runs     []placement.Run
+	workers  []*worker
+	victims  []victim // by index of the snapshot's groups
 }
 
+// newPlanner takes a snapshot of the workers of a service; the lock is held.
 func (o *Owner) newPlanner(service string, now time.Duration) *fleetPlanner {
-	p := &fleetPlanner{}
-	var s placement.Snapshot
-	index := map[any]int{}
-	ids := make([]string, 0, len(o.workers))
-	for id := range o.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		w := o.workers[id]
+	p := o.planners[service]
+	if p == nil {
+		p = &fleetPlanner{}
+		o.planners[service] = p
+	}
+	p.cycle = o.cycles
+	s := &p.snapshot
+	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
+	for _, w := range o.workersInOrder() {
 		if w.Service != service {
 			continue
 		}
@@ -225,36 +243,48 @@
 			Open:    o.isOpen(w, now),
 			Penalty: len(w.strikes),
 		}
+		first := len(p.runs)
 		for r := range w.runs {
 			if r.phase == stopping || r.phase == settling {
 				continue
 			}
-			pw.Runs = append(pw.Runs, placement.Run{Group: o.victimGroup(p, &s, index, r, now), Demand: r.demand, EndsIn: o.remaining(r, now)})
+			p.runs = append(p.runs, placement.Run{Group: o.victimGroup(p, r, now), Demand: r.demand, EndsIn: o.remaining(r, now)})
 		}
+		// The planner may add runs, which must not run into those of the next worker.
+		pw.Runs = p.runs[first:len(p.runs):len(p.runs)]
 		s.Workers = append(s.Workers, pw)
 		p.workers = append(p.workers, w)
 	}
-	p.Planner = placement.New(s)
+	p.Planner = placement.New(*s)
 	return p
 }
 
+// workersInOrder returns all workers by ID; the lock is held.
+func (o *Owner) workersInOrder() []*worker {
+	if o.inOrder == nil {
+		for _, w := range o.workers {
+			o.inOrder = append(o.inOrder, w)
+		}
+		slices.SortFunc(o.inOrder, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return o.inOrder
+}
+
 // victimGroup returns the index of what is stopped together with a run.
-func (o *Owner) victimGroup(p *fleetPlanner, s *placement.Snapshot, index map[any]int, r *run, now time.Duration) int {
-	var key any = r
+func (o *Owner) victimGroup(p *fleetPlanner, r *run, now time.Duration) int {
+	v, mark := victim{group: r.group, run: r}, &r.planned
 	if r.group.spec().Gang {
-		key = r.group
-	}
-	n, ok := index[key]
-	if !ok {
-		n = len(s.Groups)
-		index[key] = n
-		s.Groups = append(s.Groups, placement.Group{Priority: r.group.job.Class.Priority, Fixed: r.phase != running || r.group.spec().MayMiss > 0})
-		p.groups = append(p.groups, nil)
-	}
-	s.Groups[n].Cost += o.lostWork(r, now)
-	s.Groups[n].Fixed = s.Groups[n].Fixed || r.phase != running
-	p.groups[n] = append(p.groups[n], r)
-	return n
+		v.run, mark = nil, &r.group.planned
+	}
+	if mark.cycle != p.cycle {
+		*mark = planMark{cycle: p.cycle, index: len(p.victims)}
+		p.victims = append(p.victims, v)
+		p.snapshot.Groups = append(p.snapshot.Groups, placement.Group{Priority: r.group.job.Class.Priority, Fixed: r.group.spec().MayMiss > 0})
+	}
+	g := &p.snapshot.Groups[mark.index]
+	g.Cost += o.lostWork(r, now)
+	g.Fixed = g.Fixed || r.phase != running
+	return mark.index
 }
 
 // lostWork is the work in core-seconds that stopping a run throws away.
@@ -296,13 +326,12 @@
 	case placement.Placed:
 		o.assign(p, c, outcome, now)
 	case placement.Preempting:
-		for _, victim := range outcome.Victims {
+		for _, n := range outcome.Victims {
+			v := p.victims[n]
 			o.opts.Metrics.Event("preemption")
-			o.opts.Log.Info("preempted for urgent work", "job", p.groups[victim][0].group.job.ID, "for", g.job.ID,
+			o.opts.Log.Info("preempted for urgent work", "job", v.group.job.ID, "for", g.job.ID,
 				"entitled", c.entitled, "waitedMS", waited.Milliseconds())
-			for _, r := range p.groups[victim] {
-				o.stopRun(r, "preempted")
-			}
+			v.stop(o, "preempted")
 		}
 	case placement.Blocked:
 		o.noteWaiting(p, c, waited, now)
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -33,6 +33,13 @@
 	tail       time.Duration // tail latency of a service task
 	pace       int           // percent at which a filler works
 	listedAt   time.Duration // when the worker last listed it
+	planned    planMark      // of a run that is not part of a gang
+}
+
+// planMark is the position of a victim in the snapshot of a cycle.
+type planMark struct {
+	cycle int64
+	index int
 }
 
 // group is a step of a job in one occurrence.
@@ -50,6 +57,7 @@
 	ready      bool
 	spread     bool // runs on several racks although it wants one
 	advice     *advice
+	planned    planMark // of a gang
 }
 
 func (g *group) spec() *workload.Step { return &g.job.Steps[g.step] }
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -18,6 +18,7 @@
 		unknownTill: o.tookOverAt + LeaseTTL + lapseBound,
 	}
 	o.workers[entry.ID] = w
+	o.inOrder = nil
 	o.goRun(func() { o.orderLoop(w) })
 	o.goRun(func() { o.lookLoop(w) })
 	return w
@@ -43,7 +44,7 @@
 	}
 	w.WorkerEntry = entry
 	if entry.Draining && !before.Draining {
-		w.drainSince = o.opts.Clock()
+		w.drainSince, o.scannedAt = o.opts.Clock(), 0 // its runs are looked at in the next cycle
 		o.opts.Log.Info("worker drains", "worker", w.ID, "leavesInMS", entry.Leaves.Milliseconds(), "runs", len(w.runs))
 	}
 	if before.Address == "" {
@@ -74,6 +75,7 @@
 	}
 	w.stopped = true
 	delete(o.workers, w.ID)
+	o.inOrder = nil
 	close(w.orders)
 	o.kick(w)
 }
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -128,7 +128,7 @@
 			f()
 		}
 	}
-	for _, w := range o.workers {
+	for _, w := range o.workersInOrder() {
 		if len(w.unacked) > 0 {
 			o.advanceAck(w)
 		}
--- /dev/null
+++ b/pkg/placement/bench_test.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// Shapes of the users' large site.
+var (
+	largeWorker = workload.Resources{MilliCPU: 128_000, MemoryMiB: 524_288, Accelerators: 8}
+	urgentTask  = workload.Resources{MilliCPU: 15_000, MemoryMiB: 44_000, Accelerators: 8}
+	indexTask   = workload.Resources{MilliCPU: 11_000, MemoryMiB: 46_000, Accelerators: 1}
+	readTask    = workload.Resources{MilliCPU: 52_000, MemoryMiB: 270_000, Accelerators: 4}
+)
+
+// fullFleet returns a fleet of racks of 20 workers that lesser work fills: single
+// tasks and gangs.
+func fullFleet(workers int) Snapshot {
+	r := rand.New(rand.NewPCG(1, 1))
+	s := Snapshot{}
+	gang := -1
+	for i := range workers {
+		w := Worker{ID: fmt.Sprintf("w%05d", i), Rack: fmt.Sprintf("r%d", i/20), Labels: []string{"a"}, Capacity: largeWorker, Free: largeWorker, Open: true}
+		add := func(group int, d workload.Resources) {
+			w.Runs = append(w.Runs, Run{Group: group, Demand: d, EndsIn: time.Duration(r.IntN(10_000)) * time.Millisecond})
+			w.Free = w.Free.Sub(d)
+		}
+		if i%10 == 0 { // a new gang of ten
+			gang = len(s.Groups)
+			s.Groups = append(s.Groups, Group{Priority: 1})
+		}
+		if i%3 == 0 {
+			add(gang, readTask)
+			s.Groups[gang].Cost += 500 * r.Float64()
+		}
+		for indexTask.Fits(w.Free) {
+			add(len(s.Groups), indexTask)
+			s.Groups = append(s.Groups, Group{Priority: 2, Cost: 100 * r.Float64()})
+		}
+		w.Soon = w.Free
+		s.Workers = append(s.Workers, w)
+	}
+	return s
+}
+
+// clone copies what a Planner changes.
+func (s Snapshot) clone() Snapshot {
+	c := Snapshot{Groups: s.Groups, Workers: make([]Worker, len(s.Workers))}
+	copy(c.Workers, s.Workers)
+	for i := range c.Workers {
+		c.Workers[i].Runs = append([]Run(nil), s.Workers[i].Runs...)
+	}
+	return c
+}
+
+// BenchmarkBlocked is a cycle with twelve urgent gangs that find no room and may
+// destroy too little to make some, the costliest answer of the planner.
+func BenchmarkBlocked(b *testing.B) {
+	for _, n := range []int{48, 350, 1100, 13_000} {
+		s := fullFleet(n)
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				c := s.clone()
+				b.StartTimer()
+				p := New(c)
+				for i := range 12 {
+					p.Place(Request{
+						Demand: urgentTask, Count: 4 + i, Gang: true, SameRack: i%5 > 0, Far: 3, Duration: 2 * time.Second,
+						MayPreempt: true, MaxCost: 1, Reserve: i < 3,
+					})
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPreempt is a cycle with one urgent gang that makes room for itself.
+func BenchmarkPreempt(b *testing.B) {
+	for _, n := range []int{48, 350, 1100, 13_000} {
+		s := fullFleet(n)
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				c := s.clone()
+				b.StartTimer()
+				New(c).Place(Request{Demand: urgentTask, Count: 8, Gang: true, SameRack: true, Far: 3, Duration: 2 * time.Second, MayPreempt: true, MaxCost: math.Inf(1)})
+			}
+		})
+	}
+}
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -103,19 +103,28 @@
 	Spread  bool  // a gang that wants one rack was placed on several
 }
 
-// Planner places requests one after the other.
+// Planner places requests one after the other. It is not safe for concurrent use.
 type Planner struct {
 	workers []Worker
 	groups  []Group
 	racks   [][]int // indexes of workers by rack
-	victims map[int]bool
+	all     []int   // indexes of all workers
+	stopped []bool  // groups that are victims of an earlier request
+	places  [][]int // workers of each group, one for each run
+
+	candidates []candidate // reused by fit
+	evictor    evictor
 }
 
 // New returns a Planner that owns the snapshot.
 func New(s Snapshot) *Planner {
-	p := &Planner{workers: s.Workers, groups: s.Groups, victims: map[int]bool{}}
+	p := &Planner{
+		workers: s.Workers, groups: s.Groups, all: make([]int, len(s.Workers)),
+		stopped: make([]bool, len(s.Groups)),
+	}
 	byRack := map[string]int{}
 	for i := range p.workers {
+		p.all[i] = i
 		n, ok := byRack[p.workers[i].Rack]
 		if !ok {
 			n = len(p.racks)
@@ -129,81 +138,60 @@
 
 // Place decides on one request and gives away the room it needs.
 func (p *Planner) Place(r Request) Outcome {
-	if !r.Gang {
-		return p.placeSeparate(r)
+	scopes := [][]int{p.all}
+	if r.Gang && r.SameRack {
+		scopes = p.racks
 	}
-	scopes := p.scopes(r)
-	for _, now := range []bool{true, false} {
-		if chosen, spread := p.fitAny(r, scopes, now); chosen != nil {
-			p.take(r, chosen, now)
-			if now {
-				return Outcome{Code: Placed, Workers: chosen, Spread: spread}
-			}
-			return Outcome{Code: Draining}
-		}
+	if chosen := p.fitAny(r, scopes, true); chosen != nil {
+		return p.placed(r, chosen)
 	}
-	if r.MayPreempt {
-		if victims := p.preempt(r, scopes); victims != nil {
-			return Outcome{Code: Preempting, Victims: victims}
+	span := r.Gang && r.SameRack && p.maySpan(r)
+	if span {
+		if chosen := p.fit(r, p.all, true); chosen != nil {
+			return p.placed(r, chosen)
 		}
 	}
-	if r.Reserve {
-		p.reserve(r, scopes)
+	chosen := p.fitAny(r, scopes, false)
+	if span && chosen == nil {
+		chosen = p.fit(r, p.all, false)
 	}
-	return Outcome{Code: Blocked}
-}
-
-// placeSeparate places as many of the tasks as fit.
-func (p *Planner) placeSeparate(r Request) Outcome {
-	all := p.all()
-	chosen := p.fit(r, all, true)
-	if len(chosen) > 0 {
-		p.take(r, chosen, true)
-		return Outcome{Code: Placed, Workers: chosen}
-	}
-	if soon := p.fit(r, all, false); len(soon) > 0 {
-		p.take(r, soon, false)
+	if chosen != nil {
+		p.take(r, chosen, false)
 		return Outcome{Code: Draining}
 	}
+	if span {
+		scopes = append(slices.Clone(p.racks), p.all)
+	}
 	if r.MayPreempt {
-		if victims := p.preempt(r, [][]int{all}); victims != nil {
+		if victims := p.preempt(r, scopes); victims != nil {
 			return Outcome{Code: Preempting, Victims: victims}
 		}
 	}
+	if r.Reserve && r.Gang {
+		p.reserve(r, scopes)
+	}
 	return Outcome{Code: Blocked}
 }
 
-// scopes returns the sets of workers that may hold the whole gang, those to
-// prefer first.
-func (p *Planner) scopes(r Request) [][]int {
-	if !r.SameRack {
-		return [][]int{p.all()}
-	}
-	scopes := make([][]int, 0, len(p.racks)+1)
-	possible := false
-	for _, rack := range p.racks {
-		scopes = append(scopes, rack)
-		possible = possible || p.couldHold(r, rack)
-	}
-	if r.MaySpan || !possible || p.rackIsFar(r) {
-		scopes = append(scopes, p.all())
-	}
-	return scopes
+func (p *Planner) placed(r Request, chosen []int) Outcome {
+	p.take(r, chosen, true)
+	return Outcome{Code: Placed, Workers: chosen, Spread: r.SameRack && p.onSeveralRacks(chosen)}
 }
 
-// rackIsFar reports whether waiting for one rack takes longer than the gang
+// maySpan reports whether a gang that wants one rack takes several: it is told
+// to, no rack could ever hold it, or waiting for one takes longer than the gang
 // loses by running on several.
-func (p *Planner) rackIsFar(r Request) bool {
-	if r.Far <= 1 {
-		return false
+func (p *Planner) maySpan(r Request) bool {
+	if r.MaySpan {
+		return true
 	}
-	loss := time.Duration((r.Far - 1) * float64(r.Duration))
-	for _, rack := range p.racks {
-		if chosen, at := p.earliest(r, rack); chosen != nil && at <= loss {
-			return false
-		}
+	possible := func(rack []int) bool { return p.couldHold(r, rack) }
+	if !slices.ContainsFunc(p.racks, possible) {
+		return true
 	}
-	return true
+	loss := time.Duration((r.Far - 1) * float64(r.Duration))
+	near := func(rack []int) bool { return p.fitsBy(r, rack, loss) }
+	return r.Far > 1 && !slices.ContainsFunc(p.racks, near)
 }
 
 // couldHold reports whether empty workers of the set would hold the gang.
@@ -218,32 +206,21 @@
 	return n >= r.Count
 }
 
-func (p *Planner) all() []int {
-	all := make([]int, len(p.workers))
-	for i := range all {
-		all[i] = i
-	}
-	return all
-}
-
 // fitAny looks for a scope that holds the whole gang. Among racks it prefers
 // the one with the data, then the one with the least room left.
-func (p *Planner) fitAny(r Request, scopes [][]int, now bool) (best []int, spread bool) {
+func (p *Planner) fitAny(r Request, scopes [][]int, now bool) []int {
+	var best []int
 	bestScore := math.MaxFloat64
-	for n, scope := range scopes {
-		whole := r.SameRack && n == len(p.racks)
-		if whole && best != nil {
-			break // several racks only where one does not do
-		}
+	for _, scope := range scopes {
 		chosen := p.fit(r, scope, now)
-		if len(chosen) < r.Count {
+		if chosen == nil {
 			continue
 		}
 		if score := p.scopeScore(r, scope, chosen); score < bestScore {
-			best, bestScore, spread = chosen, score, whole && p.onSeveralRacks(chosen)
+			best, bestScore = chosen, score
 		}
 	}
-	return best, spread
+	return best
 }
 
 func (p *Planner) onSeveralRacks(chosen []int) bool {
@@ -276,9 +253,10 @@
 	return score
 }
 
-// fit chooses workers of the scope for up to r.Count tasks, best fit first.
+// fit chooses workers of the scope for the tasks, best fit first: for all tasks
+// of a gang, or for as many separate tasks as fit; nil if there are none.
 func (p *Planner) fit(r Request, scope []int, now bool) []int {
-	candidates := make([]candidate, 0, len(scope))
+	candidates, total := p.candidates[:0], 0
 	for _, i := range scope {
 		w := &p.workers[i]
 		if !w.Open || !p.allowed(r, w) {
@@ -288,12 +266,20 @@
 		if !now {
 			room = w.Soon
 		}
+		if !r.Demand.Fits(room) {
+			continue
+		}
 		if n := min(copies(r.Demand, p.beforeClaims(r, w, room)), perWorkerLimit(r, w)); n > 0 {
 			candidates = append(candidates, candidate{worker: i, copies: n, key: p.fitKey(r, w, room)})
+			total += n
 		}
 	}
+	p.candidates = candidates
+	if total == 0 || (r.Gang && total < r.Count) {
+		return nil
+	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.key.compare(b.key) })
-	chosen := make([]int, 0, r.Count)
+	chosen := make([]int, 0, min(r.Count, total))
 	for _, c := range candidates {
 		for n := 0; n < c.copies && len(chosen) < r.Count; n++ {
 			chosen = append(chosen, c.worker)
@@ -339,7 +325,7 @@
 		}
 		later := w.Soon
 		for _, run := range w.Runs {
-			if run.EndsIn <= c.from && !p.victims[run.Group] {
+			if run.EndsIn <= c.from {
 				later = later.Add(run.Demand)
 			}
 		}
@@ -355,7 +341,7 @@
 
 // allowed reports whether the request may use the worker at all.
 func (p *Planner) allowed(r Request, w *Worker) bool {
-	if r.Avoid[w.ID] || (r.Only != nil && !r.Only[w.ID]) {
+	if (len(r.Avoid) > 0 && r.Avoid[w.ID]) || (r.Only != nil && !r.Only[w.ID]) {
 		return false
 	}
 	return r.Requires == "" || slices.Contains(w.Labels, r.Requires)
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -62,6 +62,11 @@
 			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
 			Outcome{Code: Placed, Workers: []int{4, 7}},
 		},
+		"one rack before a full one": {
+			"forgetting the rack that fits for a later one that does not", fleetOf(8, 0, 0, 8, 8, 8, 8, 8),
+			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
+			Outcome{Code: Placed, Workers: []int{1, 2}},
+		},
 		"waits for a rack": {
 			"spreading before it is allowed", fleetOf(8, 8, 8, 0, 0, 8, 8, 8),
 			Request{Demand: gpus(8), Count: 2, Gang: true, SameRack: true},
