fleet: give up the work of workers whose machine is down by the platform's list

Cause: runs on a worker that crashed or left were given up when its lease had run out, 9.5 s later, and a gang waits for its last member.

Excluded: connection errors as a proof (a reset may come from the network), and the entry in the store (it lapses for a worker that is cut off as well). A trial that read the list of machines every 0.5 s showed: crashed machines are down with another worker, those that left are missing, workers that are cut off or flap are up with the same worker.

Change: while a worker with runs does not answer, the owner reads the list of machines every 0.3 s, and gives up what ran on a machine that is down, or missing twice in a row. Starts that may still be on their way to a life under the same ID are waited for as before. The emulator's list tells the same; workers that crash no longer answer when another fault ends (the emulator mixed up the two switches, and a new chaos test found two runs of a task because of that).

--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -92,6 +92,28 @@
 	}
 }
 
+// Guards against the same where the list of machines tells which workers have
+// ended, with workers that crash, start anew and leave.
+func TestChaosWithMachines(t *testing.T) {
+	for _, seed := range chaosSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(seed, 2))
+				b := cloudBench(t, chaosVMs, chaosWorkers)
+				playChaos(t, seed, b, func() {
+					switch i := r.IntN(chaosWorkers); r.IntN(12) {
+					case 0, 1:
+						b.workers.Crash(i, time.Duration(100+r.IntN(8000))*time.Millisecond)
+					case 2:
+						b.workers.Drain(i, time.Duration(500+r.IntN(3000))*time.Millisecond)
+						b.later(time.Duration(1000+r.IntN(4000))*time.Millisecond, func() { b.workers.Crash(i, 2*time.Second) })
+					}
+				})
+			})
+		})
+	}
+}
+
 // playChaos plays random faults on a bench; more adds faults of its own.
 func playChaos(t *testing.T, seed uint64, b *bench, more func()) {
 	r := rand.New(rand.NewPCG(seed, 0))
--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -35,6 +35,7 @@
 			o.goRun(func() { o.followWorkers(workersFrom) })
 			o.goRun(o.duties)
 			o.goRun(o.followHold)
+			o.goRun(o.followMachines)
 			break
 		}
 		if !wait.Sleep(o.ctx, pause) {
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -156,7 +156,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[id+":1"]
-	w.silent = true
+	w.dead = true
 	for _, r := range w.runs {
 		f.running[r.task]--
 	}
@@ -171,11 +171,18 @@
 func (f *Fleet) revive(id string) {
 	f.mu.Lock()
 	w := f.workers[id+":1"]
-	w.silent, w.bornAt = false, time.Now()
+	w.dead, w.bornAt = false, time.Now()
 	f.mu.Unlock()
 	f.publish(w)
 }
 
+// Crash lets a worker end without a word; it starts anew under its ID after a while.
+func (f *Fleet) Crash(i int, down time.Duration) {
+	id := fmt.Sprintf("w%02d", i)
+	f.crash(id)
+	time.AfterFunc(down, func() { f.revive(id) })
+}
+
 // allow notes a ticket, and that starts need one from now on.
 func (f *Fleet) allow(step, worker string, until time.Time) {
 	f.mu.Lock()
@@ -201,7 +208,7 @@
 	w := f.workers[workerAddress(i)]
 	old, _ := f.encode(w.entry)
 	w.entry.ID += "b"
-	w.silent, w.bornAt = false, time.Now()
+	w.dead, w.bornAt = false, time.Now()
 	f.mu.Unlock()
 	f.publish(w)
 	time.AfterFunc(silentEntry, func() {
@@ -227,7 +234,9 @@
 	id := fmt.Sprintf("w%02d", i)
 	f.crash(id)
 	f.mu.Lock()
-	key, _ := f.encode(f.workers[id+":1"].entry)
+	w := f.workers[id+":1"]
+	w.gone = true
+	key, _ := f.encode(w.entry)
 	f.mu.Unlock()
 	_, err := f.store.Commit(context.Background(), platform.Txn{Deletes: []string{key}})
 	if err != nil {
@@ -435,7 +444,7 @@
 	time.Sleep(delay)
 	f.mu.Lock()
 	w := f.workers[address]
-	silent := w == nil || w.silent
+	silent := w == nil || w.silent || w.dead
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -528,7 +537,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if w.silent {
+	if w.silent || w.dead {
 		return fleet.HoldReply{}, fleet.Unanswered, errSilent
 	}
 	return w.lists(), fleet.Accepted, nil
--- a/pkg/fleet/fleettest/machines.go
+++ b/pkg/fleet/fleettest/machines.go
@@ -19,6 +19,7 @@
 
 	mu        sync.Mutex
 	machines  map[string]*fleet.Machine
+	lives     map[string]*Worker // by machine
 	waves     []fleet.Wave
 	completed map[int64]bool
 	begun     map[string]bool
@@ -34,11 +35,12 @@
 // NewCloud returns a cloud for the workers of a fleet.
 func NewCloud(f *Fleet, upkeepTime time.Duration) *Cloud {
 	c := &Cloud{
-		fleet: f, upkeepTime: upkeepTime, machines: map[string]*fleet.Machine{}, completed: map[int64]bool{},
+		fleet: f, upkeepTime: upkeepTime, machines: map[string]*fleet.Machine{}, lives: map[string]*Worker{}, completed: map[int64]bool{},
 		begun: map[string]bool{}, tokens: map[string]int64{}, Valid: 5 * time.Second,
 	}
 	for _, w := range f.workers {
 		w.entry.Machine = "m-" + w.entry.ID
+		c.lives[w.entry.Machine] = w
 		c.machines[w.entry.Machine] = &fleet.Machine{
 			ID: w.entry.Machine, Pool: w.entry.Service, State: fleet.MachineUp, Capacity: w.entry.Capacity, Worker: w.entry.ID,
 		}
@@ -65,9 +67,18 @@
 func (c *Cloud) Machines(context.Context) ([]fleet.Machine, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
 	var all []fleet.Machine
-	for _, m := range c.machines {
-		all = append(all, *m)
+	for id, w := range c.lives {
+		m := *c.machines[id]
+		m.Worker = w.entry.ID
+		if w.dead && m.State == fleet.MachineUp {
+			m.State, m.Worker = fleet.MachineDown, ""
+		}
+		if !w.gone {
+			all = append(all, m)
+		}
 	}
 	return all, nil
 }
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -60,6 +60,8 @@
 	lapsedAt   int64 // when its lease was last found lapsed
 	changed    chan struct{}
 	silent     bool
+	dead       bool    // it has crashed and not started anew
+	gone       bool    // it has left for good, with its machine
 	rate       float64 // speed of its clock
 	slow       float64 // how many times longer tasks take
 	failAll    bool
@@ -113,7 +115,7 @@
 		w.fleet.rejected++
 		return fleet.NoRoom
 	}
-	if w.entry.Draining && time.Since(w.drainedAt) > drainBound {
+	if !w.drainedAt.IsZero() && time.Since(w.drainedAt) > drainBound {
 		w.fleet.violate("%s started on %s %v after the word that it leaves was stored", o.Task, w.entry.ID, time.Since(w.drainedAt))
 	}
 	r := &activeRun{task: o.Task, number: o.Run, demand: step.Demand(), arrived: time.Now(), outcome: w.fleet.outcome(o.Task, o.Run), saved: o.Checkpoint}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -145,7 +145,8 @@
 			if w == nil {
 				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Born: t.Assigned.Born})
 			}
-			r := &run{group: g, index: i, number: t.Run, worker: w, phase: settling, demand: g.spec().Demand(), pace: unknownPace}
+			r := &run{group: g, index: i, number: t.Run, worker: w, phase: settling, demand: g.spec().Demand(), pace: unknownPace,
+				orderedAt: o.tookOverAt, unanswered: true}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
 			o.send(w, order{kind: orderAdopt, run: r})
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -139,9 +139,8 @@
 	if verdict == NotSent && w.maxDeadline == request.Deadline {
 		w.maxDeadline = before
 	}
-	w.failing++
+	o.noteFailing(w)
 	w.backoffTill = max(w.backoffTill, o.opts.Clock()+silentPause)
-	o.kick(w) // it is probed until it answers
 	if w.failing == 1 && o.ctx.Err() == nil {
 		reason := string(verdict)
 		if err != nil {
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -117,6 +117,7 @@
 		start.Ticket = a.tickets[w.ID].value
 	}
 	w.maxDeadline = max(w.maxDeadline, start.Deadline)
+	r.orderedAt = now
 	address, id := w.Address, w.ID
 	o.mu.Unlock()
 
@@ -137,6 +138,9 @@
 		if reply.Verdict == Accepted || reply.Verdict == Fenced || (try == 0 && reply.Verdict != Unanswered) {
 			return reply.Verdict
 		}
+		o.mu.Lock()
+		r.unanswered = true
+		o.mu.Unlock()
 		o.opts.Log.V(1).Info("start not answered", "task", start.Task.String(), "run", start.Run, "worker", id, "try", try+1,
 			"verdict", reply.Verdict, "error", errorText(err))
 	}
@@ -203,12 +207,10 @@
 		return
 	case OtherLife:
 		o.endLife(w)
-		w.failing++
-		o.kick(w)
+		o.noteFailing(w)
 	case Unanswered:
 		w.backoffTill = now + silentPause
-		w.failing++
-		o.kick(w)
+		o.noteFailing(w)
 		o.settle(r)
 		return
 	case NoRoom:
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -50,9 +50,10 @@
 
 	timeout storecall.Timeout // of writes
 
-	wake   chan struct{} // work for the cycle
-	writes chan struct{} // holds one element for each batch that is being written
-	valid  chan struct{} // closed and replaced when ownership is renewed
+	wake    chan struct{} // work for the cycle
+	suspect chan struct{} // a worker with runs does not answer
+	writes  chan struct{} // holds one element for each batch that is being written
+	valid   chan struct{} // closed and replaced when ownership is renewed
 }
 
 func newOwner(opts Options, lease ownership) *Owner {
@@ -63,7 +64,7 @@
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*fleetPlanner{}, rates: map[string]*rate{},
 		waves: map[int64]*waveState{}, fetched: map[string]string{}, adviceCalls: make(chan adviceCall, adviceQueue),
-		wake: make(chan struct{}, 1), writes: make(chan struct{}, maxWrites), valid: make(chan struct{}),
+		wake: make(chan struct{}, 1), suspect: make(chan struct{}, 1), writes: make(chan struct{}, maxWrites), valid: make(chan struct{}),
 	}
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -30,6 +30,8 @@
 	startedAt  time.Duration // when the worker confirmed it
 	missing    int           // looks in a row that did not list it
 	barred     bool          // a stop was ordered
+	orderedAt  time.Duration // when its start was first sent, or taken over from a former owner
+	unanswered bool          // a try of its start was not answered
 	tail       time.Duration // tail latency of a service task
 	pace       int           // percent at which a filler works
 	listedAt   time.Duration // when the worker last listed it
@@ -157,6 +159,7 @@
 	maxDeadline int64         // newest lease end sent, on the worker's clock
 	unknownTill time.Duration // runs of a former owner have lapsed by then
 	answeredAt  time.Duration
+	lifeSince   time.Duration // when this life became known
 
 	endSeen int64
 	ackTo   int64
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -14,6 +14,7 @@
 	w := &worker{
 		WorkerEntry: entry, runs: map[*run]struct{}{}, strikes: map[string]bool{},
 		orders: make(chan order, orderQueue), poke: make(chan struct{}, 1), acked: make(chan struct{}),
+		lifeSince: o.opts.Clock(),
 		// A former owner may have renewed the lease just before it lost ownership.
 		unknownTill: o.tookOverAt + LeaseTTL + lapseBound,
 	}
@@ -98,6 +99,7 @@
 // new life; the lock is held.
 func (o *Owner) newLife(w *worker, source string) {
 	o.opts.Log.Info("worker has started anew", "worker", w.ID, "source", source, "runs", len(w.runs))
+	w.lifeSince = o.opts.Clock()
 	w.contacted, w.endSeen, w.ackTo, w.unacked, w.ackDue = false, 0, 0, nil, false
 	w.maxDeadline, w.unknownTill = 0, o.opts.Clock()+lateOrders
 	clear(w.strikes)
