explain: account of each job's time by cause

Cause: which requests lose their worth, when and why could only be read job by job.

Change: 'carawayusher-node account' reads logs and splits the time of each completed job from acceptance to end by cause, along the task that ended last; tables of the late jobs by queue, workspace and 2 s of acceptance, or one JSON object a job. The log line of a run's end says how long it ran, unless it was adopted from a former owner, whose runs no longer enter the learned run times with a shortened time.

Result: the parts add up to the whole time of all jobs of a recorded log (TestAccountAddsUp).

--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -33,7 +34,7 @@
 		Use: "carawayusher-node", Short: "carawayusher on the users' platform",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(newFrontCommand(), newCheckConfigCommand(), newExplainCommand(),
+	root.AddCommand(newFrontCommand(), newCheckConfigCommand(), newExplainCommand(), newAccountCommand(),
 		newAutomationHoldCommand("hold", "Hold all automatic actions: preemption, moves, upkeep, evacuation", true),
 		newAutomationHoldCommand("release", "Give all automatic actions back", false))
 	return root
@@ -82,20 +83,52 @@
 	return &cobra.Command{
 		Use: "explain ID [FILE]", Short: "Show what log lines (of a file or standard input) say about a job", Args: cobra.RangeArgs(1, 2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			in := cmd.InOrStdin()
-			if len(args) > 1 {
-				f, err := os.Open(args[1])
-				if err != nil {
-					return errkind.Wrap(err, errkind.NotFound, "log file")
-				}
-				defer f.Close()
-				in = f
+			in, closeInput, err := openInput(cmd, args[1:])
+			if err != nil {
+				return err
 			}
+			defer closeInput()
 			return explain.Job(in, cmd.OutOrStdout(), args[0])
 		},
 	}
 }
 
+func newAccountCommand() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use: "account [FILE]", Short: "Split the time of completed jobs by cause, from log lines of a file or standard input", Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			in, closeInput, err := openInput(cmd, args)
+			if err != nil {
+				return err
+			}
+			defer closeInput()
+			accounts, err := explain.Accounts(in)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return explain.WriteAccountsJSON(cmd.OutOrStdout(), accounts)
+			}
+			return explain.WriteAccounts(cmd.OutOrStdout(), accounts)
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write one JSON object a line for each job")
+	return cmd
+}
+
+// openInput opens the file that the arguments name, or standard input without one.
+func openInput(cmd *cobra.Command, args []string) (in io.Reader, closeInput func(), err error) {
+	if len(args) == 0 {
+		return cmd.InOrStdin(), func() {}, nil
+	}
+	f, err := os.Open(args[0])
+	if err != nil {
+		return nil, nil, errkind.Wrap(err, errkind.NotFound, "log file")
+	}
+	return f, func() { f.Close() }, nil
+}
+
 // newAutomationHoldCommand returns the command that sets or releases the
 // automation hold. Without --confirm it only shows what it would change.
 func newAutomationHoldCommand(name, short string, hold bool) *cobra.Command {
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -20,10 +20,22 @@
 
 // logEntry is a parsed log line that concerns the job.
 type logEntry struct {
-	at     time.Time
-	vm     string // last word before the JSON, usually the name of the VM
-	text   string
-	fields map[string]any
+	at      time.Time
+	vm      string // last word before the JSON, usually the name of the VM
+	message string
+	fields  map[string]any
+}
+
+// text returns a field that is a string, or "".
+func (l logEntry) text(key string) string {
+	s, _ := l.fields[key].(string)
+	return s
+}
+
+// duration returns a field in milliseconds, or 0.
+func (l logEntry) duration(key string) time.Duration {
+	ms, _ := l.fields[key].(float64)
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // leadingFields are printed first, in this order.
@@ -42,7 +54,10 @@
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	for scanner.Scan() {
-		if l, ok := parse(scanner.Text(), id); ok {
+		if !strings.Contains(scanner.Text(), id) {
+			continue
+		}
+		if l, ok := parse(scanner.Text()); ok && l.concernsJob(id) {
 			lines = append(lines, l)
 		}
 	}
@@ -54,34 +69,32 @@
 	}
 	slices.SortStableFunc(lines, func(a, b logEntry) int { return a.at.Compare(b.at) })
 	for _, l := range lines {
-		fmt.Fprintf(out, "%s  %-22s %s%s\n", l.at.Format("15:04:05.000"), l.vm, l.text, l.details())
+		fmt.Fprintf(out, "%s  %-22s %s%s\n", l.at.Format("15:04:05.000"), l.vm, l.message, l.details())
 	}
 	fmt.Fprintln(out, "cause:", likelyCause(lines))
 	return nil
 }
 
-func parse(text, id string) (logEntry, bool) {
+func parse(text string) (logEntry, bool) {
 	start := strings.IndexByte(text, '{')
-	if start < 0 || !strings.Contains(text, id) {
+	if start < 0 {
 		return logEntry{}, false
 	}
 	var fields map[string]any
-	if json.Unmarshal([]byte(text[start:]), &fields) != nil || !concernsJob(fields, id) {
+	if json.Unmarshal([]byte(text[start:]), &fields) != nil {
 		return logEntry{}, false
 	}
 	l := logEntry{fields: fields, vm: lastWord(text[:start])}
-	l.text, _ = fields["msg"].(string)
-	if at, ok := fields["time"].(string); ok {
-		if parsed, err := time.Parse(time.RFC3339Nano, at); err == nil {
-			l.at = parsed
-		}
+	l.message = l.text("msg")
+	if parsed, err := time.Parse(time.RFC3339Nano, l.text("time")); err == nil {
+		l.at = parsed
 	}
 	return l, true
 }
 
-func concernsJob(fields map[string]any, id string) bool {
+func (l logEntry) concernsJob(id string) bool {
 	for _, key := range []string{"job", "task", "step", "for"} {
-		if s, ok := fields[key].(string); ok && (s == id || strings.HasPrefix(s, id+".")) {
+		if s := l.text(key); s == id || strings.HasPrefix(s, id+".") {
 			return true
 		}
 	}
@@ -133,19 +146,19 @@
 
 func likelyCause(lines []logEntry) string {
 	for _, l := range lines {
-		if outcome, _ := l.fields["outcome"].(string); l.text == "submit" && outcome != "ok" && !wasAccepted(lines) {
+		if outcome := l.text("outcome"); l.message == "submit" && outcome != "ok" && !wasAccepted(lines) {
 			return "it was not accepted: " + outcome
 		}
 	}
 	for _, c := range causes {
 		for _, l := range lines {
-			if l.text == c.message && l.fields["for"] == nil {
+			if l.message == c.message && l.fields["for"] == nil {
 				return c.text
 			}
 		}
 	}
 	last := lines[len(lines)-1]
-	if last.text == "job ends" {
+	if last.message == "job ends" {
 		return "nothing out of the ordinary; it ended as " + fmt.Sprint(last.fields["state"])
 	}
 	if !wasPlaced(lines) {
@@ -155,9 +168,9 @@
 }
 
 func wasAccepted(lines []logEntry) bool {
-	return slices.ContainsFunc(lines, func(l logEntry) bool { return l.text == "submit" && l.fields["outcome"] == "ok" })
+	return slices.ContainsFunc(lines, func(l logEntry) bool { return l.message == "submit" && l.text("outcome") == "ok" })
 }
 
 func wasPlaced(lines []logEntry) bool {
-	return slices.ContainsFunc(lines, func(l logEntry) bool { return l.text == "placed" })
+	return slices.ContainsFunc(lines, func(l logEntry) bool { return l.message == "placed" })
 }
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -124,13 +124,17 @@
 // after that the end is acknowledged. The lock is held.
 func (o *Owner) applyRunEnd(w *worker, end RunEnd) {
 	w.lastEndSeq = end.Sequence
+	ran := time.Duration(0) // unknown without a confirmed start
 	entry := unackedEnd{sequence: end.Sequence}
 	defer func() { w.unackedEnds = append(w.unackedEnds, entry) }()
 	for r := range w.runs {
 		if r.number == end.Run && r.group.taskID(r.index) == end.Task {
 			o.removeRun(r)
-			if end.Reason == EndDone && r.startedAt > 0 {
-				o.recordRunTime(r.group, o.opts.Clock()-r.startedAt)
+			if r.startedAt > 0 && !r.adopted {
+				ran = o.opts.Clock() - r.startedAt
+			}
+			if end.Reason == EndDone && ran > 0 {
+				o.recordRunTime(r.group, ran)
 			}
 			break
 		}
@@ -145,17 +149,17 @@
 	}
 	t := &g.tasks()[end.Task.Index]
 	if t.Run == end.Run && t.Phase == workload.Assigned {
-		o.updateTaskAfterEnd(w, g, t, end)
+		o.updateTaskAfterEnd(w, g, t, end, ran)
 		o.markDirty(j)
 	}
 	entry.job, entry.changeSeq = j, j.changeSeq
 }
 
 // updateTaskAfterEnd updates a task whose newest run has ended; the lock is held.
-func (o *Owner) updateTaskAfterEnd(w *worker, g *taskGroup, t *workload.Task, end RunEnd) {
+func (o *Owner) updateTaskAfterEnd(w *worker, g *taskGroup, t *workload.Task, end RunEnd, ran time.Duration) {
 	o.opts.Metrics.RunEnded(string(end.Reason))
 	o.opts.Log.Info("run ended", "task", end.Task.String(), "run", end.Run, "worker", w.ID, "reason", end.Reason,
-		"checkpoint", end.Checkpoint, "failures", t.Failures)
+		"ranMS", ran.Milliseconds(), "checkpoint", end.Checkpoint, "failures", t.Failures)
 	o.recordCheckpoint(g, end.Task.Index, end.Run, end.Checkpoint)
 	switch end.Reason {
 	case EndDone:
@@ -292,7 +296,7 @@
 			}
 			o.opts.Metrics.Event("run_lapsed")
 			o.opts.Log.Info("run has lapsed on a silent worker", "task", r.group.taskID(r.index).String(), "run", r.number,
-				"worker", w.ID, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds())
+				"worker", w.ID, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds(), "ranMS", (now - r.startedAt).Milliseconds())
 			o.abandonRun(r)
 		}
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -28,6 +28,7 @@
 	progressPercent int
 	progressAt      time.Duration  // when progressPercent last rose
 	startedAt       time.Duration  // when the worker confirmed the run
+	adopted         bool           // from a former owner; startedAt is when this owner first saw it
 	missedPolls     int            // consecutive polls of the worker that did not list the run
 	stopOrdered     bool           // a stop order was queued or sent
 	startSentAt     time.Duration  // when its start was first sent, or adopted from a former owner
@@ -57,6 +58,8 @@
 	waitLoggedAt    time.Duration   // when its wait for capacity was last logged
 	excludedAt      time.Duration   // when a worker was last added to excludedWorkers
 	readySince      time.Duration
+	stopsWait       time.Duration // time since readySince in which it waited for stops
+	stopsWaitFrom   time.Duration // since when it has waited for stops; 0 if it does not
 	ready           bool
 	multiRack       bool // placed on several racks although it prefers one
 	advice          *adviceState
