fleet: keep headroom for urgent work; rules can be disabled

Change: the planner keeps free capacity that only urgent groups, groups whose target is at risk and jobs on an idle service may use: the demand that arrives within 1 s at mean plus two standard deviations, learned from the urgent arrivals. Rules of decision can be disabled by Options for tests and measurements.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -78,8 +78,12 @@
 	o.finishCancelled()
 	o.finishFailed()
 	if scan && !o.automationHeld() {
-		o.evictFromDraining(now)
-		o.evictStalled(now)
+		if o.ruleEnabled(RuleDrainEviction) {
+			o.evictFromDraining(now)
+		}
+		if o.ruleEnabled(RuleStallEviction) {
+			o.evictStalled(now)
+		}
 	}
 	pending := o.placePending(now) || o.anyDrainingWithRuns()
 	o.finishCompleted()
@@ -132,7 +136,8 @@
 	o.markDirty(j)
 	delete(o.live, j.ID)
 	o.opts.Metrics.JobEnded(string(s))
-	o.opts.Log.Info("job ends", "job", j.ID, "queue", j.Queue, "state", s, "tookMS", (o.opts.Clock() - j.acceptedAt).Milliseconds())
+	o.opts.Log.Info("job ends", "job", j.ID, "queue", j.Queue, "workspace", j.Workspace, "state", s,
+		"tookMS", (o.opts.Clock() - j.acceptedAt).Milliseconds(), "slackFactor", j.Class.SlackFactor, "targetRuntimeMS", j.Class.TargetRuntime.Milliseconds())
 }
 
 // deleteExpiredJobs starts the deletion of jobs that ended longer ago than the
--- a/pkg/fleet/estimate.go
+++ b/pkg/fleet/estimate.go
@@ -54,7 +54,7 @@
 func (o *Owner) expectedStepRunTime(j *workload.Job, s *workload.Step) time.Duration {
 	declared := max(s.Estimate, minExpectedRunTime)
 	q := o.learnedRunTimes[j.Queue]
-	if q == nil || q.runs < minLearnedRuns {
+	if q == nil || q.runs < minLearnedRuns || !o.ruleEnabled(RuleLearnedRunTimes) {
 		return declared
 	}
 	return time.Duration(math.Sqrt(declared.Seconds()*q.geoMeanSeconds) * float64(time.Second))
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -116,6 +116,9 @@
 	age := o.opts.Now().UnixMilli() - record.AcceptedUnixMS
 	j.acceptedAt = o.opts.Clock() - time.Duration(max(0, age))*time.Millisecond
 	o.jobs[id] = j
+	if !j.HasDueTimes() {
+		o.recordUrgentArrival(j, j.acceptedAt)
+	}
 	if !p.State.Final() {
 		o.live[id] = j
 	}
@@ -148,7 +151,7 @@
 			}
 			r := &run{
 				group: g, index: i, number: t.Run, worker: w, phase: phaseUncertain, demand: g.spec().Demand(), throttlePercent: unknownThrottlePercent,
-				startSentAt: o.tookOverAt, startUnanswered: true,
+				startSentAt: o.tookOverAt, startUnanswered: true, adopted: true,
 			}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -98,4 +98,5 @@
 	Advice              AdviceClient
 	MaintenanceDuration time.Duration // how long the maintenance of a machine takes
 	Metrics             *metrics.Set  // nil disables metrics
+	DisabledRules       Rules         // decision rules that are not applied
 }
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -38,6 +38,7 @@
 	lastScanAt      time.Duration              // last scan of all runs and worker leases; 0 forces a scan
 	dirty           map[*job]struct{}          // jobs whose progress has to be written
 	learnedRunTimes map[string]*learnedRunTime // by queue
+	urgentDemand    map[string]*urgentDemand   // by service
 	nextCleanupAt   time.Duration
 	adviceRequests  chan adviceRequest
 	automationHold  atomic.Bool // operators have suspended all automatic actions
@@ -63,7 +64,7 @@
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
 		validUntil: acquired.validUntil,
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{},
+		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), validityChanged: make(chan struct{}),
 	}
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -58,7 +58,7 @@
 		return awaitingDue
 	}
 	o.markWithinGuarantee(waiting)
-	slices.SortFunc(waiting, comparePlacementRank)
+	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
 	reservations := 0
 	for _, c := range waiting {
@@ -67,15 +67,28 @@
 		if p == nil || p.cycle != o.cycles {
 			p = o.newServicePlanner(service, now)
 		}
+		if c.priority > 0 && !p.headroomKept {
+			// The urgent groups come first and have taken what they need by now.
+			p.headroomKept = true
+			o.keepHeadroom(p, service, now)
+		}
 		reservations += o.placeGroup(p, c, now, reservations < maxReservations)
 	}
 	return true
 }
 
-// comparePlacementRank orders by priority, then lateness, then slack.
-func comparePlacementRank(a, b pendingGroup) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.slack, b.slack),
-		cmp.Compare(a.group.job.ID, b.group.job.ID), cmp.Compare(a.group.occurrence, b.group.occurrence), cmp.Compare(a.group.step, b.group.step))
+// placementRank returns the order of placement: by priority, then lateness, then slack.
+func (o *Owner) placementRank() func(a, b pendingGroup) int {
+	urgency := func(a, b pendingGroup) int {
+		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.slack, b.slack))
+	}
+	if !o.ruleEnabled(RuleSlackOrder) {
+		urgency = func(a, b pendingGroup) int { return cmp.Compare(a.group.job.acceptedAt, b.group.job.acceptedAt) }
+	}
+	return func(a, b pendingGroup) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), urgency(a, b),
+			cmp.Compare(a.group.job.ID, b.group.job.ID), cmp.Compare(a.group.occurrence, b.group.occurrence), cmp.Compare(a.group.step, b.group.step))
+	}
 }
 
 // collectPending returns the groups that are due and whose dependencies are done;
@@ -95,7 +108,10 @@
 				continue
 			}
 			if !g.ready {
-				g.ready, g.readySince = true, now
+				if j.HasDueTimes() && g.step == 0 && g.readySince == 0 {
+					o.recordUrgentArrival(j, now)
+				}
+				g.ready, g.readySince, g.stopsWait, g.stopsWaitFrom = true, now, 0, 0
 			}
 			if c, ok := o.pendingGroupOf(g, now, unixMS); ok {
 				waiting = append(waiting, c)
@@ -226,6 +242,9 @@
 	runs     []placement.Run
 	workers  []*worker
 	victims  []victim // by index of the snapshot's groups
+
+	capacity, used workload.Resources // of all workers that accept tasks
+	headroomKept   bool
 }
 
 // newServicePlanner returns a planner over a fresh snapshot of the workers of a service;
@@ -236,7 +255,8 @@
 		p = &servicePlanner{}
 		o.planners[service] = p
 	}
-	p.cycle = o.cycles
+	p.cycle, p.headroomKept = o.cycles, false
+	p.capacity, p.used = workload.Resources{}, workload.Resources{}
 	s := &p.snapshot
 	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
 	for _, w := range o.sortedWorkers() {
@@ -248,7 +268,10 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
 			Free: w.Capacity.Sub(all), FreeAfterStops: w.Capacity.Sub(all).Add(beingStopped),
 			Schedulable: o.schedulable(w, now),
-			Penalty:     len(w.failedJobs),
+			Penalty:     o.penalty(w),
+		}
+		if pw.Schedulable {
+			p.capacity, p.used = p.capacity.Add(w.Capacity), p.used.Add(all)
 		}
 		first := len(p.runs)
 		for r := range w.runs {
@@ -267,6 +290,14 @@
 	return p
 }
 
+// penalty makes workers with failed runs less preferred; the lock is held.
+func (o *Owner) penalty(w *worker) int {
+	if !o.ruleEnabled(RuleFailedWorkersLast) {
+		return 0
+	}
+	return len(w.failedJobs)
+}
+
 // sortedWorkers returns all workers sorted by ID; the lock is held.
 func (o *Owner) sortedWorkers() []*worker {
 	if o.workersByID == nil {
@@ -305,28 +336,52 @@
 	return r.demand.CoreEquivalents() * done
 }
 
+// request returns the planner's request for a pending group, by the rules in force.
+func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
+	g, spec := c.group, c.group.spec()
+	waited := now - g.readySince
+	r := placement.Request{
+		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
+		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
+		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
+		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
+		MayUseHeadroom: p.mayUseHeadroom(c, waited),
+		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
+	}
+	if o.ruleEnabled(RuleMultiRack) {
+		r.AllowMultiRack, r.MultiRackSlowdown = c.withinGuarantee && waited >= multiRackDelay, o.opts.RemoteSlowdown
+	}
+	if !o.automationHeld() {
+		r.MaxStopCost = o.maxStopCost(c)
+		r.MayPreempt = r.MaxStopCost > 0
+	}
+	if o.adviceOf(g.job) != nil {
+		r.EligibleWorkers = o.ticketHolders(g, now)
+	}
+	return r
+}
+
+// maxStopCost returns how much work, in core-seconds, may be thrown away in favor of a
+// group; 0 if it may not preempt.
+func (o *Owner) maxStopCost(c pendingGroup) float64 {
+	switch {
+	case c.withinGuarantee && o.ruleEnabled(RuleGuarantee):
+		return math.Inf(1)
+	case c.priority == 0 && c.lateness < 2 && o.ruleEnabled(RulePreemption):
+		return maxStopCostRatio * c.group.spec().Demand().CoreEquivalents() * c.expectedRunTime.Seconds() * float64(len(c.pending))
+	}
+	return 0
+}
+
 // placeGroup plans one group and carries out the outcome: it assigns workers, preempts
 // victims or requests advice. It returns 1 if it made a reservation for a blocked gang.
 func (o *Owner) placeGroup(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) int {
 	g := c.group
 	spec := g.spec()
 	waited := now - g.readySince
-	request := placement.Request{
-		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack, RequiredLabel: spec.RequiredLabel,
-		AffinityRack: spec.AffinityRack, MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
-		Priority: c.priority, ExpectedDuration: c.expectedRunTime, MayPreempt: c.priority == 0 && c.lateness < 2,
-		MaxStopCost:    maxStopCostRatio * spec.Demand().CoreEquivalents() * c.expectedRunTime.Seconds() * float64(len(c.pending)),
-		AllowMultiRack: c.withinGuarantee && waited >= multiRackDelay, MultiRackSlowdown: o.opts.RemoteSlowdown, Reserve: mayReserve && waited >= reservationDelay,
-	}
-	if o.automationHeld() {
-		request.MayPreempt = false
-	} else if c.withinGuarantee {
-		request.MayPreempt, request.MaxStopCost = true, math.Inf(1)
-	}
-	if o.adviceOf(g.job) != nil {
-		request.EligibleWorkers = o.ticketHolders(g, now)
-	}
+	request := o.request(p, c, now, mayReserve)
 	outcome := p.Place(request)
+	g.countStopsWait(outcome.Code, now)
 	if request.EligibleWorkers != nil && outcome.Code == placement.Blocked {
 		o.requestAdvice(g, p, now)
 		return 0
@@ -355,6 +410,17 @@
 	return 0
 }
 
+// countStopsWait adds up the time in which the group has waited for stops.
+func (g *taskGroup) countStopsWait(code placement.Code, now time.Duration) {
+	if g.stopsWaitFrom > 0 {
+		g.stopsWait += now - g.stopsWaitFrom
+	}
+	g.stopsWaitFrom = 0
+	if code == placement.Preempting || code == placement.AwaitingStops {
+		g.stopsWaitFrom = now
+	}
+}
+
 // waitLogInterval is the time between two log lines about a pending group.
 const waitLogInterval = 5 * time.Second
 
@@ -426,7 +492,7 @@
 	}
 	o.opts.Metrics.Placed(now - g.readySince)
 	o.opts.Log.Info("placed", "job", g.job.ID, "occurrence", g.occurrence, "step", g.step, "tasks", len(started), "of", g.spec().Tasks,
-		"run", number, "waitedMS", (now - g.readySince).Milliseconds(), "slackMS", c.slack.Milliseconds(), "spread", outcome.MultiRack)
+		"run", number, "waitedMS", (now - g.readySince).Milliseconds(), "stopsMS", g.stopsWait.Milliseconds(), "slackMS", c.slack.Milliseconds(), "spread", outcome.MultiRack)
 	g.job.afterCommit = append(g.job.afterCommit, func() {
 		for _, r := range started {
 			if r.phase == phasePlanned && r.group.runs[r.index] == r {
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -59,6 +59,7 @@
 	Penalty int
 
 	reservations []reservation
+	headroom     bool // kept for urgent work
 }
 
 // reservation is capacity of a worker that is kept for a waiting gang from a time on.
@@ -89,6 +90,7 @@
 	EligibleWorkers   map[string]bool // if not nil, only these workers may be used
 	Priority          int
 	ExpectedDuration  time.Duration // run time of a task
+	MayUseHeadroom    bool          // see Planner.KeepHeadroom
 	MayPreempt        bool
 	// MaxStopCost bounds the total StopCost of the victims.
 	MaxStopCost float64
@@ -346,6 +348,9 @@
 
 // eligible reports whether the constraints of the request admit the worker.
 func (p *Planner) eligible(r Request, w *Worker) bool {
+	if w.headroom && !r.MayUseHeadroom {
+		return false
+	}
 	if (len(r.ExcludedWorkers) > 0 && r.ExcludedWorkers[w.ID]) || (r.EligibleWorkers != nil && !r.EligibleWorkers[w.ID]) {
 		return false
 	}
