--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -144,9 +144,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := n.startConn(ws, l.address)
+	c := n.addConn(ws, l.address)
 	if c == nil {
 		return nil, errNodeClosed
 	}
+	n.startConn(c)
 	return c, nil
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -88,19 +88,22 @@
 		return
 	}
 	address := r.Header.Get(addressHeader)
-	c := n.startConn(ws, address)
+	c := n.addConn(ws, address)
 	if c == nil {
 		return
 	}
 	if address != "" {
+		// The handler of the first request may call back, so the link has to know the
+		// connection before it is read from.
 		n.link(address).adopt(c)
 	}
+	n.startConn(c)
 	<-c.done
 }
 
-// startConn starts the goroutines of a connection. It returns nil if the node is
-// closed.
-func (n *Node) startConn(ws *websocket.Conn, peer string) *conn {
+// addConn registers a connection, which the caller must start. It returns nil if the
+// node is closed.
+func (n *Node) addConn(ws *websocket.Conn, peer string) *conn {
 	c := newConn(n, ws, peer)
 	n.mu.Lock()
 	if n.closed {
@@ -111,6 +114,11 @@
 	n.conns[c] = struct{}{}
 	n.wg.Add(1)
 	n.mu.Unlock()
+	return c
+}
+
+// startConn starts the goroutines of a connection.
+func (n *Node) startConn(c *conn) {
 	n.metrics.connections.Inc()
 	go func() {
 		defer n.wg.Done()
@@ -120,7 +128,6 @@
 		delete(n.conns, c)
 		n.mu.Unlock()
 	}()
-	return c
 }
 
 // Connected returns the addresses of the peers with an open connection, in
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -126,6 +126,26 @@
 	}
 }
 
+// TestCallBackUsesSameConnection guards against a second connection when the handler of
+// the first request calls back at once, before the acceptance of its connection has
+// ended.
+func TestCallBackUsesSameConnection(t *testing.T) {
+	const pairs = 100
+	for range pairs {
+		a, addressA := start(t, Options{Token: token})
+		b, addressB := start(t, Options{Token: token})
+		b.Handle("call-back", func(ctx context.Context, _ func(any) error) (any, error) {
+			return nil, b.Call(ctx, addressA, "echo", "x", nil)
+		})
+		if err := a.Call(limited(t), addressB, "call-back", nil, nil); err != nil {
+			t.Fatal(err)
+		}
+		if n := testutil.ToFloat64(a.metrics.connections); n != 1 {
+			t.Fatalf("%v connections", n)
+		}
+	}
+}
+
 // TestAuthentication guards against accepting a peer without the shared token.
 func TestAuthentication(t *testing.T) {
 	for _, tc := range []struct {
