fleet: adopted runs keep their progress

Cause: a new owner counted the runs of its predecessor from its takeover. Their stop cost was too low and their remaining time, extrapolated from the progress, too short, so that after a takeover preemption stopped runs that were nearly done.

Change: the start of an adopted run is estimated from its progress. TestAdoptedRunsKeepTheirStopCost fails on the former code: the run with 13 s of work is stopped instead of the one with 1 s.

--- a/pkg/fleet/estimate.go
+++ b/pkg/fleet/estimate.go
@@ -95,6 +95,9 @@
 	minExtrapolationTime    = 300 * time.Millisecond
 )
 
+// completePercent is the progress of a run whose work is done.
+const completePercent = 100
+
 // remainingRunTime estimates the time until a run ends.
 func (o *Owner) remainingRunTime(r *run, now time.Duration) time.Duration {
 	elapsed := now - r.startedAt
@@ -102,7 +105,7 @@
 		return o.expectedRunTime(r.group)
 	}
 	if seen := r.progressAt - r.startedAt; r.progressPercent >= minExtrapolationPercent && seen >= minExtrapolationTime {
-		total := time.Duration(float64(seen) * 100 / float64(r.progressPercent))
+		total := time.Duration(float64(seen) * completePercent / float64(r.progressPercent))
 		return max(0, total-elapsed)
 	}
 	return max(0, o.expectedRunTime(r.group)-elapsed)
--- a/pkg/fleet/handover_test.go
+++ b/pkg/fleet/handover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/platform/memory"
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -222,3 +223,34 @@
 		s.unreachable.Store(false)
 	}
 }
+
+// Guards against a new owner that takes the runs of its predecessor for new ones: it would
+// stop the run that is nearly done, as that seems to cost nothing, and the work would be
+// lost.
+func TestAdoptedRunsKeepTheirStopCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 2)
+		long := workload.Step{Tasks: 1, Gang: true, Estimate: 20 * time.Second, Request: workload.Resources{MilliCPU: 1000, MemoryMiB: 100, Accelerators: 8}}
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		advanced := b.submit(long)
+		b.sleep(12 * time.Second)
+		fresh := b.submit(long)
+		b.sleep(time.Second)
+		b.killVM(0)
+		b.startVM()
+		b.sleep(3 * time.Second)
+		urgent := b.buildJob(long)
+		urgent.Class.Priority = 0
+		b.storeJob(urgent)
+		b.sleep(time.Minute)
+		for _, tc := range []struct {
+			job    *workload.Job
+			starts int
+		}{{advanced, 1}, {fresh, 2}, {urgent, 1}} {
+			b.wantState(tc.job, workload.Completed)
+			if n := b.workers.Starts(workload.TaskID{Job: tc.job.ID}); n != tc.starts {
+				t.Errorf("the task of %s started %d times, want %d", tc.job.ID, n, tc.starts)
+			}
+		}
+	})
+}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -209,6 +209,11 @@
 func (o *Owner) confirmRunning(r *run) {
 	now := o.opts.Clock()
 	r.phase, r.startedAt, r.progressAt, r.missedPolls = phaseRunning, now, now, 0
+	if r.adopted {
+		// Without this its remaining time and its stop cost would be taken for those of a
+		// run that has just begun.
+		r.startedAt -= time.Duration(float64(r.progressPercent) / completePercent * float64(o.expectedRunTime(r.group)))
+	}
 	o.opts.Log.V(1).Info("run started", "task", r.group.taskID(r.index).String(), "run", r.number, "worker", r.worker.ID)
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -28,7 +28,7 @@
 	progressPercent int
 	progressAt      time.Duration  // when progressPercent last rose
 	startedAt       time.Duration  // when the worker confirmed the run
-	adopted         bool           // from a former owner; startedAt is when this owner first saw it
+	adopted         bool           // from a former owner; startedAt is estimated from its progress
 	missedPolls     int            // consecutive polls of the worker that did not list the run
 	stopOrdered     bool           // a stop order was queued or sent
 	startSentAt     time.Duration  // when its start was first sent, or adopted from a former owner
