--- a/pkg/explain/account.go
+++ b/pkg/explain/account.go
@@ -134,13 +134,15 @@
 		return LostFailed
 	case "lapsed":
 		return LostWorker
-	case "broken", "alone":
-		return LostGang
 	}
+	// The members of a gang that is stopped end as broken by the first one that stops.
 	if c, ok := j.stopCause[end.runKey()]; ok {
 		return c
 	}
-	return LostStopped
+	if end.text("reason") == "stopped" {
+		return LostStopped
+	}
+	return LostGang
 }
 
 // account walks back in time from the end of the job, along the task that ended last, its
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -266,7 +266,7 @@
 	candidates, total := p.candidates[:0], 0
 	for _, i := range scope {
 		w := &p.workers[i]
-		if !w.Schedulable || !p.eligible(r, w) {
+		if !p.usable(r, w) {
 			continue
 		}
 		free := w.Free
@@ -346,11 +346,13 @@
 	return free
 }
 
+// usable reports whether the request may use the worker now.
+func (p *Planner) usable(r Request, w *Worker) bool {
+	return w.Schedulable && (r.MayUseHeadroom || !w.headroom) && p.eligible(r, w)
+}
+
 // eligible reports whether the constraints of the request admit the worker.
 func (p *Planner) eligible(r Request, w *Worker) bool {
-	if w.headroom && !r.MayUseHeadroom {
-		return false
-	}
 	if (len(r.ExcludedWorkers) > 0 && r.ExcludedWorkers[w.ID]) || (r.EligibleWorkers != nil && !r.EligibleWorkers[w.ID]) {
 		return false
 	}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -106,7 +106,7 @@
 	for i := range p.workers {
 		w := &p.workers[i]
 		e.baseCosts[i] = math.Inf(1)
-		if w.Schedulable && p.eligible(r, w) && perWorkerLimit(r, w) > 0 {
+		if p.usable(r, w) && perWorkerLimit(r, w) > 0 {
 			e.baseCosts[i], _ = e.victimsOn(i, w.FreeAfterStops)
 		}
 	}
@@ -292,7 +292,7 @@
 func (p *Planner) earliestFit(r Request, scope []int) ([]int, time.Duration) {
 	var slots []slot
 	for _, i := range scope {
-		if w := &p.workers[i]; w.Schedulable && p.eligible(r, w) {
+		if w := &p.workers[i]; p.usable(r, w) {
 			slots = p.appendSlots(slots, r, i)
 		}
 	}
@@ -350,7 +350,7 @@
 	n := 0
 	for _, i := range scope {
 		w := &p.workers[i]
-		if !w.Schedulable || !p.eligible(r, w) {
+		if !p.usable(r, w) {
 			continue
 		}
 		free := p.unreserved(w)
