fleet: long-running tasks may use the headroom

Cause: a long-running task that ended waited beside free workers while these were kept for urgent jobs. Found while reading the change; the platform wants such a task back within 3 s however full its service is.

Change: long-running tasks may use the headroom.

Result: TestLongRunningTasksMayUseHeadroom fails without the change.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -142,10 +142,13 @@
 }
 
 // mayUseHeadroom reports whether a group may use the capacity kept for urgent work: an
-// urgent group, one whose target is at risk, and one of a job that has waited without a
-// run while the service has little to do.
+// urgent group, one whose target is at risk, tasks that last, which serve users of their
+// own, and a job that has waited without a run while the service has little to do.
 func (p *servicePlanner) mayUseHeadroom(c pendingGroup, waited time.Duration) bool {
-	return c.priority == 0 || c.slack < 0 || (waited >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns())
+	if c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning {
+		return true
+	}
+	return waited >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
 }
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
--- a/pkg/fleet/headroom_test.go
+++ b/pkg/fleet/headroom_test.go
@@ -84,3 +84,22 @@
 		b.wantState(j, workload.Running)
 	})
 }
+
+// Guards against a long-running task that stays away although there is capacity for it,
+// because all that is free is kept as headroom. The platform wants it back within 3 s,
+// however full the service is.
+func TestLongRunningTasksMayUseHeadroom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHeadroomTestbed(t, 4)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: time.Minute} })
+		b.submitPatient(smallStep(64))
+		b.sleep(time.Second)
+		step := smallStep(1)
+		step.LongRunning = true
+		service := b.submitPatient(step)
+		b.sleep(3 * time.Second)
+		b.wantState(service, workload.Running)
+		b.cancel(service)
+		b.sleep(3 * time.Minute)
+	})
+}
