placement: benchmark of the headroom

Cause: the choice of the kept workers runs once a cycle and service and had no stated cost.

Change: BenchmarkKeepHeadroom on idle fleets, which are the dearest.

--- a/pkg/placement/bench_test.go
+++ b/pkg/placement/bench_test.go
@@ -94,3 +94,22 @@
 		})
 	}
 }
+
+// BenchmarkKeepHeadroom measures the choice of the workers kept for urgent work, once a
+// cycle and service, on idle fleets, which are the dearest.
+func BenchmarkKeepHeadroom(b *testing.B) {
+	for _, workers := range []int{48, 350, 1100, 13_000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s := Snapshot{}
+			for i := range workers {
+				s.Workers = append(s.Workers, Worker{
+					ID: fmt.Sprintf("w%05d", i), Rack: fmt.Sprintf("r%d", i/20), Capacity: largeWorker, Free: largeWorker, FreeAfterStops: largeWorker, Schedulable: true,
+				})
+			}
+			p := New(s)
+			for b.Loop() {
+				p.KeepHeadroom(workload.Resources{Accelerators: int64(2 * workers)})
+			}
+		})
+	}
+}
