explain: the account ends on logs with missing lines

Cause: a run without a known start and without a placement in the logs, as at the beginning of a file, kept the walk through a job in place for ever. Found while reading the change.

Change: the walk goes through the ends of the runs once, the newest first.

Result: TestAccountWithMissingLines hangs on the former code.

--- a/pkg/explain/account.go
+++ b/pkg/explain/account.go
@@ -149,54 +149,55 @@
 // earlier runs and the tasks that it had to wait for.
 func (j *jobLog) account(id string) JobAccount {
 	took := j.end.duration("tookMS")
-	a := JobAccount{
+	w := walk{at: j.end.at, JobAccount: JobAccount{
 		Job: id, Queue: j.end.text("queue"), Workspace: j.end.text("workspace"), Accepted: j.end.at.Add(-took), Took: took,
 		Parts: map[Cause]time.Duration{},
-	}
-	at := j.end.at
-	// back moves the walk to an earlier time and adds the time between to a cause.
-	back := func(to time.Time, c Cause) {
-		if to.Before(a.Accepted) {
-			to = a.Accepted
-		}
-		if to.Before(at) {
-			a.Parts[c] += at.Sub(to)
-			at = to
-		}
-	}
+	}}
+	slices.SortStableFunc(j.runEnds, func(a, b logEntry) int { return a.at.Compare(b.at) })
 	gap := Ending
-	for at.After(a.Accepted) {
-		end, ok := latestBefore(j.runEnds, at)
-		if !ok {
-			break
+	for _, end := range slices.Backward(j.runEnds) {
+		if end.at.After(w.at) {
+			continue // another task, while the one before was running
 		}
-		back(end.at, gap)
+		w.back(end.at, gap)
 		gap = Unseen
 		cause := Running
 		if end.text("reason") != "done" {
 			cause = j.causeOfEnd(end)
 		}
-		started := end.at
-		ran, known := end.fields["ranMS"]
-		if known && ran != 0.0 {
-			started = end.at.Add(-end.duration("ranMS"))
-			back(started, cause)
-		}
-		placed, ok := latestBefore(j.placementsOf(end), started)
-		if !ok {
-			continue
-		}
-		if started.Equal(end.at) {
-			back(placed.at, cause) // it was adopted from a former owner, which knew its start
+		ran := end.duration("ranMS")
+		w.back(end.at.Add(-ran), cause)
+		if placed, ok := latestBefore(j.placementsOf(end), w.at); ok {
+			if ran == 0 {
+				w.back(placed.at, cause) // adopted from a former owner, which knew its start
+			}
+			w.back(placed.at, Starting)
+			w.back(placed.at.Add(-placed.duration("stopsMS")), WaitingStops)
+			w.back(placed.at.Add(-placed.duration("waitedMS")), WaitingCapacity)
 		}
-		back(placed.at, Starting)
-		back(placed.at.Add(-placed.duration("stopsMS")), WaitingStops)
-		back(placed.at.Add(-placed.duration("waitedMS")), WaitingCapacity)
 	}
-	back(a.Accepted, Unseen)
+	w.back(w.Accepted, Unseen)
 	slack, _ := j.end.fields["slackFactor"].(float64)
-	a.Target = time.Duration(slack*float64(a.Parts[Running])) + j.end.duration("targetRuntimeMS")
-	return a
+	w.Target = time.Duration(slack*float64(w.Parts[Running])) + j.end.duration("targetRuntimeMS")
+	return w.JobAccount
+}
+
+// walk is an account in progress: the time after at has been attributed.
+type walk struct {
+	JobAccount
+	at time.Time
+}
+
+// back moves the walk to an earlier time, at most to the acceptance, and attributes the
+// time between.
+func (w *walk) back(to time.Time, c Cause) {
+	if to.Before(w.Accepted) {
+		to = w.Accepted
+	}
+	if to.Before(w.at) {
+		w.Parts[c] += w.at.Sub(to)
+		w.at = to
+	}
 }
 
 // placementsOf returns the placements of the step whose run has ended.
--- a/pkg/explain/account_test.go
+++ b/pkg/explain/account_test.go
@@ -88,3 +88,19 @@
 		t.Errorf("got\n%s", out.String())
 	}
 }
+
+// Guards against an account that never ends, or loses time, where lines are missing: a run
+// without a placement and a known start, as at the beginning of a log file.
+func TestAccountWithMissingLines(t *testing.T) {
+	all, err := Accounts(strings.NewReader(`
+vm-a {"time":"2026-01-01T00:00:03Z","msg":"run ended","task":"aa.0.0.0","run":1,"reason":"stopped","ranMS":0}
+vm-a {"time":"2026-01-01T00:00:03Z","msg":"run ended","task":"aa.0.0.1","run":1,"reason":"done","ranMS":0}
+vm-a {"time":"2026-01-01T00:00:03Z","msg":"job ends","job":"aa","state":"completed","tookMS":2000}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) != 1 || all[0].Parts[Unseen] != all[0].Took {
+		t.Errorf("got %+v", all)
+	}
+}
