fleettest: detector of jobs that stand still

The users' rule LOST includes jobs of which nothing runs for 3 s although a task's turn has come, the capacity is there twice over and under half of the fleet is in use. No test could see that: the fleet did not know which jobs were accepted and which tasks wait.

Members of a gang are indexed by run, so that a start no longer walks all workers.

--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -42,7 +42,9 @@
 	doneAcked          map[workload.TaskID]bool
 	failed             map[workload.TaskID][]*failedEnd
 	excessStarts       []excessStart
-	tickets            map[string]time.Time // expiry of a ticket by "step@worker"; nil if starts need no tickets
+	tickets            map[string]time.Time               // expiry of a ticket by "step@worker"; nil if starts need no tickets
+	gangs              map[gangRun]map[*activeRun]*Worker // current runs of each gang and their workers
+	ledger             ledger
 }
 
 // Encoder returns the key and the value of a worker's entry in the store.
@@ -62,6 +64,7 @@
 		store: store, encode: encoder, delay: callDelay, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
 		outcomeFor: func(workload.TaskID, int64) Outcome { return Outcome{Duration: time.Second} },
 		starts:     map[workload.TaskID]int{}, running: map[workload.TaskID]int{}, doneAcked: map[workload.TaskID]bool{}, failed: map[workload.TaskID][]*failedEnd{},
+		gangs: map[gangRun]map[*activeRun]*Worker{}, ledger: newLedger(),
 	}
 	for i := range n {
 		rack := fmt.Sprintf("r%d", i/perRack)
@@ -171,7 +174,9 @@
 	w.dead = true
 	for _, r := range w.runs {
 		f.running[r.task]--
+		f.removeFromGang(r)
 	}
+	f.ledger.recordCrash(w, f.doneAcked)
 	w.runs, w.newestEndedRun = map[workload.TaskID]*activeRun{}, map[workload.TaskID]int64{}
 	w.ended, w.lastSequence, w.token, w.leaseEndMS, w.processStart = nil, 0, 0, 0, time.Now()
 	w.endedAtMS, w.failedEnds, w.expiredAtMS = map[int64]int64{}, map[int64]*failedEnd{}, 0
@@ -342,6 +347,10 @@
 func (f *Fleet) recordStart(w *Worker, r *activeRun) {
 	f.starts[r.task]++
 	f.running[r.task]++
+	if r.gangSize > 1 {
+		f.addToGang(w, r)
+	}
+	f.ledger.starts[r.task.Job]++
 	if f.running[r.task] > 1 {
 		f.recordViolationLocked("two runs of %s at the same time, the second on %s; %s", r.task, w.entry.ID, f.otherRuns(r))
 	}
@@ -367,6 +376,10 @@
 
 func (f *Fleet) recordEnd(w *Worker, r *activeRun, reason fleet.EndReason) {
 	f.running[r.task]--
+	f.removeFromGang(r)
+	if step, ok := f.stepOf(r.task); ok {
+		f.ledger.recordEnd(r, f.jobs[r.task.Job], step, reason)
+	}
 	if reason == fleet.EndFailed {
 		e := &failedEnd{}
 		f.failed[r.task] = append(f.failed[r.task], e)
@@ -382,48 +395,56 @@
 		failed.acked = true
 	}
 	if step, ok := f.stepOf(e.Task); ok && e.Reason == fleet.EndDone && !step.LongRunning {
+		if !f.doneAcked[e.Task] {
+			f.ledger.acked[stepOfTask(e.Task)]++
+		}
 		f.doneAcked[e.Task] = true
 	}
 }
 
-// gangMembers returns the current runs of a gang by worker.
-func (f *Fleet) gangMembers(r *activeRun) map[*Worker][]*activeRun {
-	all := map[*Worker][]*activeRun{}
-	for _, w := range f.workers {
-		for _, other := range w.runs {
-			if other.task.Job == r.task.Job && other.task.Occurrence == r.task.Occurrence && other.task.Step == r.task.Step && other.number == r.number {
-				all[w] = append(all[w], other)
-			}
+// gangRun identifies a run of a gang: its members share a run number.
+type gangRun struct {
+	job              string
+	occurrence, step int
+	number           int64
+}
+
+func (r *activeRun) gangRun() gangRun {
+	return gangRun{r.task.Job, r.task.Occurrence, r.task.Step, r.number}
+}
+
+func (f *Fleet) addToGang(w *Worker, r *activeRun) {
+	members := f.gangs[r.gangRun()]
+	if members == nil {
+		members = map[*activeRun]*Worker{}
+		f.gangs[r.gangRun()] = members
+	}
+	members[r] = w
+}
+
+func (f *Fleet) removeFromGang(r *activeRun) {
+	if members := f.gangs[r.gangRun()]; members != nil {
+		delete(members, r)
+		if len(members) == 0 {
+			delete(f.gangs, r.gangRun())
 		}
 	}
-	return all
 }
 
 // gangMemberStarted starts the work of a gang once all its members have started, and
 // ends a member whose gang is incomplete after gangStartTimeout.
 func (f *Fleet) gangMemberStarted(r *activeRun) {
-	members := f.gangMembers(r)
-	n := 0
-	for _, runs := range members {
-		n += len(runs)
-	}
-	if n == r.gangSize {
-		for w, runs := range members {
-			for _, m := range runs {
-				w.beginWork(m)
-			}
+	if members := f.gangs[r.gangRun()]; len(members) == r.gangSize {
+		for m, w := range members {
+			w.beginWork(m)
 		}
 		return
 	}
 	time.AfterFunc(gangStartTimeout, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		for w, runs := range f.gangMembers(r) {
-			for _, m := range runs {
-				if m == r && m.workingSince.IsZero() {
-					w.end(m, fleet.EndGangIncomplete)
-				}
-			}
+		if w := f.gangs[r.gangRun()][r]; w != nil && r.workingSince.IsZero() {
+			w.end(r, fleet.EndGangIncomplete)
 		}
 	})
 }
@@ -441,10 +462,8 @@
 	if reason == fleet.EndDone {
 		others = fleet.EndDone
 	}
-	for other, runs := range f.gangMembers(r) {
-		for _, m := range runs {
-			other.end(m, others)
-		}
+	for m, other := range f.gangs[r.gangRun()] {
+		other.end(m, others)
 	}
 }
 
