placement: reason of a blocked request

Logs said that a group waits for capacity, but not which constraint keeps it off the workers that are free.

--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -59,7 +59,8 @@
 	Penalty int
 
 	reservations []reservation
-	headroom     bool // kept for urgent work
+	headroom     bool               // kept for urgent work
+	keptForStops workload.Resources // kept for requests that wait for stops
 }
 
 // reservation is capacity of a worker that is kept for a waiting gang from a time on.
@@ -97,6 +98,9 @@
 	// Reserve makes a reservation for a blocked gang, so that smaller work behind it
 	// cannot delay it indefinitely.
 	Reserve bool
+	// Explain asks for the Reason of a blocked request, which costs several passes over
+	// the workers. It does not affect the decision.
+	Explain bool
 }
 
 // Outcome is the answer to a Request. Workers holds an index into
@@ -104,8 +108,9 @@
 type Outcome struct {
 	Code      Code
 	Workers   []int
-	Victims   []int // groups to stop
-	MultiRack bool  // a SameRack gang was placed on several racks
+	Victims   []int  // groups to stop
+	MultiRack bool   // a SameRack gang was placed on several racks
+	Reason    Reason // why the request is blocked, if Request.Explain is set
 }
 
 // Planner places requests sequentially. It is not safe for concurrent use.
@@ -172,10 +177,14 @@
 			return Outcome{Code: Preempting, Victims: victims}
 		}
 	}
+	outcome := Outcome{Code: Blocked}
+	if r.Explain {
+		outcome.Reason = p.blockedReason(r, multiRack)
+	}
 	if r.Reserve && r.Gang {
 		p.reserve(r, scopes)
 	}
-	return Outcome{Code: Blocked}
+	return outcome
 }
 
 func (p *Planner) allocateNow(r Request, chosen []int) Outcome {
@@ -388,6 +397,8 @@
 		w.Free = w.Free.Sub(r.Demand)
 		if now {
 			w.Runs = append(w.Runs, Run{Group: -1, Demand: r.Demand, EndsIn: r.ExpectedDuration})
+		} else {
+			w.keptForStops = w.keptForStops.Add(r.Demand)
 		}
 	}
 }
