fleet: report jobs that stand, and the state of the owner

When jobs had nothing running although capacity was free, logs could not tell an owner that is late or cut off from writes that are stuck, workers that are not schedulable, runs that are not resolved, a plan that is blocked and a job that the owner did not know. Every 500 ms the owner now assesses its live jobs and workers: - job is standing: after 2 s and then every 5 s, at most 20 a second, with the reason and the worker concerned - jobs are standing: once a second and service, with the reasons, the share in use, workers by state, open writes, the oldest unstored change, the validity of the lease and the age of the watches - owner was delayed, placement cycle was slow or late, ownership lease is not valid - many workers have stopped answering, job became known late - job progress is still not stored, job progress conflicted with the store - first placement after the takeover, and the time since the vacancy with each phase of a takeover - owner health, process is close to a limit: descriptors, memory, processor time, collector and scheduler delays and metrics for each. Nothing of it feeds a decision.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -47,6 +47,7 @@
 	o.triggerCycle()
 	tick := time.NewTimer(idleCycleInterval)
 	defer tick.Stop()
+	tickDue := o.opts.Clock() + idleCycleInterval
 	delay := eventBatchDelay
 	for {
 		select {
@@ -57,19 +58,26 @@
 			return
 		}
 		startedAt := o.opts.Clock()
+		late := o.cycleDelay(startedAt, tickDue)
 		pending := o.runCycle()
-		delay = min(maxCyclePause, max(eventBatchDelay, cyclePauseFactor*(o.opts.Clock()-startedAt)))
+		endedAt := o.opts.Clock()
+		delay = min(maxCyclePause, max(eventBatchDelay, cyclePauseFactor*(endedAt-startedAt)))
+		o.reportCycle(startedAt, endedAt, late)
 		o.startWrites()
-		tick.Reset(map[bool]time.Duration{true: pendingCycleInterval, false: idleCycleInterval}[pending])
+		interval := map[bool]time.Duration{true: pendingCycleInterval, false: idleCycleInterval}[pending]
+		tick.Reset(interval)
+		tickDue = o.opts.Clock() + interval
 	}
 }
 
 // runCycle makes one pass of decisions over the whole state. It reports whether work
 // is pending.
 func (o *Owner) runCycle() bool {
+	requestedAt := o.opts.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.opts.Clock()
+	o.cycle.lockWait, o.cycle.live, o.cycle.pending = now-requestedAt, len(o.live), 0
 	scan := o.lastScanAt == 0 || now-o.lastScanAt >= scanInterval
 	if scan {
 		o.lastScanAt = now
--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -42,8 +42,10 @@
 	owner      ownerRecord
 	ownerKnown bool
 	revision   int64 // of the last answer about the owner key
-	localOwner *Owner
-	resigning  bool
+	// vacantSince is when this VM learned that the owner key is free; 0 while it is not.
+	vacantSince time.Duration
+	localOwner  *Owner
+	resigning   bool
 }
 
 // NewElector returns an Elector; cpuShare is the processor time of this VM in
@@ -151,6 +153,7 @@
 		}
 		if event.Deleted {
 			e.ownerKnown = false
+			e.noteVacancy()
 			continue
 		}
 		e.setOwner(event.Entry.Value)
@@ -176,6 +179,7 @@
 	defer e.mu.Unlock()
 	e.revision = list.Revision
 	if len(list.Entries) == 0 {
+		e.noteVacancy()
 		return true, nil
 	}
 	e.setOwner(list.Entries[0].Value)
@@ -203,7 +207,14 @@
 	if !e.ownerKnown || r != e.owner {
 		e.opts.Log.Info("observed the owner of the fleet", "owner", r.Name, "address", r.Address, "self", r.Nonce == e.nonce)
 	}
-	e.owner, e.ownerKnown = r, true
+	e.owner, e.ownerKnown, e.vacantSince = r, true, 0
+}
+
+// noteVacancy records that the owner key is free. The caller holds the lock.
+func (e *Elector) noteVacancy() {
+	if e.vacantSince == 0 {
+		e.vacantSince = e.opts.Clock()
+	}
 }
 
 // campaign tries to become the owner and, if it succeeds, runs the Owner until
@@ -224,8 +235,9 @@
 		e.opts.Log.Info("could not acquire ownership", "reason", err.Error())
 		return
 	}
-	owner := newOwner(e.opts, acquired)
 	e.mu.Lock()
+	acquired.vacantSince, e.vacantSince = e.vacantSince, 0
+	owner := newOwner(e.opts, acquired)
 	e.localOwner = owner
 	resigning = e.resigning
 	e.mu.Unlock()
@@ -269,6 +281,8 @@
 	id         platform.LeaseID
 	token      int64
 	validUntil time.Duration
+	// vacantSince is when this VM learned that there was no owner.
+	vacantSince time.Duration
 }
 
 // claimOwnership writes the owner key with a new lease, if the key doesn't exist.
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -130,6 +130,7 @@
 	for r := range w.runs {
 		if r.number == end.Run && r.group.taskID(r.index) == end.Task {
 			o.removeRun(r)
+			r.group.job.lastRanAt = o.opts.Clock()
 			if r.startedAt > 0 && !r.adopted {
 				ran = o.opts.Clock() - r.startedAt
 			}
@@ -239,9 +240,9 @@
 		kind := orderStop
 		if r.phase != phaseRunning {
 			kind = orderResolve // it may never have started
-			r.phase = phaseUncertain
+			o.setPhase(r, phaseUncertain)
 		} else {
-			r.phase = phaseStopping
+			o.setPhase(r, phaseStopping)
 		}
 		r.stopOrdered = true
 		o.enqueueOrder(r.worker, order{kind: kind, run: r})
@@ -325,7 +326,7 @@
 	w.failedJobs[j.ID] = true
 	w.lastFailureAt = now
 	if len(w.failedJobs) >= maxFailedJobsPerWorker {
-		w.backoffUntil = now + workerFailureWindow/2
+		w.backoffUntil, w.backoffReason = now+workerFailureWindow/2, ""
 		o.opts.Log.Info("runs of several jobs failed on the worker; it gets no new runs for now", "worker", w.ID, "jobs", len(w.failedJobs))
 	}
 }
--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -153,6 +153,11 @@
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
 func (p *servicePlanner) usedShare() float64 {
+	return usedShare(p.used, p.capacity)
+}
+
+// usedShare returns the share of a capacity that is in use, in its scarcest resource.
+func usedShare(used, capacity workload.Resources) float64 {
 	share := func(used, capacity int64) float64 { return float64(used) / float64(max(1, capacity)) }
-	return max(share(p.used.MilliCPU, p.capacity.MilliCPU), share(p.used.Accelerators, p.capacity.Accelerators))
+	return max(share(used.MilliCPU, capacity.MilliCPU), share(used.Accelerators, capacity.Accelerators))
 }
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -42,14 +42,19 @@
 		o.applyWorker(e.Key, e.Value)
 	}
 	for _, e := range jobs {
-		o.applyJob(e, progress)
+		o.applyJob(e, progress, sourceTakeover)
 	}
 	for _, j := range o.jobs {
+		if j.progress.Started() {
+			j.lastRanAt = o.tookOverAt
+		}
 		o.adoptAssignments(j)
 	}
 	o.loaded = true
+	now := o.opts.Clock()
 	o.opts.Log.Info("state loaded from the store", "jobs", len(o.jobs), "live", len(o.live), "workers", len(o.workers),
-		"tookMS", (o.opts.Clock() - startedAt).Milliseconds())
+		"tookMS", (now - startedAt).Milliseconds(), "sinceVacantMS", (now - o.ownership.vacantSince).Milliseconds())
+	o.opts.Metrics.TakeoverPhase("loaded", now-o.ownership.vacantSince)
 	return jobsFrom, workersFrom, nil
 }
 
@@ -79,7 +84,7 @@
 
 // applyJob applies a job record or cancel request stored below JobPrefix; the lock
 // is held.
-func (o *Owner) applyJob(e platform.Entry, progress map[string]platform.Entry) {
+func (o *Owner) applyJob(e platform.Entry, progress map[string]platform.Entry, source jobSource) {
 	id, cancel := parseJobKey(e.Key)
 	if cancel {
 		o.applyCancelRequest(id)
@@ -102,11 +107,21 @@
 		}
 		p, version = decoded, stored.Version
 	}
-	o.addJob(record, p, version)
+	o.addJob(record, p, version, source)
 }
 
+// jobSource is how the owner learned of a job.
+type jobSource string
+
+const (
+	sourceTakeover jobSource = "takeover" // read with the state of a former owner
+	sourceNotified jobSource = "notified" // by the VM that accepted it
+	sourceWatch    jobSource = "watch"    // by the watch on the store
+	sourceList     jobSource = "list"     // when the watch was started again
+)
+
 // addJob adds a job unless it is known already; the lock is held.
-func (o *Owner) addJob(record *workload.Job, p *workload.Progress, version int64) {
+func (o *Owner) addJob(record *workload.Job, p *workload.Progress, version int64, source jobSource) {
 	id := record.ID
 	if _, ok := o.jobs[id]; ok {
 		return
@@ -121,6 +136,7 @@
 	}
 	if !p.State.Final() {
 		o.live[id] = j
+		o.reportLateJob(j, source, time.Duration(age)*time.Millisecond)
 	}
 	o.opts.Log.V(1).Info("job added", "job", id, "queue", j.Queue, "workspace", j.Workspace, "state", p.State, "ageMS", age)
 }
@@ -151,7 +167,7 @@
 			}
 			r := &run{
 				group: g, index: i, number: t.Run, worker: w, phase: phaseUncertain, demand: g.spec().Demand(), throttlePercent: unknownThrottlePercent,
-				startSentAt: o.tookOverAt, startUnanswered: true, adopted: true,
+				phaseSince: o.tookOverAt, startSentAt: o.tookOverAt, startUnanswered: true, adopted: true,
 			}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
@@ -216,6 +232,9 @@
 	ctx, cancel := context.WithTimeout(o.ctx, d+storeTimeout)
 	defer cancel()
 	changes, err := o.opts.Store.Poll(ctx, w.prefix, after, d)
+	if err == nil {
+		o.recordWatchAnswer(w.prefix)
+	}
 	switch {
 	case errkind.Is(err, errkind.Conflict):
 		o.opts.Log.Info("the store no longer has the watched history; listing the prefix again", "prefix", w.prefix)
@@ -283,7 +302,7 @@
 		defer o.mu.Unlock()
 		for _, e := range events {
 			if !e.Deleted {
-				o.applyJob(e.Entry, nil)
+				o.applyJob(e.Entry, nil, sourceWatch)
 			}
 		}
 	}
@@ -296,7 +315,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range entries {
-			o.applyJob(e, nil)
+			o.applyJob(e, nil, sourceList)
 		}
 		return revision, nil
 	}
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -142,7 +142,9 @@
 		w.maxDeadlineMS = before
 	}
 	o.countUnansweredCall(w)
-	w.backoffUntil = max(w.backoffUntil, o.opts.Clock()+unansweredBackoff)
+	if until := o.opts.Clock() + unansweredBackoff; until > w.backoffUntil {
+		w.backoffUntil, w.backoffReason = until, verdict
+	}
 	if w.unansweredCalls == 1 && o.ctx.Err() == nil {
 		reason := string(verdict)
 		if err != nil {
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/carawayusher/carawayusher/internal/processusage"
 	"github.com/carawayusher/carawayusher/pkg/catalog"
 	"github.com/carawayusher/carawayusher/pkg/metrics"
 	"github.com/carawayusher/carawayusher/pkg/platform"
@@ -98,5 +99,7 @@
 	Advice              AdviceClient
 	MaintenanceDuration time.Duration // how long the maintenance of a machine takes
 	Metrics             *metrics.Set  // nil disables metrics
-	DisabledRules       Rules         // decision rules that are not applied
+	// ProcessUsage returns the resources that this process uses; nil disables their report.
+	ProcessUsage  func() processusage.Usage
+	DisabledRules Rules // decision rules that are not applied
 }
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -33,7 +33,7 @@
 // queueResolve queues an order that finds out whether a run has started; the
 // lock is held.
 func (o *Owner) queueResolve(r *run) {
-	r.phase = phaseUncertain
+	o.setPhase(r, phaseUncertain)
 	o.enqueueOrder(r.worker, order{kind: orderResolve, run: r})
 }
 
@@ -208,7 +208,8 @@
 // confirmRunning records that a worker has confirmed a run; the lock is held.
 func (o *Owner) confirmRunning(r *run) {
 	now := o.opts.Clock()
-	r.phase, r.startedAt, r.progressAt, r.missedPolls = phaseRunning, now, now, 0
+	o.setPhase(r, phaseRunning)
+	r.startedAt, r.progressAt, r.missedPolls = now, now, 0
 	if r.adopted {
 		// Without this its remaining time and its stop cost would be taken for those of a
 		// run that has just begun.
@@ -253,6 +254,7 @@
 	if _, present := w.runs[r]; !present || r.phase != phaseStarting {
 		return
 	}
+	r.group.refusal = v
 	switch v {
 	case Fenced:
 		o.endOwnership("worker " + w.ID + " has seen a higher token")
@@ -261,14 +263,14 @@
 		o.endIncarnation(w)
 		o.countUnansweredCall(w)
 	case Unanswered:
-		w.backoffUntil = now + unansweredBackoff
+		w.backoffUntil, w.backoffReason = now+unansweredBackoff, v
 		o.countUnansweredCall(w)
 		o.queueResolve(r)
 		return
 	case InsufficientCapacity:
-		w.backoffUntil = now + capacityBackoff
+		w.backoffUntil, w.backoffReason = now+capacityBackoff, v
 	case NotSent:
-		w.backoffUntil = now + unansweredBackoff
+		w.backoffUntil, w.backoffReason = now+unansweredBackoff, v
 	case TooLate:
 		w.contacted = false // the estimate of its clock is wrong
 	case NoTicket:
@@ -278,7 +280,7 @@
 		}
 	case StaleRun, Accepted, Withdrawn:
 	case Unhealthy, BadOrder:
-		w.backoffUntil = now + unhealthyBackoff
+		w.backoffUntil, w.backoffReason = now+unhealthyBackoff, v
 		r.group.exclude(w, now)
 	}
 	o.abandonRun(r)
@@ -297,6 +299,9 @@
 // removeRun removes a run that has certainly ended and frees its capacity; the
 // lock is held.
 func (o *Owner) removeRun(r *run) {
+	if r.phase == phaseRunning {
+		r.group.job.lastRanAt = o.opts.Clock()
+	}
 	delete(r.worker.runs, r)
 	if r.group.runs[r.index] == r {
 		delete(r.group.runs, r.index)
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/metrics"
 	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
@@ -43,6 +44,15 @@
 	adviceRequests  chan adviceRequest
 	automationHold  atomic.Bool // operators have suspended all automatic actions
 
+	cycle            cycleStats                  // of the latest placement cycle
+	explained        int                         // blocked requests of this cycle whose reason was computed
+	batches          map[*progressBatch]struct{} // being written
+	watchAnsweredAt  map[string]time.Duration    // latest answer to a watch, by prefix
+	placedSinceStart bool                        // this owner has placed a group
+	lateJobLines     lineBudget
+	conflictLines    lineBudget
+	cycleRequestedAt atomic.Int64 // oldest request for a cycle that has not begun; 0 if none
+
 	// Used only by machineOpsLoop.
 	waves          map[int64]*waveState
 	machines       map[string]Machine
@@ -65,6 +75,7 @@
 		validUntil: acquired.validUntil,
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
+		batches: map[*progressBatch]struct{}{}, watchAnsweredAt: map[string]time.Duration{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), validityChanged: make(chan struct{}),
 	}
@@ -74,12 +85,17 @@
 func (o *Owner) run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, o.cancel)
 	defer stop()
-	o.opts.Log.Info("took ownership of the fleet", "token", o.ownership.token)
+	claimed := o.opts.Clock() - o.ownership.vacantSince
+	o.opts.Log.Info("took ownership of the fleet", "token", o.ownership.token, "sinceVacantMS", claimed.Milliseconds())
 	o.opts.Metrics.Event("takeover")
+	o.opts.Metrics.TakeoverPhase("claimed", claimed)
 	o.goRun(o.renewLoop)
 	o.goRun(o.cycleLoop)
 	o.goRun(o.adviceLoop)
+	o.goRun(o.standingLoop)
+	o.goRun(o.healthLoop)
 	o.wg.Wait()
+	o.opts.Metrics.OwnerGauges(metrics.OwnerGauges{})
 	o.opts.Log.Info("stopped all work as the owner of the fleet", "token", o.ownership.token)
 }
 
@@ -234,6 +250,7 @@
 
 // triggerCycle requests a scheduling cycle.
 func (o *Owner) triggerCycle() {
+	o.cycleRequestedAt.CompareAndSwap(0, int64(o.opts.Clock()))
 	select {
 	case o.cycleTrigger <- struct{}{}:
 	default:
@@ -243,6 +260,7 @@
 // markDirty marks a job's progress as changed. The caller holds the lock.
 func (o *Owner) markDirty(j *job) {
 	j.changeSeq++
+	o.noteChange(j)
 	o.dirty[j] = struct{}{}
 }
 
@@ -270,7 +288,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.loaded {
-		o.addJob(j, workload.NewProgress(j), 0)
+		o.addJob(j, workload.NewProgress(j), 0, sourceNotified)
 		o.triggerCycle()
 	}
 }
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -54,12 +54,14 @@
 // is pending; the lock is held.
 func (o *Owner) placePending(now time.Duration) bool {
 	waiting, awaitingDue := o.collectPending(now)
+	o.cycle.pending = len(waiting)
 	if len(waiting) == 0 {
 		return awaitingDue
 	}
 	o.markWithinGuarantee(waiting)
 	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
+	o.explained = 0
 	reservations := 0
 	for _, c := range waiting {
 		service := o.serviceOf(c.group.job)
@@ -380,8 +382,10 @@
 	spec := g.spec()
 	waited := now - g.readySince
 	request := o.request(p, c, now, mayReserve)
+	request.Explain = o.shouldExplain(g, now)
 	outcome := p.Place(request)
 	g.countStopsWait(outcome.Code, now)
+	g.planned.record(outcome, now)
 	if request.EligibleWorkers != nil && outcome.Code == placement.Blocked {
 		o.requestAdvice(g, p, now)
 		return 0
@@ -446,7 +450,7 @@
 	spec := c.group.spec()
 	o.opts.Log.Info("task group is waiting for capacity", "job", c.group.job.ID, "step", c.group.step, "tasks", len(c.pending), "gang", spec.Gang, "sameRack", spec.SameRack,
 		"accelerators", spec.Request.Accelerators, "requires", spec.RequiredLabel, "waitedMS", waited.Milliseconds(), "avoided", len(c.group.excludedWorkers),
-		"workers", len(p.workers), "open", schedulable, "empty", empty, "silent", unresponsive)
+		"blocked", c.group.planned.reason, "workers", len(p.workers), "open", schedulable, "empty", empty, "silent", unresponsive)
 }
 
 // schedulable reports whether new tasks may be placed on a worker; the lock is held.
@@ -486,17 +490,18 @@
 			number = t.Run + 1
 		}
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation}
-		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, demand: g.spec().Demand(), throttlePercent: 100}
+		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
 	}
 	o.opts.Metrics.Placed(now - g.readySince)
+	o.reportFirstPlacement(now)
 	o.opts.Log.Info("placed", "job", g.job.ID, "occurrence", g.occurrence, "step", g.step, "tasks", len(started), "of", g.spec().Tasks,
 		"run", number, "waitedMS", (now - g.readySince).Milliseconds(), "stopsMS", g.stopsWait.Milliseconds(), "slackMS", c.slack.Milliseconds(), "spread", outcome.MultiRack)
 	g.job.afterCommit = append(g.job.afterCommit, func() {
 		for _, r := range started {
 			if r.phase == phasePlanned && r.group.runs[r.index] == r {
-				r.phase = phaseStarting
+				o.setPhase(r, phaseStarting)
 				o.enqueueOrder(r.worker, order{kind: orderStart, run: r})
 			}
 		}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -24,6 +24,7 @@
 	number          int64
 	worker          *worker
 	phase           runPhase
+	phaseSince      time.Duration // when phase was last set
 	demand          workload.Resources
 	progressPercent int
 	progressAt      time.Duration  // when progressPercent last rose
@@ -64,6 +65,8 @@
 	multiRack       bool // placed on several racks although it prefers one
 	advice          *adviceState
 	victimPos       victimPosition // of a gang as a whole
+	planned         planResult
+	refusal         Verdict // of the latest start that was not accepted
 }
 
 func (g *taskGroup) spec() *workload.Step { return &g.job.Steps[g.step] }
@@ -96,14 +99,20 @@
 	progressVersion int64          // version of the progress key; 0 if absent
 	storedState     workload.State // state in the stored progress record
 	acceptedAt      time.Duration  // on the owner's clock
+	lastRanAt       time.Duration  // when a run of the job was last known to be running; the takeover for an adopted job
 
 	cancelRequested   bool
 	pendingFinalState workload.State // final state to set in the next cycle; empty if none
 
-	changeSeq     int64    // number of changes of the progress
-	committedSeq  int64    // changeSeq of the progress in the store
-	writeInFlight bool     // a batch with this job is being written to the store
-	afterCommit   []func() // callbacks to run under the lock once the current change is stored
+	changeSeq      int64    // number of changes of the progress
+	committedSeq   int64    // changeSeq of the progress in the store
+	writeInFlight  bool     // a batch with this job is being written to the store
+	afterCommit    []func() // callbacks to run under the lock once the current change is stored
+	unstoredSince  time.Duration
+	unwrittenSince time.Duration // oldest change after those in the open write; 0 if none
+	conflicts      int           // consecutive conflicts of its progress record
+
+	standingLoggedAt time.Duration
 }
 
 func (j *job) group(occurrence, step int) *taskGroup {
@@ -174,7 +183,9 @@
 	ackAdvanced chan struct{} // closed and replaced when ackThrough rises
 
 	unansweredCalls int             // consecutive calls without an answer
+	unansweredSince time.Duration   // when the first of these calls was counted
 	backoffUntil    time.Duration   // no new starts before this time
+	backoffReason   Verdict         // why; empty after failed runs
 	failedJobs      map[string]bool // jobs with a failed run here since the last success
 	lastFailureAt   time.Duration
 
--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -67,7 +67,9 @@
 
 // countUnansweredCall counts a call that a worker did not answer; the lock is held.
 func (o *Owner) countUnansweredCall(w *worker) {
-	w.unansweredCalls++
+	if w.unansweredCalls++; w.unansweredCalls == 1 {
+		w.unansweredSince = o.opts.Clock()
+	}
 	o.wakeLeaseLoop(w) // the loop polls it until it answers
 	if len(w.runs) > 0 {
 		select {
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -21,6 +22,9 @@
 	changeSeqs []int64
 	afterWrite [][]func()
 	txn        platform.Txn
+	takenAt    time.Duration
+	attempts   int    // failed attempts to write it
+	lastError  string // of the latest attempt
 }
 
 // maxOpenWrites is the maximum number of batches that are written concurrently. With
@@ -67,6 +71,7 @@
 		}
 		if o.ctx.Err() == nil {
 			o.opts.Log.Info("could not store job progress; retrying", "jobs", len(b.jobs), "reason", err.Error())
+			o.recordFailedWrite(b, err)
 		}
 		if !wait.Sleep(o.ctx, pause) {
 			return false
@@ -97,7 +102,7 @@
 		b.jobs = append(b.jobs, j)
 		b.changeSeqs = append(b.changeSeqs, j.changeSeq)
 		b.afterWrite = append(b.afterWrite, j.afterCommit)
-		j.afterCommit, j.writeInFlight = nil, true
+		j.afterCommit, j.writeInFlight, j.unwrittenSince = nil, true, 0
 		if len(b.jobs) == maxBatchJobs {
 			break
 		}
@@ -105,6 +110,8 @@
 	if len(b.jobs) == 0 {
 		return nil
 	}
+	b.takenAt = o.opts.Clock()
+	o.batches[b] = struct{}{}
 	return b
 }
 
@@ -119,11 +126,14 @@
 
 // recordStoredLocked is recordStored for callers that hold the lock.
 func (o *Owner) recordStoredLocked(b *progressBatch, revision int64) {
+	delete(o.batches, b)
 	for n, j := range b.jobs {
-		j.writeInFlight = false
+		j.writeInFlight, j.conflicts = false, 0
 		j.progressVersion, j.committedSeq, j.storedState = revision, b.changeSeqs[n], o.storedState(b, n)
 		if j.changeSeq == b.changeSeqs[n] {
 			delete(o.dirty, j)
+		} else {
+			j.unstoredSince = j.unwrittenSince
 		}
 		for _, f := range b.afterWrite[n] {
 			f()
@@ -164,6 +174,8 @@
 		o.recordStoredLocked(b, revision)
 		return len(o.dirty) > 0
 	}
+	delete(o.batches, b)
+	o.reportConflict(b)
 	for n, j := range b.jobs {
 		j.writeInFlight = false
 		j.progressVersion = versions[ProgressKey(j.ID)]
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -27,6 +28,17 @@
 	jobsEnded         *prometheus.CounterVec
 	placementWait     prometheus.Histogram
 	events            *prometheus.CounterVec
+
+	jobsStanding   *prometheus.GaugeVec
+	workers        *prometheus.GaugeVec
+	usedShare      *prometheus.GaugeVec
+	openWrites     prometheus.Gauge
+	oldestUnstored prometheus.Gauge
+	queuedOrders   prometheus.Gauge
+	cycleDuration  *prometheus.HistogramVec
+	cycleGap       *prometheus.HistogramVec
+	takeover       *prometheus.HistogramVec
+	jobKnownAge    *prometheus.HistogramVec
 }
 
 // New returns a Set with its own registry; dropped returns the total number of
@@ -38,6 +50,12 @@
 	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "carawayusher_" + name, Help: help, Buckets: latencyBuckets}, labels)
 	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: "carawayusher_" + name, Help: help})
+	}
+	gauges := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "carawayusher_" + name, Help: help}, labels)
+	}
 	s := &Set{
 		registry:          prometheus.NewRegistry(),
 		calls:             counter("calls_total", "Calls of callers by method and status.", "method", "status"),
@@ -51,7 +69,20 @@
 			Name: "carawayusher_placement_wait_seconds", Help: "Time from a step's turn to its placement.", Buckets: latencyBuckets,
 		}),
 		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs.", "event"),
+
+		jobsStanding:   gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
+		workers:        gauges("workers", "Workers known to the owner by state.", "service", "state"),
+		usedShare:      gauges("service_used_share", "Share of the scarcest resource of a service's listed workers that is in use.", "service"),
+		openWrites:     gauge("open_writes", "Batches of job progress that are being written."),
+		oldestUnstored: gauge("oldest_unstored_change_seconds", "Age of the oldest change of job progress that is not stored."),
+		queuedOrders:   gauge("queued_orders", "Orders to workers that are queued."),
+		cycleDuration:  histogram("cycle_seconds", "Duration of a placement cycle."),
+		cycleGap:       histogram("cycle_gap_seconds", "Time between two placement cycles."),
+		takeover:       histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
+		jobKnownAge:    histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
 	}
+	s.registry.MustRegister(s.jobsStanding, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
 			func() float64 { return float64(dropped()) }))
