--- a/pkg/explain/account.go
+++ b/pkg/explain/account.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -45,6 +46,9 @@
 	Took      time.Duration           `json:"took_ns"`
 	Target    time.Duration           `json:"target_ns"` // for a job of this running time
 	Parts     map[Cause]time.Duration `json:"parts_ns"`
+	// Standing is the time in which nothing of the job ran, by the owner's reason. The
+	// owner logs it after 2 s and then every 5 s, so it is a lower bound.
+	Standing map[string]time.Duration `json:"standing_ns,omitempty"`
 }
 
 // Late reports whether the job missed its target.
@@ -56,6 +60,7 @@
 	placed    []logEntry // of all its steps
 	runEnds   []logEntry
 	stopCause map[string]Cause // by task and run
+	standing  []logEntry
 }
 
 // Accounts reads the log lines of any number of VMs and returns the account of each
@@ -98,6 +103,8 @@
 	switch l.message {
 	case "job ends":
 		j.end = &l
+	case standingMessage:
+		j.standing = append(j.standing, l)
 	case "placed":
 		j.placed = append(j.placed, l)
 	case "run ended":
@@ -151,7 +158,7 @@
 	took := j.end.duration("tookMS")
 	w := walk{at: j.end.at, JobAccount: JobAccount{
 		Job: id, Queue: j.end.text("queue"), Workspace: j.end.text("workspace"), Accepted: j.end.at.Add(-took), Took: took,
-		Parts: map[Cause]time.Duration{},
+		Parts: map[Cause]time.Duration{}, Standing: standingTimes(j.standing),
 	}}
 	slices.SortStableFunc(j.runEnds, func(a, b logEntry) int { return a.at.Compare(b.at) })
 	gap := Ending
@@ -242,6 +249,43 @@
 			return err
 		}
 	}
+	return writeStandingTable(out, all)
+}
+
+// writeStandingTable writes how long the jobs stood, by reason, if any stood.
+func writeStandingTable(out io.Writer, all []JobAccount) error {
+	type row struct {
+		jobs, late int
+		time       time.Duration
+	}
+	rows := map[string]*row{}
+	for i := range all {
+		for reason, d := range all[i].Standing {
+			r := rows[reason]
+			if r == nil {
+				r = &row{}
+				rows[reason] = r
+			}
+			r.jobs++
+			r.time += d
+			if all[i].Late() {
+				r.late++
+			}
+		}
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "standing\tjobs\tlate\tseconds")
+	for _, reason := range slices.Sorted(maps.Keys(rows)) {
+		r := rows[reason]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\n", reason, r.jobs, r.late, r.time.Seconds())
+	}
+	fmt.Fprintln(w)
+	if err := w.Flush(); err != nil {
+		return errkind.Wrap(err, errkind.Internal, "account")
+	}
 	return nil
 }
 
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -39,7 +39,7 @@
 }
 
 // leadingFields are printed first, in this order.
-var leadingFields = []string{"task", "run", "worker", "verdict", "reason", "outcome", "state", "waitedMS", "slackMS"}
+var leadingFields = []string{"task", "run", "worker", "workerState", "verdict", "standingMS", "reason", "outcome", "state", "waitedMS", "slackMS"}
 
 // omittedFields are not printed among the fields: they say nothing about the
 // decision itself or are printed elsewhere.
@@ -140,6 +140,8 @@
 	{"run stands still", "a run made no progress and was moved"},
 	{"run is missing on its worker", "a worker lost a run"},
 	{"preempted for urgent work", "it was stopped for urgent work and started anew"},
+	{standingMessage, ""}, // see standingCause
+	{"job became known late", "the owner learned of it late; look at the lines about its watches and about ownership"},
 	{"start not accepted", "a worker did not take a start"},
 	{"cancel seen", "its caller cancelled it"},
 }
@@ -153,6 +155,9 @@
 	for _, c := range causes {
 		for _, l := range lines {
 			if l.message == c.message && l.fields["for"] == nil {
+				if c.message == standingMessage {
+					return standingCause(lines)
+				}
 				return c.text
 			}
 		}
--- a/pkg/fleet/health_test.go
+++ b/pkg/fleet/health_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/explain"
 	"github.com/carawayusher/carawayusher/pkg/placement"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
@@ -169,6 +170,29 @@
 	}
 }
 
+// Guards against a reason that explain prints as its bare code.
+func TestEveryReasonIsExplained(t *testing.T) {
+	reasons := []standingReason{
+		reasonNotStored, reasonStarting, reasonStopping, reasonUncertain, reasonAdopted, reasonFormerRun, reasonStartFailed, reasonNotPlanned, reasonAwaitingStops, reasonBlocked,
+	}
+	for _, r := range []placement.Reason{
+		placement.NoCapacity, placement.Fragmented, placement.Unschedulable, placement.KeptForStops, placement.Reserved, placement.Headroom, placement.SingleRack,
+		placement.Excluded, placement.NotEligible, placement.Limit, placement.Label, placement.Combined,
+	} {
+		reasons = append(reasons, standingReason(r))
+	}
+	for _, reason := range reasons {
+		var out strings.Builder
+		line := fmt.Sprintf(`{"msg":"job is standing","job":"a","standingMS":2000,"reason":%q}`, reason)
+		if err := explain.Job(strings.NewReader(line), &out, "a"); err != nil {
+			t.Fatal(err)
+		}
+		if _, cause, _ := strings.Cut(out.String(), "cause:"); !strings.Contains(cause, " ") || strings.Contains(cause, ": "+string(reason)+"\n") {
+			t.Errorf("%s: got %q", reason, cause)
+		}
+	}
+}
+
 // BenchmarkAssess measures an assessment of jobs that all stand, with one run that is
 // unresolved for each of half of the workers.
 func BenchmarkAssess(b *testing.B) {
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -375,7 +375,10 @@
 		fields = append(fields, "lastRefusal", g.refusal)
 	}
 	if r := s.run; r != nil {
-		fields = append(fields, "worker", r.worker.ID, "workerState", r.worker.state(now), "phase", r.phase.String(), "phaseMS", (now - r.phaseSince).Milliseconds())
+		w := r.worker
+		fields = append(fields, "worker", w.ID, "workerState", w.state(now), "phase", r.phase.String(), "phaseMS", (now - r.phaseSince).Milliseconds(),
+			"stopOrdered", r.stopOrdered, "contacted", w.contacted, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds(),
+			"leaseEndsInMS", (w.leaseExpiredBy() - now).Milliseconds(), "workerOrders", len(w.orders))
 	}
 	o.opts.Log.Info("job is standing", fields...)
 }
