fleet: failing tests of jobs that stand still

After a stall of its processor the owner stays saturated by its own retries: each call times out before its answer is processed, and is repeated. Two jobs that always fail make it avoid all workers.

--- a/pkg/fleet/standstill_test.go
+++ b/pkg/fleet/standstill_test.go
@@ -31,9 +31,11 @@
 	siteRecoveryTime = 34 * time.Second
 	// siteFinishTime is the time after the load from which on no job may stand still.
 	siteFinishTime = 14 * time.Second
-	siteVMs        = 3
-	siteTenants    = 24
-	sitePerRack    = 20
+	// observationInterval is the time between two looks for jobs that stand still.
+	observationInterval = 100 * time.Millisecond
+	siteVMs             = 3
+	siteTenants         = 24
+	sitePerRack         = 20
 )
 
 // siteSize scales the site.
@@ -75,12 +77,18 @@
 }
 
 var siteClasses = []siteClass{
-	{name: "ocr-batch", priority: 1, perSecond: 1.33, width: 26, widthSpread: 0.8, maxWidth: 160, cpu: 52_000, memory: 270_000, accelerators: []int64{1, 2, 4, 8, 8},
-		seconds: 9.4, spread: 0.3, maxSteps: 1, gang: true, sameRack: 0.6, saves: 0.45, label: 0.3, cancel: 0.05, poison: 0.01, errors: 0.005, repeated: 0.1, slack: 3, estimateBias: 0.5, target: time.Second},
-	{name: "urgent-flag", priority: 0, perSecond: 11.8, width: 7.6, widthSpread: 0.8, maxWidth: 46, cpu: 15_000, memory: 44_000, accelerators: []int64{1, 2, 4, 8, 8},
-		seconds: 2.1, spread: 0.5, maxSteps: 1, gang: true, sameRack: 0.8, errors: 0.02, slack: 1.5, estimateBias: 0.9, target: 250 * time.Millisecond},
-	{name: "archive-index", priority: 2, perSecond: 1.3, width: 78, widthSpread: 0.8, maxWidth: 470, cpu: 11_000, memory: 46_000, accelerators: []int64{1},
-		seconds: 8.1, spread: 0.3, maxSteps: 3, saves: 0.45, label: 0.12, cancel: 0.15, poison: 0.03, errors: 0.02, repeated: 0.1, apart: 0.12, slack: 3, estimateBias: 0.2, target: 3 * time.Second},
+	{
+		name: "ocr-batch", priority: 1, perSecond: 1.33, width: 26, widthSpread: 0.8, maxWidth: 160, cpu: 52_000, memory: 270_000, accelerators: []int64{1, 2, 4, 8, 8},
+		seconds: 9.4, spread: 0.3, maxSteps: 1, gang: true, sameRack: 0.6, saves: 0.45, label: 0.3, cancel: 0.05, poison: 0.01, errors: 0.005, repeated: 0.1, slack: 3, estimateBias: 0.5, target: time.Second,
+	},
+	{
+		name: "urgent-flag", priority: 0, perSecond: 11.8, width: 7.6, widthSpread: 0.8, maxWidth: 46, cpu: 15_000, memory: 44_000, accelerators: []int64{1, 2, 4, 8, 8},
+		seconds: 2.1, spread: 0.5, maxSteps: 1, gang: true, sameRack: 0.8, errors: 0.02, slack: 1.5, estimateBias: 0.9, target: 250 * time.Millisecond,
+	},
+	{
+		name: "archive-index", priority: 2, perSecond: 1.3, width: 78, widthSpread: 0.8, maxWidth: 470, cpu: 11_000, memory: 46_000, accelerators: []int64{1},
+		seconds: 8.1, spread: 0.3, maxSteps: 3, saves: 0.45, label: 0.12, cancel: 0.15, poison: 0.03, errors: 0.02, repeated: 0.1, apart: 0.12, slack: 3, estimateBias: 0.2, target: 3 * time.Second,
+	},
 }
 
 // site is a play of the large scheduling site on a virtual clock.
@@ -283,14 +291,17 @@
 	callCost time.Duration // processor time of the VM for each half of a call to a worker
 	cpuLock  sync.Mutex
 	cpuFree  time.Time // until when the processor is taken
+	calls    int       // halves of calls so far
 }
 
 // useCPU waits for the processor of the VM and uses it for the cost of half a call.
 func (l *vmLink) useCPU() {
+	l.cpuLock.Lock()
+	l.calls++
 	if l.callCost == 0 {
+		l.cpuLock.Unlock()
 		return
 	}
-	l.cpuLock.Lock()
 	now := time.Now()
 	if l.cpuFree.Before(now) {
 		l.cpuFree = now
@@ -745,6 +756,14 @@
 	}
 }
 
+// observe watches for jobs that stand still for a time.
+func (b *testbed) observe(d *fleettest.StandstillDetector, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		b.sleep(observationInterval)
+		d.Observe()
+	}
+}
+
 func (s *site) writeLog(path string) {
 	s.logLock.Lock()
 	defer s.logLock.Unlock()
