fleet: accept a stored batch whatever revisions its records have

What callers saw: with every second answer of the store lost, two of six jobs were still running 5.25 s after their submission; they had ended after 2 s, but the owner wrote their records again every 53 ms until the play ended.

Cause: a batch whose answer was lost is sent a second time, and the second copy conflicts with the first. The owner took the records for its own only if all of them had the same revision. A store that gives each change of a transaction its own revision never shows that, so the owner wrote the batch again, lost the answer again, and so on; orders that wait for the record are not sent meanwhile.

Why it works: equal bytes show that the record is durable, whichever write stored it. Each job takes the revision that the store returned for its key.

--- a/pkg/fleet/store_test.go
+++ b/pkg/fleet/store_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// Guards against writing a batch again and again after its answer was lost, on a store that
+// gives each change of a transaction a revision of its own.
+func TestBatchWithLostAnswersIsNotWrittenForever(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFaultyStoreTestbed(t, func(s *faultyStore) { s.loseEvery = 2 })
+		var jobs []*workload.Job
+		for range 6 {
+			jobs = append(jobs, b.submit(smallStep(2)))
+		}
+		b.sleep(urgentObjective)
+		for _, j := range jobs {
+			b.wantState(j, workload.Completed)
+		}
+	})
+}
+
 // Guards against a write that waits for the answer to the write of other jobs: with
 // a slow store each change would then be delayed by two answers.
 func TestSlowStoreDelaysEachChangeByOneAnswer(t *testing.T) {
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -120,16 +120,17 @@
 func (o *Owner) recordStored(b *progressBatch, revision int64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.recordStoredLocked(b, revision)
+	o.recordStoredLocked(b, func(*job) int64 { return revision })
 	return len(o.dirty) > 0
 }
 
-// recordStoredLocked is recordStored for callers that hold the lock.
-func (o *Owner) recordStoredLocked(b *progressBatch, revision int64) {
+// recordStoredLocked is recordStored for callers that hold the lock; versionOf returns the
+// version of a job's progress key.
+func (o *Owner) recordStoredLocked(b *progressBatch, versionOf func(*job) int64) {
 	delete(o.batches, b)
 	for n, j := range b.jobs {
 		j.writeInFlight, j.conflicts = false, 0
-		j.progressVersion, j.committedSeq, j.storedState = revision, b.changeSeqs[n], o.storedState(b, n)
+		j.progressVersion, j.committedSeq, j.storedState = versionOf(j), b.changeSeqs[n], o.storedState(b, n)
 		if j.changeSeq == b.changeSeqs[n] {
 			delete(o.dirty, j)
 		} else {
@@ -170,8 +171,8 @@
 		o.endOwnership("the owner key no longer has the token of this VM")
 		return false
 	}
-	if revision, stored := b.storedRevision(current); stored {
-		o.recordStoredLocked(b, revision)
+	if b.storedIn(current) {
+		o.recordStoredLocked(b, func(j *job) int64 { return versions[ProgressKey(j.ID)] })
 		return len(o.dirty) > 0
 	}
 	delete(o.batches, b)
@@ -185,20 +186,17 @@
 	return true
 }
 
-// storedRevision returns the revision at which the store holds exactly the records of
-// the batch: its answer was lost, or it was sent twice. stored is false if the
-// records differ.
-func (b *progressBatch) storedRevision(current []platform.Entry) (revision int64, stored bool) {
-	values := map[string]platform.Entry{}
+// storedIn reports whether the store holds exactly the records of the batch: its answer
+// was lost, or it was sent twice.
+func (b *progressBatch) storedIn(current []platform.Entry) bool {
+	values := map[string][]byte{}
 	for _, e := range current {
-		values[e.Key] = e
+		values[e.Key] = e.Value
 	}
 	for _, w := range b.txn.Writes {
-		e, ok := values[w.Key]
-		if !ok || !bytes.Equal(e.Value, w.Value) || (revision != 0 && e.Version != revision) {
-			return 0, false
+		if value, ok := values[w.Key]; !ok || !bytes.Equal(value, w.Value) {
+			return false
 		}
-		revision = e.Version
 	}
-	return revision, true
+	return true
 }
