fleet: a successor gives up runs that were lost before its takeover

Cause: a takeover forgets what bounded the wait for a run. (1) Every adopted run counted as a start that may still be on its way, so the platform's machine list could not end it for 13 s. (2) The runs of a worker whose store entry had expired were adopted without its machine and address: no call to it failed, so the list was not even read. What remained was the lease that a former owner may have renewed: 10.4 s from each takeover anew. A gang is placed only when all its runs have ended, so one such run holds all its members.

Change: an assignment keeps the machine of its worker and whether its start is settled, that is confirmed without an unanswered send. A successor reads the machine list for workers without an address, from 1 s after the takeover, when a list can no longer be older than it, and confirms a missing machine at once. A worker whose machine has another worker by now can't get a late start, because calls name the worker. The emulator breaks a gang when a member crashes, and a process no longer answers polls of the one it replaced.

--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -175,6 +175,7 @@
 	for _, r := range w.runs {
 		f.running[r.task]--
 		f.removeFromGang(r)
+		f.breakGang(r)
 	}
 	f.ledger.recordCrash(w, f.doneAcked)
 	w.runs, w.newestEndedRun = map[workload.TaskID]*activeRun{}, map[workload.TaskID]int64{}
@@ -458,12 +459,19 @@
 	if r.gangSize <= 1 {
 		return
 	}
-	others := fleet.EndGangBroken
-	if reason == fleet.EndDone {
-		others = fleet.EndDone
+	if reason != fleet.EndDone {
+		f.breakGang(r)
+		return
 	}
 	for m, other := range f.gangs[r.gangRun()] {
-		other.end(m, others)
+		other.end(m, fleet.EndDone)
+	}
+}
+
+// breakGang ends the current members of a gang of which a member has ended.
+func (f *Fleet) breakGang(r *activeRun) {
+	for m, w := range f.gangs[r.gangRun()] {
+		w.end(m, fleet.EndGangBroken)
 	}
 }
 
@@ -574,8 +582,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if w.unreachable || w.dead {
-		return fleet.RenewLeaseReply{}, fleet.Unanswered, errNoAnswer
+	if w.unreachable || w.dead || w.wrongID(instance) {
+		return fleet.RenewLeaseReply{}, fleet.Unanswered, errNoAnswer // the polled process has ended
 	}
 	return w.leaseReply(), fleet.Accepted, nil
 }
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -163,11 +163,12 @@
 			}
 			w := o.workers[t.Assigned.Worker]
 			if w == nil {
-				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Incarnation: t.Assigned.Incarnation})
+				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Incarnation: t.Assigned.Incarnation, Machine: t.Assigned.Machine})
+				o.requestMachineList() // without an address, no failed call requests it
 			}
 			r := &run{
 				group: g, index: i, number: t.Run, worker: w, phase: phaseUncertain, demand: g.spec().Demand(), throttlePercent: unknownThrottlePercent,
-				phaseSince: o.tookOverAt, startSentAt: o.tookOverAt, startUnanswered: true, adopted: true,
+				phaseSince: o.tookOverAt, startSentAt: o.tookOverAt, startUnanswered: !t.Assigned.StartSettled, adopted: true,
 			}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -198,13 +198,43 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w.unansweredCalls = 0
-	if _, present := w.runs[r]; !present || r.phase != phaseStarting {
+	if _, present := w.runs[r]; !present {
+		return
+	}
+	o.recordStartSettled(r)
+	if r.phase != phaseStarting {
 		return
 	}
 	o.confirmRunning(r)
 	o.wakeLeaseLoop(w)
 }
 
+// recordStartSettled records that a run has started and that no order to start it is
+// still on its way, so that a successor need not wait for one; the lock is held.
+func (o *Owner) recordStartSettled(r *run) {
+	t := &r.group.tasks()[r.index]
+	if r.startUnanswered || t.Phase != workload.Assigned || t.Run != r.number || t.Assigned.StartSettled {
+		return
+	}
+	t.Assigned.StartSettled = true
+	if j := r.group.job; j.unsavedSince == 0 {
+		j.unsavedSince = o.opts.Clock()
+	}
+}
+
+// settledWriteDelay lets the settled starts of a job share one write.
+const settledWriteDelay = 300 * time.Millisecond
+
+// writeSettledStarts marks the jobs with settled starts that are not stored yet as
+// changed; the lock is held.
+func (o *Owner) writeSettledStarts(now time.Duration) {
+	for _, j := range o.live {
+		if j.unsavedSince > 0 && now-j.unsavedSince >= settledWriteDelay {
+			o.markDirty(j)
+		}
+	}
+}
+
 // confirmRunning records that a worker has confirmed a run; the lock is held.
 func (o *Owner) confirmRunning(r *run) {
 	now := o.opts.Clock()
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -489,7 +489,7 @@
 		if !g.spec().Gang {
 			number = t.Run + 1
 		}
-		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation}
+		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine}
 		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -104,10 +104,11 @@
 	cancelRequested   bool
 	pendingFinalState workload.State // final state to set in the next cycle; empty if none
 
-	changeSeq      int64    // number of changes of the progress
-	committedSeq   int64    // changeSeq of the progress in the store
-	writeInFlight  bool     // a batch with this job is being written to the store
-	afterCommit    []func() // callbacks to run under the lock once the current change is stored
+	unsavedSince   time.Duration // since when settled starts are not in the progress record; 0 if all are
+	changeSeq      int64         // number of changes of the progress
+	committedSeq   int64         // changeSeq of the progress in the store
+	writeInFlight  bool          // a batch with this job is being written to the store
+	afterCommit    []func()      // callbacks to run under the lock once the current change is stored
 	unstoredSince  time.Duration
 	unwrittenSince time.Duration // oldest change after those in the open write; 0 if none
 	conflicts      int           // consecutive conflicts of its progress record
--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -30,6 +30,10 @@
 		return
 	}
 	missedLists := map[string]int{} // consecutive lists without a worker's machine, by worker
+	// A list requested earlier may be older than the takeover.
+	if !wait.Sleep(o.ctx, maxMachineListAge) {
+		return
+	}
 	for {
 		select {
 		case <-o.machineListTrigger:
@@ -41,24 +45,28 @@
 			ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
 			list, err := o.opts.Machines.Machines(ctx)
 			cancel()
+			pause := max(minMachinePollPause, machinePollPauseFactor*(o.opts.Clock()-requestedAt))
 			if err == nil {
-				o.applyMachineList(list, requestedAt, missedLists)
+				if o.applyMachineList(list, requestedAt, missedLists) {
+					pause = minMachinePollPause
+				}
 			} else if o.ctx.Err() == nil {
 				o.opts.Log.V(1).Info("failed to read the machine list", "reason", err.Error())
 			}
-			if !wait.Sleep(o.ctx, max(minMachinePollPause, machinePollPauseFactor*(o.opts.Clock()-requestedAt))) {
+			if !wait.Sleep(o.ctx, pause) {
 				return
 			}
 		}
 	}
 }
 
-// anyBusyWorkerUnreachable reports whether any worker with runs does not answer.
+// anyBusyWorkerUnreachable reports whether any worker with runs does not answer or has
+// no known address.
 func (o *Owner) anyBusyWorkerUnreachable() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range o.sortedWorkers() {
-		if w.unansweredCalls > 0 && len(w.runs) > 0 {
+		if (w.unansweredCalls > 0 || w.Address == "") && len(w.runs) > 0 {
 			return true
 		}
 	}
@@ -72,18 +80,24 @@
 	}
 	o.wakeLeaseLoop(w) // the loop polls it until it answers
 	if len(w.runs) > 0 {
-		select {
-		case o.machineListTrigger <- struct{}{}:
-		default:
-		}
+		o.requestMachineList()
+	}
+}
+
+// requestMachineList makes pollMachines read the machine list.
+func (o *Owner) requestMachineList() {
+	select {
+	case o.machineListTrigger <- struct{}{}:
+	default:
 	}
 }
 
 // applyMachineList abandons the runs of workers whose machines are down or missing in a
 // list requested at requestedAt. The list may be outdated, so workers that have answered
 // since the request or began a new incarnation shortly before it are skipped, and so are
-// runs ordered shortly before it.
-func (o *Owner) applyMachineList(list []Machine, requestedAt time.Duration, missedLists map[string]int) {
+// runs ordered shortly before it. It reports whether a machine is missing that the next
+// list has to confirm.
+func (o *Owner) applyMachineList(list []Machine, requestedAt time.Duration, missedLists map[string]int) (unconfirmed bool) {
 	machines := make(map[string]Machine, len(list))
 	for _, m := range list {
 		machines[m.ID] = m
@@ -99,26 +113,29 @@
 		if exists {
 			delete(missedLists, w.ID)
 		} else if missedLists[w.ID]++; missedLists[w.ID] < minMissedMachineLists {
+			unconfirmed = true
 			continue
 		}
 		if exists && m.State == MachineUp && (m.Worker == w.ID || m.Worker == "") {
 			continue
 		}
-		o.abandonRunsOfDownMachine(w, m.State, requestedAt)
+		mayRestart := exists && (m.Worker == w.ID || m.Worker == "")
+		o.abandonRunsOfDownMachine(w, m.State, mayRestart, requestedAt)
 	}
+	return unconfirmed
 }
 
 // abandonRunsOfDownMachine abandons the runs of a worker whose machine is down; the
-// state is empty if the machine no longer exists. An unanswered start could still reach
-// the next incarnation under the same ID, so its run is kept for maxOrderDelay, unless
-// the machine no longer exists. The lock is held.
-func (o *Owner) abandonRunsOfDownMachine(w *worker, state MachineState, requestedAt time.Duration) {
+// state is empty if the machine no longer exists. If the worker may start again under
+// the same ID, an unanswered start could reach its next incarnation, so the run is kept
+// for maxOrderDelay. The lock is held.
+func (o *Owner) abandonRunsOfDownMachine(w *worker, state MachineState, mayRestart bool, requestedAt time.Duration) {
 	abandoned := 0
 	for r := range w.runs {
 		if r.phase == phasePlanned || r.phase == phaseStarting || r.startSentAt+maxMachineListAge > requestedAt {
 			continue
 		}
-		if state != "" && r.startUnanswered && o.opts.Clock()-r.startSentAt < maxOrderDelay {
+		if mayRestart && r.startUnanswered && o.opts.Clock()-r.startSentAt < maxOrderDelay {
 			continue
 		}
 		abandoned++
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +63,41 @@
 	}
 }
 
+// Guards against a successor that waits for a lease, or for an unanswered start, of a worker
+// whose machine was down or gone when it took over.
+func TestWorkLostBeforeTakeoverRunsElsewhereAtOnce(t *testing.T) {
+	tests := map[string]func(b *testbed, i int){
+		"crashed": func(b *testbed, i int) { b.workers.Crash(i, 30*time.Second) },
+		"gone":    func(b *testbed, i int) { b.workers.Leave(i) },
+	}
+	for name, fault := range tests {
+		for kind, step := range map[string]workload.Step{"separate tasks": smallStep(8), "gang": gangStep(2, 8)} {
+			for _, takeovers := range []time.Duration{1, 2} {
+				t.Run(fmt.Sprintf("%s, %s, %d takeovers", name, kind, takeovers), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						b := newMachineTestbed(t, 1+int(takeovers), 6)
+						b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 6 * time.Second} })
+						j := b.submit(step)
+						b.workers.Accepted(j.ID)
+						b.sleep(2 * time.Second)
+						fault(b, slices.IndexFunc([]int{0, 1, 2, 3, 4, 5}, b.workers.Busy))
+						d := b.workers.NewStandstillDetector(takeovers * fleettest.StandstillThreshold)
+						for range takeovers {
+							b.killVM(b.ownerIndex())
+							b.observe(d, 1500*time.Millisecond)
+						}
+						b.observe(d, 20*time.Second)
+						for _, s := range d.Standstills() {
+							t.Error(s)
+						}
+						b.wantState(j, workload.Completed)
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against waiting for a longer lease than the workers grant: runs of an
 // unreachable worker are abandoned after MaxWorkerLease.
 func TestSilentWorkerLapsesByTheLongestLease(t *testing.T) {
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -35,7 +35,11 @@
 // Assignment identifies the worker, and its incarnation, to which a run was assigned.
 type Assignment struct {
 	Worker      string `cbor:"1,keyasint"`
-	Incarnation int64  `cbor:"2,keyasint"` // start time of the worker process, Unix milliseconds
+	Incarnation int64  `cbor:"2,keyasint"`           // start time of the worker process, Unix milliseconds
+	Machine     string `cbor:"3,keyasint,omitempty"` // machine that hosts this incarnation; empty if unknown
+	// StartSettled means that the run has started and that no order to start it is still
+	// on its way.
+	StartSettled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Task is the stored progress of a task. Run and Failures never decrease.
