fleet: report tasks of long-running steps that stand beside others of their job

A job with a long-running step counted as running while any of its tasks ran, so a task that stood beside the others was in no line. Each task of such a step now counts from its own last run (TestLongRunningTaskStandsBesideOthers).

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -130,7 +130,7 @@
 	for r := range w.runs {
 		if r.number == end.Run && r.group.taskID(r.index) == end.Task {
 			o.removeRun(r)
-			r.group.job.lastRanAt = o.opts.Clock()
+			r.noteRan(o.opts.Clock())
 			if r.startedAt > 0 && !r.adopted {
 				ran = o.opts.Clock() - r.startedAt
 			}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -45,9 +45,7 @@
 		o.applyJob(e, progress, sourceTakeover)
 	}
 	for _, j := range o.jobs {
-		if j.progress.Started() {
-			j.lastRanAt = o.tookOverAt
-		}
+		j.noteAdopted(o.tookOverAt)
 		o.adoptAssignments(j)
 	}
 	o.loaded = true
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -300,7 +300,7 @@
 // lock is held.
 func (o *Owner) removeRun(r *run) {
 	if r.phase == phaseRunning {
-		r.group.job.lastRanAt = o.opts.Clock()
+		r.noteRan(o.opts.Clock())
 	}
 	delete(r.worker.runs, r)
 	if r.group.runs[r.index] == r {
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -12,8 +12,9 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// A job stands when one of its tasks may run and none of its runs is running. The owner
-// reports which jobs stand and why; the reports do not affect its decisions.
+// A job stands when one of its tasks may run and none of its runs is running, or when a
+// task of a long-running step does not run. The owner reports which jobs stand and why;
+// the reports do not affect its decisions.
 const (
 	standingInterval  = 500 * time.Millisecond  // between two assessments
 	standingThreshold = 1500 * time.Millisecond // from which a job counts as standing
@@ -73,7 +74,10 @@
 func (o *Owner) shouldExplain(g *taskGroup, now time.Duration) bool {
 	p := &g.planned
 	if p.at == 0 || p.code != placement.Blocked || (p.reasonAt > 0 && now-p.reasonAt < explainInterval) ||
-		o.explained >= maxExplained || now-o.standingSince(g, now) < explainDelay || g.job.hasRunningRun() {
+		o.explained >= maxExplained || now-o.standingSince(g, now) < explainDelay {
+		return false
+	}
+	if g.job.hasRunningRun() && !g.spec().LongRunning {
 		return false
 	}
 	o.explained++
@@ -87,12 +91,39 @@
 	}
 	now := o.opts.Clock()
 	if r.phase == phaseRunning {
-		r.group.job.lastRanAt = now
+		r.noteRan(now)
 	}
 	r.phase, r.phaseSince = p, now
 }
 
-// standingJob is a job that stands, with its first group that may run.
+// noteRan records that a run was running until now.
+func (r *run) noteRan(now time.Duration) {
+	r.group.noteRan(r.index, now)
+}
+
+func (g *taskGroup) noteRan(index int, now time.Duration) {
+	g.job.lastRanAt = now
+	if g.spec().LongRunning {
+		if g.lastRanAt == nil {
+			g.lastRanAt = map[int]time.Duration{}
+		}
+		g.lastRanAt[index] = now
+	}
+}
+
+// noteAdopted counts the tasks of a job that were started under a former owner as running
+// until the takeover.
+func (j *job) noteAdopted(now time.Duration) {
+	for _, g := range j.groups {
+		for i, t := range g.tasks() {
+			if t.Run > 0 {
+				g.noteRan(i, now)
+			}
+		}
+	}
+}
+
+// standingJob is a job that stands, with its group that has stood for longest.
 type standingJob struct {
 	group   *taskGroup
 	service string
@@ -104,11 +135,29 @@
 // standingSince returns since when no run of the group's job has been running although
 // the group was due; the lock is held.
 func (o *Owner) standingSince(g *taskGroup, now time.Duration) time.Duration {
-	start := g.job.acceptedAt
-	if g.job.HasDueTimes() {
-		start = now - time.Duration(o.opts.Now().UnixMilli()-g.job.DueUnixMS(g.occurrence))*time.Millisecond
+	return max(o.dueSince(g, now), g.job.lastRanAt)
+}
+
+// dueSince returns when a group was due, on the owner's clock.
+func (o *Owner) dueSince(g *taskGroup, now time.Duration) time.Duration {
+	if !g.job.HasDueTimes() {
+		return g.job.acceptedAt
 	}
-	return max(start, g.job.lastRanAt)
+	return now - time.Duration(o.opts.Now().UnixMilli()-g.job.DueUnixMS(g.occurrence))*time.Millisecond
+}
+
+// longRunningStandingSince returns since when one of the tasks of a long-running group
+// has not been running; false if all are running.
+func (o *Owner) longRunningStandingSince(g *taskGroup, now time.Duration) (since time.Duration, ok bool) {
+	for i := range g.tasks() {
+		if r := g.runs[i]; r != nil && r.phase == phaseRunning {
+			continue
+		}
+		if from := max(o.dueSince(g, now), g.lastRanAt[i]); !ok || from < since {
+			since, ok = from, true
+		}
+	}
+	return since, ok
 }
 
 // standing returns how a live job stands; false if it does not. The lock is held.
@@ -116,13 +165,23 @@
 	if j.cancelRequested || j.pendingFinalState != "" {
 		return standingJob{}, false
 	}
-	first := slices.IndexFunc(j.groups, func(g *taskGroup) bool {
-		return !g.complete() && j.DueUnixMS(g.occurrence) <= unixMS && o.dependenciesDone(g)
-	})
-	if first < 0 || j.hasRunningRun() {
-		return standingJob{}, false
+	running := j.hasRunningRun()
+	s := standingJob{}
+	for _, g := range j.groups {
+		if (running && !g.spec().LongRunning) || g.complete() || j.DueUnixMS(g.occurrence) > unixMS || !o.dependenciesDone(g) {
+			continue
+		}
+		since, ok := o.standingSince(g, now), true
+		if g.spec().LongRunning {
+			since, ok = o.longRunningStandingSince(g, now)
+		}
+		if ok && (s.group == nil || since < s.since) {
+			s.group, s.since = g, since
+		}
+	}
+	if s.group == nil {
+		return s, false
 	}
-	s := standingJob{group: j.groups[first], since: o.standingSince(j.groups[first], now)}
 	s.reason, s.run = s.group.standingReason(now)
 	return s, true
 }
@@ -166,10 +225,14 @@
 	return standingReason(g.planned.reason), nil
 }
 
-// oldestRun returns the run of the group that has been in its phase for longest.
+// oldestRun returns the run of the group that is not running and has been in its phase
+// for longest.
 func (g *taskGroup) oldestRun() *run {
 	var oldest *run
 	for _, r := range g.runs {
+		if r.phase == phaseRunning {
+			continue
+		}
 		if oldest == nil || cmp.Or(cmp.Compare(r.phaseSince, oldest.phaseSince), cmp.Compare(r.index, oldest.index)) < 0 {
 			oldest = r
 		}
--- a/pkg/fleet/standing_test.go
+++ b/pkg/fleet/standing_test.go
@@ -140,6 +140,30 @@
 	}
 }
 
+// Guards against a task of a long-running step that stands unseen, because others of its
+// job run.
+func TestLongRunningTaskStandsBesideOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 2)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: time.Hour} })
+		step := serviceStep(2, 0)
+		step.MaxPerWorker = 1
+		service := b.submit(step)
+		b.sleep(5 * time.Second)
+		if lines := b.linesWith("standing"); len(lines) > 0 {
+			t.Errorf("both tasks run, but got\n%s", strings.Join(lines, "\n"))
+		}
+		b.workers.Drain(0, time.Second)
+		b.sleep(2 * time.Second)
+		b.workers.Leave(0)
+		b.sleep(20 * time.Second)
+		b.wantState(service, workload.Running)
+		b.wantLine(`"job is standing"`, service.ID, `"reason"="limit"`)
+		b.cancel(service)
+		b.sleep(time.Minute)
+	})
+}
+
 // Guards against lines about jobs that run, are not due yet, or have ended.
 func TestJobsThatMakeProgressDoNotStand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -66,7 +66,8 @@
 	advice          *adviceState
 	victimPos       victimPosition // of a gang as a whole
 	planned         planResult
-	refusal         Verdict // of the latest start that was not accepted
+	refusal         Verdict               // of the latest start that was not accepted
+	lastRanAt       map[int]time.Duration // of a long-running step: by task, when it was last known to be running
 }
 
 func (g *taskGroup) spec() *workload.Step { return &g.job.Steps[g.step] }
