--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -62,8 +62,8 @@
 		pending := o.runCycle()
 		endedAt := o.opts.Clock()
 		delay = min(maxCyclePause, max(eventBatchDelay, cyclePauseFactor*(endedAt-startedAt)))
-		o.reportCycle(startedAt, endedAt, late)
 		o.startWrites()
+		o.reportCycle(startedAt, endedAt, late)
 		interval := map[bool]time.Duration{true: pendingCycleInterval, false: idleCycleInterval}[pending]
 		tick.Reset(interval)
 		tickDue = o.opts.Clock() + interval
