fleet: poll a worker whose run was stopped while it started

What callers saw: a gang has nothing running for as long as its workers are otherwise idle, although the owner is alive and the fleet has room. It moves on only when another run starts on the same worker.

Cause: a lost wake-up. When a member of a gang does not start, the others are stopped. For a member whose start is on its way, the start's answer is then no longer expected and did not wake the lease loop of its worker; the stop was followed by a single poll, which finds the run still stopping (up to 200 ms), so it left the run to the lease loop. That loop slept if the worker had been idle, and nobody learned of the end of the run. A gang is placed only when all former runs have ended.

Why it works: every order is now followed by a wake-up of the lease loop, which polls as long as a run of the worker is not resolved, and sleeps otherwise.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -432,6 +432,29 @@
 	}
 }
 
+// Guards against a gang that never starts again because the worker of a member that was
+// stopped while it started is no longer polled.
+func TestGangStoppedWhileStartingRunsAgain(t *testing.T) {
+	const workers, members = 16, 8
+	// Whether the start of a member is confirmed before its stop is ordered is random.
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestbed(t, 1, workers)
+			d := b.workers.NewStandstillDetector(fleettest.StandstillThreshold)
+			for i := range workers / 4 {
+				b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.RefuseOrders = 1 })
+			}
+			j := b.submit(gangStep(members, 8))
+			b.workers.Accepted(j.ID)
+			b.observe(d, 12*time.Second)
+			for _, s := range d.Standstills() {
+				t.Error(s)
+			}
+			b.wantState(j, workload.Completed)
+		})
+	}
+}
+
 // Guards against sending a start that was queued behind slow orders to a worker that
 // has begun to drain in the meantime.
 func TestQueuedStartIsWithdrawnFromLeavingWorker(t *testing.T) {
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -64,6 +64,9 @@
 				return
 			}
 			o.executeOrder(w, ord)
+			// It may have left a run that only a poll resolves, as one that was stopped
+			// while it started.
+			o.wakeLeaseLoop(w)
 		}
 	}
 }
@@ -206,7 +209,6 @@
 		return
 	}
 	o.confirmRunning(r)
-	o.wakeLeaseLoop(w)
 }
 
 // recordStartSettled records that a run has started and that no order to start it is
@@ -348,9 +350,7 @@
 			o.queueResolve(r)
 		}
 		o.mu.Unlock()
-		return
 	}
-	o.wakeLeaseLoop(w)
 }
 
 func (o *Owner) stopIfPresent(w *worker, r *run) Verdict {
