fleet: the wait for headroom counts from when a job last ran

Cause: the owner lends headroom after 2 s of waiting, and counted the wait from when it first saw the group pending. A takeover, an assignment that is dropped and every end of a run start that time again, though the job has had nothing running all the while.

Evidence: the new test fails on the code before: the job is queued 3 s after its acceptance when the owner is killed after 1.8 s. It passes with the change.

Why it works: the time since the job was accepted, became due or last ran is known to every owner and does not depend on attempts to place it.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -143,12 +143,12 @@
 
 // mayUseHeadroom reports whether a group may use the capacity kept for urgent work: an
 // urgent group, one whose target is at risk, tasks that last, which serve users of their
-// own, and a job that has waited without a run while the service has little to do.
-func (p *servicePlanner) mayUseHeadroom(c pendingGroup, waited time.Duration) bool {
+// own, and a job that has been standing without a run while the service has little to do.
+func (p *servicePlanner) mayUseHeadroom(c pendingGroup, standing time.Duration) bool {
 	if c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning {
 		return true
 	}
-	return waited >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
+	return standing >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
 }
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
--- a/pkg/fleet/headroom_test.go
+++ b/pkg/fleet/headroom_test.go
@@ -85,6 +85,20 @@
 	})
 }
 
+// Guards against a job that waits anew for the use of the headroom on an idle fleet after
+// each change of the owner.
+func TestTakeoverKeepsTheWaitForHeadroom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHeadroomTestbed(t, 4)
+		b.startVM()
+		j := b.submitPatient(gangStep(4, 8))
+		b.sleep(1800 * time.Millisecond)
+		b.killVM(b.ownerIndex())
+		b.sleep(1200 * time.Millisecond)
+		b.wantState(j, workload.Running)
+	})
+}
+
 // Guards against a long-running task that stays away although there is capacity for it,
 // because all that is free is kept as headroom. The platform wants it back within 3 s,
 // however full the service is.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -347,7 +347,7 @@
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
 		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
-		MayUseHeadroom: p.mayUseHeadroom(c, waited),
+		MayUseHeadroom: p.mayUseHeadroom(c, now-o.standingSince(g, now)),
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
