fleet: settle a start once no copy of it can be on its way

What callers saw: when a worker crashed and the owner changed, jobs whose starts had one unanswered send had nothing running for 8.9 s, gangs for 10.9 s, however long ago they had started.

Cause: only an accepted single send settled a start. A run that started after a repeated send stayed unsettled for its whole life, and each takeover counted the time in which a copy of the order may arrive from the takeover anew.

Why it works: an order is carried out at most maxOrderDelay after it was sent. The owner settles the starts of running runs after that time, in the stored record too, so that the bound no longer starts again.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -82,6 +82,7 @@
 	if scan {
 		o.lastScanAt = now
 		o.abandonExpiredRuns(now)
+		o.settleOldStarts(now)
 		o.writeSettledStarts(now)
 	}
 	o.finishCancelled()
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -227,6 +227,19 @@
 // settledWriteDelay lets the settled starts of a job share one write.
 const settledWriteDelay = 300 * time.Millisecond
 
+// settleOldStarts settles the starts of running runs that were sent so long ago that no
+// copy of the order can still be on its way; the lock is held.
+func (o *Owner) settleOldStarts(now time.Duration) {
+	for _, w := range o.workers {
+		for r := range w.runs {
+			if r.phase == phaseRunning && r.startUnanswered && now-r.startSentAt >= maxOrderDelay {
+				r.startUnanswered = false
+				o.recordStartSettled(r)
+			}
+		}
+	}
+}
+
 // writeSettledStarts marks the jobs with settled starts that are not stored yet as
 // changed; the lock is held.
 func (o *Owner) writeSettledStarts(now time.Duration) {
