fleet: keep the runs of an answering worker whose machine is not listed

What callers saw: two runs of a task at the same time. While one worker was silent, the owner gave up the runs of another one that answered, because two lists of the machines in a row did not have its machine.

Cause: once any busy worker is unreachable, the lists are applied to all busy workers. A worker's last answer may be 2 s old, the wait of a poll, so it did not show that the worker was there when a list was requested.

Evidence: found in review; TestMachineMissingInListsKeepsRunsOfAnsweringWorker fails on the code before with second runs of the tasks, and passes now.

Why it works: a machine counts as missing only if its worker does not answer or has no known address. A machine that is listed as down, or with another worker, counts as before.

--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -66,13 +66,17 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range o.sortedWorkers() {
-		if (w.unansweredCalls > 0 || w.Address == "") && len(w.runs) > 0 {
+		if w.unreachable() && len(w.runs) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// unreachable reports whether a worker does not answer or has no known address; the lock
+// is held.
+func (w *worker) unreachable() bool { return w.unansweredCalls > 0 || w.Address == "" }
+
 // countUnansweredCall counts a call that a worker did not answer; the lock is held.
 func (o *Owner) countUnansweredCall(w *worker) {
 	if w.unansweredCalls++; w.unansweredCalls == 1 {
@@ -105,11 +109,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range o.sortedWorkers() {
-		if w.Machine == "" || len(w.runs) == 0 || w.lastAnswerAt >= requestedAt || w.incarnationSince+maxMachineListAge > requestedAt {
+		m, exists := machines[w.Machine]
+		outdated := w.lastAnswerAt >= requestedAt || w.incarnationSince+maxMachineListAge > requestedAt
+		// Lists may omit a machine that is up, so the machine of a worker that answers is
+		// not missing.
+		if w.Machine == "" || len(w.runs) == 0 || outdated || (!exists && !w.unreachable()) {
 			delete(missedLists, w.ID)
 			continue
 		}
-		m, exists := machines[w.Machine]
 		if exists {
 			delete(missedLists, w.ID)
 		} else if missedLists[w.ID]++; missedLists[w.ID] < minMissedMachineLists {
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -118,3 +119,39 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// incompleteMachineList lists all machines but one.
+type incompleteMachineList struct {
+	fleet.MachineClient
+	omitted string
+}
+
+func (l incompleteMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	list, err := l.MachineClient.Machines(ctx)
+	return slices.DeleteFunc(list, func(m fleet.Machine) bool { return m.ID == l.omitted }), err
+}
+
+// Guards against a second run of the tasks of a worker that answers, while lists of the
+// machines omit its machine and another worker is cut off.
+func TestMachineMissingInListsKeepsRunsOfAnsweringWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 8)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		b.adjustOptions = func(o *fleet.Options) {
+			o.Machines, o.Waves = incompleteMachineList{cloud, "m-w00"}, cloud
+		}
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 12 * time.Second} })
+		step := smallStep(16)
+		step.MaxPerWorker = 4
+		j := b.submit(step)
+		b.sleep(2 * time.Second)
+		if !b.workers.Busy(0) || !b.workers.Busy(1) {
+			t.Fatal("the workers are not busy")
+		}
+		b.workers.UpdateFaults(1, func(f *fleettest.Faults) { f.Unreachable = true })
+		b.sleep(40 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
