gateway: notify the owner of a job or cancellation whose answer was lost

What callers saw: a stored job of which the owner learned from its watch only, up to 3.5 s late if the connection of the watch was dead.

Cause: a write whose answer is lost is sent again and conflicts with itself. The gateway accepted the job then, but returned before it notified the owner. The same held for cancellations.

Why it works: the owner is notified whenever the job is known to be stored, with the stored record. A job older than 30 s is left out: it may have ended and be deleted before the notification arrives.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -31,6 +31,10 @@
 	// RetryAfter is the Retry-After of refused calls. By then another VM, or this one
 	// after a typical disturbance of the store, may accept the job.
 	RetryAfter = time.Second
+	// maxNotifyAge is the age of a job from which the owner is not notified of it. It is
+	// far below the retention of ended jobs: a notification that arrives after the deletion
+	// of its job would add the job again.
+	maxNotifyAge = 30 * time.Second
 	// impossibleRetryAfter is the Retry-After for a job that fits on no worker. Only
 	// larger machines would help, and adding those takes longer.
 	impossibleRetryAfter = time.Minute
@@ -128,30 +132,32 @@
 	}
 	res, err := g.commit(ctx, txn)
 	if errkind.Is(err, errkind.Conflict) {
-		return g.checkSameJob(j, res.Current)
+		// The write may be this one, sent twice, or that of a VM that did not notify the owner.
+		j, err = g.sameJob(j, res.Current)
 	}
-	if err == nil {
+	if err == nil && g.opts.Now().UnixMilli()-j.AcceptedUnixMS < maxNotifyAge.Milliseconds() {
 		g.opts.Owner.NotifySubmitted(j)
 	}
 	return err
 }
 
-// checkSameJob returns conflict if another job is stored under the ID.
-func (g *Gateway) checkSameJob(j *workload.Job, current []platform.Entry) error {
+// sameJob returns the stored record of a job, or conflict if another job is stored under
+// the ID.
+func (g *Gateway) sameJob(j *workload.Job, current []platform.Entry) (*workload.Job, error) {
 	for _, e := range current {
 		if e.Key != fleet.JobKey(j.ID) || e.Version == 0 {
 			continue
 		}
 		stored, err := workload.DecodeJob(e.Value)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if stored.Queue != j.Queue || stored.Workspace != j.Workspace {
-			return errkind.New(errkind.Conflict, "the ID belongs to another job")
+			return nil, errkind.New(errkind.Conflict, "the ID belongs to another job")
 		}
-		return nil
+		return stored, nil
 	}
-	return errkind.New(errkind.Timeout, "the store refused the job as existing but does not return it")
+	return nil, errkind.New(errkind.Timeout, "the store refused the job as existing but does not return it")
 }
 
 // commit retries a transaction until it has a definite outcome. A write without an
@@ -207,13 +213,12 @@
 		Conditions: []platform.Condition{{Key: fleet.CancelKey(id)}},
 		Writes:     []platform.Write{{Key: fleet.CancelKey(id)}},
 	})
-	if errkind.Is(err, errkind.Conflict) {
-		return nil // a concurrent call has stored it
-	}
-	if err == nil {
-		g.opts.Owner.NotifyCancelRequested(id)
+	if err != nil && !errkind.Is(err, errkind.Conflict) {
+		return err
 	}
-	return err
+	// A conflict means that this call, sent twice, or a concurrent one has stored it.
+	g.opts.Owner.NotifyCancelRequested(id)
+	return nil
 }
 
 func (g *Gateway) findJob(entries []platform.Entry, id string) (stored *workload.Job, cancelled bool, err error) {
--- a/pkg/gateway/notify_test.go
+++ b/pkg/gateway/notify_test.go
@@ -15,37 +15,69 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// notedOwner counts the jobs of which it is notified.
+// notedOwner counts the jobs and cancellations of which it is notified.
 type notedOwner struct {
 	noOwner
-	submitted atomic.Int64
+	submitted, cancelled atomic.Int64
 }
 
 func (o *notedOwner) NotifySubmitted(*workload.Job) { o.submitted.Add(1) }
 
-// Guards against a stored job of which the owner is not notified because the first answer
-// of the store was lost: it would then depend on the owner's watch alone.
-func TestOwnerIsNotifiedOfAJobWhoseAnswerWasLost(t *testing.T) {
+func (o *notedOwner) NotifyCancelRequested(string) { o.cancelled.Add(1) }
+
+// newGatewayWithLostAnswers returns a gateway whose store carries out each write but does
+// not answer the first time.
+func newGatewayWithLostAnswers(owner *notedOwner) *Gateway {
+	store := memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	answered := map[string]bool{}
+	return New(Options{
+		Store: &faultyCommitStore{store, func(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+			res, err := store.Commit(ctx, txn)
+			if key := txn.Writes[0].Key; !answered[key] {
+				answered[key] = true
+				return platform.TxnResult{}, errkind.New(errkind.StoreUnavailable, "no answer")
+			}
+			return res, err
+		}},
+		Owner: owner, Now: time.Now, Log: logr.Discard(),
+	})
+}
+
+// Guards against a stored job or cancellation of which the owner is not notified because
+// the first answer of the store was lost: it would then depend on the owner's watch alone.
+func TestOwnerIsNotifiedWhenAnAnswerOfTheStoreWasLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
-		first := true
 		owner := &notedOwner{}
-		g := New(Options{
-			Store: &faultyCommitStore{store, func(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
-				res, err := store.Commit(ctx, txn)
-				if first {
-					first = false
-					return platform.TxnResult{}, errkind.New(errkind.StoreUnavailable, "no answer")
-				}
-				return res, err
-			}},
-			Owner: owner, Now: time.Now, Log: logr.Discard(),
-		})
+		g := newGatewayWithLostAnswers(owner)
+		j := newJob()
+		if err := g.Accept(t.Context(), j); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Cancel(t.Context(), j.ID, j.Queue); err != nil {
+			t.Fatal(err)
+		}
+		if owner.submitted.Load() == 0 || owner.cancelled.Load() == 0 {
+			t.Errorf("the owner was notified of %d jobs and %d cancellations", owner.submitted.Load(), owner.cancelled.Load())
+		}
+	})
+}
+
+// Guards against a notification that adds an ended job again, because it arrives after the
+// deletion of the job.
+func TestRepeatedSubmissionOfAnOldJobDoesNotNotifyTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := &notedOwner{}
+		g := newGatewayWithLostAnswers(owner)
+		if err := g.Accept(t.Context(), newJob()); err != nil {
+			t.Fatal(err)
+		}
+		before := owner.submitted.Load()
+		time.Sleep(time.Minute)
 		if err := g.Accept(t.Context(), newJob()); err != nil {
 			t.Fatal(err)
 		}
-		if n := owner.submitted.Load(); n == 0 {
-			t.Error("the owner was not notified of the stored job")
+		if n := owner.submitted.Load() - before; n > 0 {
+			t.Errorf("the owner was notified of an old job %d times", n)
 		}
 	})
 }
