fleet: write settled starts apart from changes, one job at a time

What callers saw: on a slow store a job was shown as completed one answer of the store later.

Cause: the settled starts of several jobs shared a transaction. On a store that gives each change of a transaction a revision of its own, as the one in memory does, the next write of such a job conflicts, since the answer names one revision. Such writes also competed with changes for the slots of open writes.

Evidence: the log of the test shows the conflicts 240 ms after the ends of the runs.

Why it works: settled starts are written only when no change waits, one job at a time in a single slot.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -83,7 +83,6 @@
 		o.lastScanAt = now
 		o.abandonExpiredRuns(now)
 		o.settleOldStarts(now)
-		o.writeSettledStarts(now)
 	}
 	o.finishCancelled()
 	o.finishFailed()
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -224,9 +224,6 @@
 	}
 }
 
-// settledWriteDelay lets the settled starts of a job share one write.
-const settledWriteDelay = 300 * time.Millisecond
-
 // settleOldStarts settles the starts of running runs that were sent so long ago that no
 // copy of the order can still be on its way; the lock is held.
 func (o *Owner) settleOldStarts(now time.Duration) {
@@ -240,16 +237,6 @@
 	}
 }
 
-// writeSettledStarts marks the jobs with settled starts that are not stored yet as
-// changed; the lock is held.
-func (o *Owner) writeSettledStarts(now time.Duration) {
-	for _, j := range o.live {
-		if j.unsavedSince > 0 && now-j.unsavedSince >= settledWriteDelay {
-			o.markDirty(j)
-		}
-	}
-}
-
 // confirmRunning records that a worker has confirmed a run; the lock is held.
 func (o *Owner) confirmRunning(r *run) {
 	now := o.opts.Clock()
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -22,6 +22,7 @@
 	changeSeqs []int64
 	afterWrite [][]func()
 	txn        platform.Txn
+	settles    bool // it holds one job, for its settled starts only
 	takenAt    time.Duration
 	attempts   int    // failed attempts to write it
 	lastError  string // of the latest attempt
@@ -82,7 +83,7 @@
 }
 
 // takeBatch collects changed jobs that have no open write, first those with orders that
-// wait for it; nil if there are none.
+// wait for it; without changes, a job with settled starts. It returns nil if there are none.
 func (o *Owner) takeBatch() *progressBatch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -98,6 +99,12 @@
 			}
 		}
 	}
+	if len(b.jobs) == 0 {
+		if j := o.jobToSettle(); j != nil {
+			b.settles = true
+			o.addToBatch(b, j)
+		}
+	}
 	if len(b.jobs) == 0 {
 		return nil
 	}
@@ -106,7 +113,31 @@
 	return b
 }
 
-// addToBatch adds the progress of a changed job to a batch; the lock is held.
+// settledWriteDelay lets the settled starts of a job share one write.
+const settledWriteDelay = 300 * time.Millisecond
+
+// jobToSettle returns the job whose settled starts have waited longest for their write, if
+// no such write is open; the lock is held. One job at a time leaves the other writes to
+// changes, which callers and orders wait for.
+func (o *Owner) jobToSettle() *job {
+	for b := range o.batches {
+		if b.settles {
+			return nil
+		}
+	}
+	var oldest *job
+	for _, j := range o.live {
+		if j.unsavedSince == 0 || j.writeInFlight || o.opts.Clock()-j.unsavedSince < settledWriteDelay {
+			continue
+		}
+		if oldest == nil || j.unsavedSince < oldest.unsavedSince {
+			oldest = j
+		}
+	}
+	return oldest
+}
+
+// addToBatch adds the progress of a job to a batch; the lock is held.
 func (o *Owner) addToBatch(b *progressBatch, j *job) {
 	data, err := j.progress.Encode()
 	if err != nil {
@@ -129,7 +160,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recordStoredLocked(b, func(*job) int64 { return revision })
-	return len(o.dirty) > 0
+	return len(o.dirty) > 0 || b.settles
 }
 
 // recordStoredLocked is recordStored for callers that hold the lock; versionOf returns the
