fleet: eject workers only for failures that are not a job's own

Cause: a worker got no new runs for 6 s after failed runs of two jobs without a success between them. The failures of a job with faulty tasks counted like those of a faulty worker, the number of such workers had no bound, and no job could use them however much stood free.

Change, as outlier detection of service meshes has it: - A group that failed on two racks and on at least half of the workers that ran it is suspect. Its failures are withdrawn and ejections that rest on them end. A rack is a failure domain of its own, so one rack does not make a job suspect. - At most a third of a service is ejected, the worst workers first. - Ejections last 6, 12, 24 s; after one, the failure of one job suffices. - A job that has stood for 2 s while less than half of the service is in use gets ejected workers if it fits nowhere else. Considered: only a bound on the ejected share, which leaves sound workers out for failing jobs and with several racks out blocks large gangs; only a preference instead of an ejection, which gives failing workers all waiting work of a full service, as they are the first to be free again.

--- a/pkg/fleet/describe_test.go
+++ b/pkg/fleet/describe_test.go
@@ -71,8 +71,8 @@
 			n["cordoned"]++
 		case w.unansweredCalls > 0:
 			n["silent"]++
-		case now < w.backoffUntil && len(w.failedJobs) >= maxFailedJobsPerWorker:
-			n["backoff after failures"]++
+		case w.ejected:
+			n["ejected"]++
 		case now < w.backoffUntil:
 			n["backoff"]++
 		case len(w.runs) == 0:
@@ -83,3 +83,17 @@
 	}
 	return fmt.Sprint("workers ", n)
 }
+
+// EjectedWorkers returns the IDs of the workers that are ejected.
+func (o *Owner) EjectedWorkers() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ejectWorst(o.opts.Clock())
+	var ids []string
+	for _, w := range o.sortedWorkers() {
+		if w.ejected {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -204,7 +204,7 @@
 // per run number, however many members fail. The lock is held.
 func (o *Owner) countTaskFailure(w *worker, g *taskGroup, t *workload.Task, number int64) {
 	g.exclude(w, o.opts.Clock())
-	o.recordWorkerFailure(w, g.job)
+	o.recordWorkerFailure(w, g)
 	if g.spec().Gang {
 		if g.lastFailedRun == number {
 			return
@@ -306,29 +306,3 @@
 // leaseExpiryMargin covers the delay from the expiry of a lease on the worker's clock
 // to the end of the run.
 const leaseExpiryMargin = 300 * time.Millisecond
-
-// workerFailureWindow is the time without a further failure after which the failures
-// on a worker are forgotten.
-const workerFailureWindow = 12 * time.Second
-
-// maxFailedJobsPerWorker is the number of different jobs with a failed run on a worker,
-// without a success between them, at which the worker gets no new runs for half of
-// workerFailureWindow.
-const maxFailedJobsPerWorker = 2
-
-// recordWorkerFailure counts the job of a failed run against its worker; the lock
-// is held.
-func (o *Owner) recordWorkerFailure(w *worker, j *job) {
-	now := o.opts.Clock()
-	if now-w.lastFailureAt > workerFailureWindow {
-		clear(w.failedJobs)
-	}
-	w.failedJobs[j.ID] = true
-	w.lastFailureAt = now
-	if len(w.failedJobs) >= maxFailedJobsPerWorker {
-		w.backoffUntil, w.backoffReason = now+workerFailureWindow/2, ""
-		o.opts.Log.Info("runs of several jobs failed on the worker; it gets no new runs for now", "worker", w.ID, "jobs", len(w.failedJobs))
-	}
-}
-
-func (o *Owner) recordWorkerSuccess(w *worker) { clear(w.failedJobs) }
--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -148,6 +148,12 @@
 	if c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning {
 		return true
 	}
+	return p.standsIdle(c, standing)
+}
+
+// standsIdle reports whether a job has been standing without a run while the service has
+// little to do. Free capacity then goes before any preference.
+func (p *servicePlanner) standsIdle(c pendingGroup, standing time.Duration) bool {
 	return standing >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
 }
 
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -59,6 +59,7 @@
 		return awaitingDue
 	}
 	o.markWithinGuarantee(waiting)
+	o.ejectWorst(now)
 	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
 	o.explained = 0
@@ -270,6 +271,7 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
 			Free: w.Capacity.Sub(all), FreeAfterStops: w.Capacity.Sub(all).Add(beingStopped),
 			Schedulable: o.schedulable(w, now),
+			Ejected:     w.ejected,
 			Penalty:     o.penalty(w),
 		}
 		if pw.Schedulable {
@@ -297,7 +299,7 @@
 	if !o.ruleEnabled(RuleFailedWorkersLast) {
 		return 0
 	}
-	return len(w.failedJobs)
+	return len(w.failedAt)
 }
 
 // sortedWorkers returns all workers sorted by ID; the lock is held.
@@ -348,6 +350,7 @@
 		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
 		MayUseHeadroom: p.mayUseHeadroom(c, now-o.standingSince(g, now)),
+		MayUseEjected:  p.standsIdle(c, now-o.standingSince(g, now)),
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
@@ -440,7 +443,7 @@
 		switch {
 		case w.unansweredCalls > 0:
 			unresponsive++
-		case o.schedulable(w, now):
+		case o.schedulable(w, now) && !w.ejected:
 			schedulable++
 			if len(w.runs) == 0 {
 				empty++
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -264,6 +264,7 @@
 	uncontacted    int            // listed workers that have not answered this owner yet
 	silenced       int            // listed workers that have stopped answering in the last second
 	queuedOrders   int
+	suspectJobs    int
 
 	reasons map[standingReason]int
 	oldest  standingJob
@@ -309,7 +310,11 @@
 func (o *Owner) assess() *assessment {
 	a := &assessment{now: o.opts.Clock(), services: map[string]*serviceState{}}
 	unixMS := o.opts.Now().UnixMilli()
+	o.ejectWorst(a.now)
 	for _, j := range o.live {
+		if j.suspect() {
+			a.service(o.serviceOf(j)).suspectJobs++
+		}
 		s, ok := o.standing(j, a.now, unixMS)
 		if !ok || a.now-s.since < standingThreshold {
 			j.standingLoggedAt = 0
@@ -361,12 +366,12 @@
 		return "cordoned"
 	case w.unansweredCalls > 0:
 		return "unanswered"
-	case now >= w.backoffUntil:
-		return "schedulable"
-	case w.backoffReason == "":
-		return "backoff_failures"
+	case now < w.backoffUntil:
+		return "backoff_" + string(w.backoffReason)
+	case w.ejected:
+		return "ejected"
 	}
-	return "backoff_" + string(w.backoffReason)
+	return "schedulable"
 }
 
 // standingReporter writes the log lines and metrics of assessments.
@@ -477,12 +482,13 @@
 func (o *Owner) gauges(a *assessment) metrics.OwnerGauges {
 	writes := o.writeState(a.now)
 	g := metrics.OwnerGauges{
-		JobsStanding: map[metrics.ServiceLabel]int{}, Workers: map[metrics.ServiceLabel]int{}, UsedShare: map[string]float64{},
+		JobsStanding: map[metrics.ServiceLabel]int{}, JobsSuspect: map[string]int{}, Workers: map[metrics.ServiceLabel]int{}, UsedShare: map[string]float64{},
 		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored,
 	}
 	for name, s := range a.services {
 		g.UsedShare[name] = usedShare(s.used, s.capacity)
 		g.QueuedOrders += s.queuedOrders
+		g.JobsSuspect[name] = s.suspectJobs
 		for reason, n := range s.reasons {
 			g.JobsStanding[metrics.ServiceLabel{Service: name, Value: string(reason)}] = n
 		}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -54,10 +54,12 @@
 	step            int
 	runs            map[int]*run // by task index
 	doneTasks       int
-	lastFailedRun   int64           // highest run number whose failure was counted
-	excludedWorkers map[string]bool // workers on which a task of the group failed
-	waitLoggedAt    time.Duration   // when its wait for capacity was last logged
-	excludedAt      time.Duration   // when a worker was last added to excludedWorkers
+	lastFailedRun   int64             // highest run number whose failure was counted
+	excludedWorkers map[string]bool   // workers on which a task of the group failed
+	waitLoggedAt    time.Duration     // when its wait for capacity was last logged
+	excludedAt      time.Duration     // when a worker was last added to excludedWorkers
+	failureRacks    map[string]string // rack of each worker on which a task of the group failed; nil if there is none
+	suspect         bool              // its failures do not count against workers
 	readySince      time.Duration
 	stopsWait       time.Duration // time since readySince in which it waited for stops
 	stopsWaitFrom   time.Duration // since when it has waited for stops; 0 if it does not
@@ -184,12 +186,14 @@
 	ackDue      bool          // ackThrough has not been sent to the worker yet
 	ackAdvanced chan struct{} // closed and replaced when ackThrough rises
 
-	unansweredCalls int             // consecutive calls without an answer
-	unansweredSince time.Duration   // when the first of these calls was counted
-	backoffUntil    time.Duration   // no new starts before this time
-	backoffReason   Verdict         // why; empty after failed runs
-	failedJobs      map[string]bool // jobs with a failed run here since the last success
-	lastFailureAt   time.Duration
+	unansweredCalls int                      // consecutive calls without an answer
+	unansweredSince time.Duration            // when the first of these calls was counted
+	backoffUntil    time.Duration            // no new starts before this time
+	backoffReason   Verdict                  // why
+	failedAt        map[string]time.Duration // by job: its latest failed run here since the last success; without those of suspect groups
+	ejections       int                      // consecutive ejections without a success between them
+	ejectedUntil    time.Duration            // no new runs before this time, if it is ejected
+	ejected         bool                     // see ejectWorst
 
 	orders  chan order
 	wake    chan struct{} // wakes the lease renewal loop
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -12,7 +12,7 @@
 // addWorker adds a worker and starts its loops; the lock is held.
 func (o *Owner) addWorker(entry WorkerEntry) *worker {
 	w := &worker{
-		WorkerEntry: entry, runs: map[*run]struct{}{}, failedJobs: map[string]bool{},
+		WorkerEntry: entry, runs: map[*run]struct{}{}, failedAt: map[string]time.Duration{},
 		orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{}),
 		incarnationSince: o.opts.Clock(),
 		// A former owner may have renewed the lease just before it lost ownership.
@@ -102,7 +102,7 @@
 	w.incarnationSince = o.opts.Clock()
 	w.contacted, w.lastEndSeq, w.ackThrough, w.unackedEnds, w.ackDue = false, 0, 0, nil, false
 	w.maxDeadlineMS, w.priorExpiry = 0, o.opts.Clock()+maxOrderDelay
-	clear(w.failedJobs)
+	w.resetEjection()
 	for r := range w.runs {
 		if r.phase != phasePlanned {
 			o.queueResolve(r)
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -30,6 +30,7 @@
 	events            *prometheus.CounterVec
 
 	jobsStanding   *prometheus.GaugeVec
+	jobsSuspect    *prometheus.GaugeVec
 	workers        *prometheus.GaugeVec
 	usedShare      *prometheus.GaugeVec
 	openWrites     prometheus.Gauge
@@ -72,6 +73,7 @@
 
 		jobsStanding:   gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
 		workers:        gauges("workers", "Workers known to the owner by state.", "service", "state"),
+		jobsSuspect:    gauges("jobs_suspect", "Live jobs whose tasks fail on most workers that run them.", "service"),
 		usedShare:      gauges("service_used_share", "Share of the scarcest resource of a service's listed workers that is in use.", "service"),
 		openWrites:     gauge("open_writes", "Batches of job progress that are being written."),
 		oldestUnstored: gauge("oldest_unstored_change_seconds", "Age of the oldest change of job progress that is not stored."),
@@ -81,7 +83,7 @@
 		takeover:       histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
 		jobKnownAge:    histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
 	}
-	s.registry.MustRegister(s.jobsStanding, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
+	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
--- a/pkg/metrics/owner.go
+++ b/pkg/metrics/owner.go
@@ -9,6 +9,7 @@
 // a VM that is not the owner.
 type OwnerGauges struct {
 	JobsStanding   map[ServiceLabel]int // by service and reason
+	JobsSuspect    map[string]int       // by service
 	Workers        map[ServiceLabel]int // by service and state
 	UsedShare      map[string]float64   // by service
 	OpenWrites     int
@@ -25,6 +26,10 @@
 	for l, n := range g.JobsStanding {
 		s.jobsStanding.WithLabelValues(l.Service, l.Value).Set(float64(n))
 	}
+	s.jobsSuspect.Reset()
+	for service, n := range g.JobsSuspect {
+		s.jobsSuspect.WithLabelValues(service).Set(float64(n))
+	}
 	s.workers.Reset()
 	for l, n := range g.Workers {
 		s.workers.WithLabelValues(l.Service, l.Value).Set(float64(n))
--- a/pkg/placement/headroom.go
+++ b/pkg/placement/headroom.go
@@ -56,7 +56,7 @@
 func (p *Planner) freeForHeadroom(i int) workload.Resources {
 	w := &p.workers[i]
 	free := w.FreeAfterStops
-	if !w.Schedulable || free.MilliCPU <= 0 || free.MemoryMiB <= 0 || (w.Capacity.Accelerators > 0 && free.Accelerators <= 0) {
+	if !w.Schedulable || w.Ejected || free.MilliCPU <= 0 || free.MemoryMiB <= 0 || (w.Capacity.Accelerators > 0 && free.Accelerators <= 0) {
 		return workload.Resources{}
 	}
 	return free
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -55,6 +55,8 @@
 	FreeAfterStops workload.Resources // once the runs that are being stopped have ended
 	Schedulable    bool               // accepts new tasks
 	Runs           []Run              // without those that are being stopped
+	// Ejected keeps requests without MayUseEjected off a worker, as runs have failed on it.
+	Ejected bool
 	// Penalty makes a worker less preferred; workers with the lowest penalty come first.
 	Penalty int
 
@@ -92,6 +94,7 @@
 	Priority          int
 	ExpectedDuration  time.Duration // run time of a task
 	MayUseHeadroom    bool          // see Planner.KeepHeadroom
+	MayUseEjected     bool          // ejected workers may be used if the request is blocked otherwise
 	MayPreempt        bool
 	// MaxStopCost bounds the total StopCost of the victims.
 	MaxStopCost float64
@@ -148,6 +151,17 @@
 
 // Place decides on one request and allocates the capacity it needs.
 func (p *Planner) Place(r Request) Outcome {
+	if r.MayUseEjected {
+		strict := r
+		strict.MayUseEjected, strict.Reserve, strict.Explain = false, false, false
+		if outcome := p.place(strict); outcome.Code != Blocked {
+			return outcome
+		}
+	}
+	return p.place(r)
+}
+
+func (p *Planner) place(r Request) Outcome {
 	scopes := [][]int{p.allWorkers}
 	if r.Gang && r.SameRack {
 		scopes = p.racks
@@ -214,7 +228,7 @@
 	n := 0
 	for _, i := range scope {
 		w := &p.workers[i]
-		if w.Schedulable && p.eligible(r, w) {
+		if r.admits(w) && p.eligible(r, w) {
 			n += min(copies(r.Demand, w.Capacity), perWorkerLimit(r, w))
 		}
 	}
@@ -355,9 +369,14 @@
 	return free
 }
 
+// admits reports whether the state of a worker lets it take tasks of the request.
+func (r *Request) admits(w *Worker) bool {
+	return w.Schedulable && (!w.Ejected || r.MayUseEjected)
+}
+
 // usable reports whether the request may use the worker now.
 func (p *Planner) usable(r Request, w *Worker) bool {
-	return w.Schedulable && (r.MayUseHeadroom || !w.headroom) && p.eligible(r, w)
+	return r.admits(w) && (r.MayUseHeadroom || !w.headroom) && p.eligible(r, w)
 }
 
 // eligible reports whether the constraints of the request admit the worker.
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -157,3 +157,29 @@
 		t.Errorf("capacity was allocated twice: %v", got)
 	}
 }
+
+// Guards against ejected workers being preferred to others, or refused to a request that
+// fits nowhere else.
+func TestEjectedWorkersAreUsedLast(t *testing.T) {
+	one := workload.Resources{Accelerators: 1}
+	plan := func(mayUse bool, tasks int) Outcome {
+		p := New(Snapshot{Workers: []Worker{
+			{ID: "ejected", Capacity: one, Free: one, FreeAfterStops: one, Schedulable: true, Ejected: true},
+			{ID: "sound", Capacity: one, Free: one, FreeAfterStops: one, Schedulable: true},
+			{ID: "draining", Capacity: one, Free: one, FreeAfterStops: one, Ejected: true},
+		}})
+		return p.Place(Request{Demand: one, Count: tasks, Gang: true, MayUseEjected: mayUse, Explain: true})
+	}
+	if o := plan(false, 2); o.Code != Blocked || o.Reason != Ejected {
+		t.Errorf("a request that may not use ejected workers: %+v", o)
+	}
+	if o := plan(true, 1); o.Code != Placed || o.Workers[0] != 1 {
+		t.Errorf("a request that fits without them: %+v", o)
+	}
+	if o := plan(true, 2); o.Code != Placed || len(o.Workers) != 2 {
+		t.Errorf("a request that fits only with them: %+v", o)
+	}
+	if o := plan(true, 3); o.Code != Blocked {
+		t.Errorf("a request that does not fit at all: %+v", o)
+	}
+}
--- a/pkg/placement/reason.go
+++ b/pkg/placement/reason.go
@@ -14,6 +14,7 @@
 	KeptForStops  Reason = "kept_for_stops" // kept for other requests that wait for stops
 	Reserved      Reason = "reserved"       // reserved for waiting gangs
 	Headroom      Reason = "headroom"       // kept free for urgent work
+	Ejected       Reason = "ejected"        // the free workers are ejected after failed runs
 	SingleRack    Reason = "single_rack"    // fits on several racks only
 	Excluded      Reason = "excluded"       // tasks of the step failed on the free workers
 	NotEligible   Reason = "advice"         // the free workers are not in EligibleWorkers
@@ -36,6 +37,7 @@
 	{KeptForStops, func(x *relaxation) { x.useKeptForStops = true }},
 	{Reserved, func(x *relaxation) { x.ignoreReservations = true }},
 	{Headroom, func(x *relaxation) { x.MayUseHeadroom = true }},
+	{Ejected, func(x *relaxation) { x.MayUseEjected = true }},
 	{SingleRack, func(x *relaxation) { x.anyRack = true }},
 	{Excluded, func(x *relaxation) { x.ExcludedWorkers = nil }},
 	{NotEligible, func(x *relaxation) { x.EligibleWorkers = nil }},
@@ -115,7 +117,7 @@
 	n := 0
 	for _, i := range scope {
 		w := &p.workers[i]
-		if (!w.Schedulable && !r.anyWorkerState) || (w.headroom && !r.MayUseHeadroom) || !p.eligible(r.Request, w) {
+		if (!r.admits(w) && !r.anyWorkerState) || (w.headroom && !r.MayUseHeadroom) || !p.eligible(r.Request, w) {
 			continue
 		}
 		free := r.free(w)
