fleet: end exclusions of groups that need advice

What callers saw: on a queue with an advice policy, a job whose task failed once had nothing running any more (rule LOST, still), although the worker was free.

Cause: a group is kept off the workers on which it failed, and that ends after 1 s without a place. For a group that needs tickets the cycle returned before, to ask for advice. If only excluded workers have tickets and all others were refused, no one is left to ask, and the group waits for good.

Evidence: TestGroupReturnsToItsTicketHoldersAfterAFailure fails before (nothing ran for 9.6 s, to the end of the play) and passes now.

Why it works: the exclusion ends in the same way for all groups.

--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -389,6 +389,9 @@
 	outcome := p.Place(request)
 	g.countStopsWait(outcome.Code, now)
 	g.planned.record(outcome, now)
+	if outcome.Code == placement.Blocked && len(g.excludedWorkers) > 0 && now-g.excludedAt > exclusionPeriod {
+		clear(g.excludedWorkers) // a worker with a failure is better than none
+	}
 	if request.EligibleWorkers != nil && outcome.Code == placement.Blocked {
 		o.requestAdvice(g, p, now)
 		return 0
@@ -406,9 +409,6 @@
 		}
 	case placement.Blocked:
 		o.logWaiting(p, c, waited, now)
-		if len(g.excludedWorkers) > 0 && now-g.excludedAt > exclusionPeriod {
-			clear(g.excludedWorkers) // a worker with a failure is better than none
-		}
 		if request.Reserve && spec.Gang {
 			return 1
 		}
--- /dev/null
+++ b/pkg/fleet/preferences_test.go
@@ -0,0 +1,43 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// wantNoStandstill watches for jobs that stand still for a time.
+func (b *testbed) wantNoStandstill(length time.Duration) {
+	b.t.Helper()
+	d := b.workers.NewStandstillDetector(fleettest.StandstillThreshold)
+	b.observe(d, length)
+	for _, s := range d.Standstills() {
+		b.t.Error(s)
+	}
+}
+
+// Guards against a group that is kept off the only workers with a ticket for good, because
+// a task of it failed there once.
+func TestGroupReturnsToItsTicketHoldersAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		cloud := fleettest.NewCloud(b.workers, time.Second)
+		cloud.AllowedWorkers = []string{"w02"}
+		b.adjustOptions = func(o *fleet.Options) { o.Advice = cloud }
+		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &catalog.AdvicePolicy{TicketTTL: 5 * time.Second}}}}
+		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
+			return fleettest.Outcome{Duration: 300 * time.Millisecond, Fails: run == 1}
+		})
+		b.startVM()
+		b.sleep(time.Second)
+		j := b.submit(smallStep(1))
+		b.workers.Accepted(j.ID)
+		b.wantNoStandstill(10 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
