fleet: count all listed workers in the share of a service in use

Cause: the owner lends the headroom to a job that has stood for 2 s while less than half of the service is in use, but took the share over the workers that accept tasks. While many drain, are cordoned or do not answer, the few others are soon more than half in use, and all that is free on them is headroom.

Evidence: TestHeadroomIsLentWhileManyWorkersDrain (10 of 16 workers drain) fails before: two jobs stand for 5.1 and 9.9 s with 25 and 31% in use. It passes now.

Why it works: the share is the one that the platform's rule and the owner's reports use. The size of the headroom still follows the workers that accept tasks.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -159,7 +159,7 @@
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
 func (p *servicePlanner) usedShare() float64 {
-	return usedShare(p.used, p.capacity)
+	return usedShare(p.used, p.listedCapacity)
 }
 
 // usedShare returns the share of a capacity that is in use, in its scarcest resource.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -246,8 +246,9 @@
 	workers  []*worker
 	victims  []victim // by index of the snapshot's groups
 
-	capacity, used workload.Resources // of all workers that accept tasks
-	headroomKept   bool
+	capacity             workload.Resources // of all workers that accept tasks
+	listedCapacity, used workload.Resources // of all listed workers
+	headroomKept         bool
 }
 
 // newServicePlanner returns a planner over a fresh snapshot of the workers of a service;
@@ -259,7 +260,7 @@
 		o.planners[service] = p
 	}
 	p.cycle, p.headroomKept = o.cycles, false
-	p.capacity, p.used = workload.Resources{}, workload.Resources{}
+	p.capacity, p.listedCapacity, p.used = workload.Resources{}, workload.Resources{}, workload.Resources{}
 	s := &p.snapshot
 	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
 	for _, w := range o.sortedWorkers() {
@@ -275,7 +276,10 @@
 			Penalty:     o.penalty(w),
 		}
 		if pw.Schedulable {
-			p.capacity, p.used = p.capacity.Add(w.Capacity), p.used.Add(all)
+			p.capacity = p.capacity.Add(w.Capacity)
+		}
+		if w.listed {
+			p.listedCapacity, p.used = p.listedCapacity.Add(w.Capacity), p.used.Add(all)
 		}
 		first := len(p.runs)
 		for r := range w.runs {
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -11,6 +11,11 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
+// submitAccepted submits a patient job that must not stand still.
+func (b *testbed) submitAccepted(step workload.Step) {
+	b.workers.Accepted(b.submitPatient(step).ID)
+}
+
 // wantNoStandstill watches for jobs that stand still for a time.
 func (b *testbed) wantNoStandstill(length time.Duration) {
 	b.t.Helper()
@@ -41,3 +46,22 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// Guards against a job that waits on an idle fleet for the end of the headroom, because the
+// few workers that accept tasks are in use.
+func TestHeadroomIsLentWhileManyWorkersDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHeadroomTestbed(t, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 30 * time.Second} })
+		for i := range 10 {
+			b.workers.Drain(15-i, time.Minute)
+		}
+		b.sleep(time.Second)
+		b.submitAccepted(smallStep(4 * 8))
+		b.sleep(time.Second)
+		b.submitAccepted(gangStep(1, 8))
+		b.submitAccepted(smallStep(2))
+		b.wantNoStandstill(10 * time.Second)
+		b.sleep(3 * time.Minute)
+	})
+}
