fleet: a gang does not wait for a rack on an idle service

Such gangs of one queue wait together for as long as a few runs are left on each rack, and move one by one as these end.

Cause: a gang waits for a single rack as long as the wait is shorter than what it loses on several, two run times at a remote factor of 3. Only gangs within their workspace's guarantee had a bound, 1 s.

Evidence: TestGangDoesNotWaitForARackOnAnIdleFleet (one run of 20 s on each of four racks, a gang of a whole rack) fails before: nothing ran for 18.9 s with 12 of 16 workers free. It passes now.

Why it works: a job that has stood for 2 s while less than half of the service is in use gets several racks, as it gets the headroom. On the wire same_rack is a preference: tasks on several racks take longer.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -142,13 +142,10 @@
 }
 
 // mayUseHeadroom reports whether a group may use the capacity kept for urgent work: an
-// urgent group, one whose target is at risk, tasks that last, which serve users of their
-// own, and a job that has been standing without a run while the service has little to do.
-func (p *servicePlanner) mayUseHeadroom(c pendingGroup, standing time.Duration) bool {
-	if c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning {
-		return true
-	}
-	return p.standsIdle(c, standing)
+// urgent group, one whose target is at risk, and tasks that last, which serve users of
+// their own.
+func (p *servicePlanner) mayUseHeadroom(c pendingGroup) bool {
+	return c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning
 }
 
 // standsIdle reports whether a job has been standing without a run while the service has
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -348,17 +348,18 @@
 func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
 	g, spec := c.group, c.group.spec()
 	waited := now - g.readySince
+	standsIdle := p.standsIdle(c, now-o.standingSince(g, now))
 	r := placement.Request{
 		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
 		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
-		MayUseHeadroom: p.mayUseHeadroom(c, now-o.standingSince(g, now)),
-		MayUseEjected:  p.standsIdle(c, now-o.standingSince(g, now)),
+		MayUseHeadroom: standsIdle || p.mayUseHeadroom(c),
+		MayUseEjected:  standsIdle,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
-		r.AllowMultiRack, r.MultiRackSlowdown = c.withinGuarantee && waited >= multiRackDelay, o.opts.RemoteSlowdown
+		r.AllowMultiRack, r.MultiRackSlowdown = standsIdle || (c.withinGuarantee && waited >= multiRackDelay), o.opts.RemoteSlowdown
 	}
 	if !o.automationHeld() {
 		r.MaxStopCost = o.maxStopCost(c)
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -65,3 +65,22 @@
 		b.sleep(3 * time.Minute)
 	})
 }
+
+// Guards against a gang that waits on an idle fleet for a rack of its own.
+func TestGangDoesNotWaitForARackOnAnIdleFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		for _, rack := range []string{"r0", "r1", "r2", "r3"} {
+			step := gangStep(1, 8)
+			step.RequiredLabel, step.Estimate = rack, 20*time.Second
+			b.submit(step)
+		}
+		b.sleep(time.Second)
+		step := gangStep(4, 8)
+		step.SameRack, step.Estimate = true, 20*time.Second
+		b.workers.Accepted(b.submit(step).ID)
+		b.wantNoStandstill(30 * time.Second)
+		b.sleep(time.Minute)
+	})
+}
