fleet: reserved capacity does not keep jobs from an idle service

Cause: blocked gangs reserve the workers on which they fit earliest, and only runs that end before may use these. Three reservations at a time can cover all that is free, for as long as the gangs wait.

Evidence: TestReservationsLeaveIdleWorkersToOthers (three gangs of a whole rack wait, each for one run on its rack) fails before and passes now.

Why it works: a job that has stood for 2 s while less than half of the service is in use may use reserved capacity, as it may use the headroom. Below that share the gang loses at most what such jobs need.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -28,7 +28,7 @@
 	// capacity of the service; it fades as arrivals become known.
 	initialHeadroomShare = 0.25
 	// idleShare is the share of a service in use below which a job without any run may use
-	// the headroom after maxIdleWait: the platform requires that a job starts within 3 s
+	// the headroom, ejected workers, reserved capacity and several racks after maxIdleWait: the platform requires that a job starts within 3 s
 	// while half of the capacity is free.
 	idleShare   = 0.5
 	maxIdleWait = 2 * time.Second
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -356,6 +356,7 @@
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
 		MayUseHeadroom: standsIdle || p.mayUseHeadroom(c),
 		MayUseEjected:  standsIdle,
+		MayUseReserved: standsIdle,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -84,3 +84,32 @@
 		b.sleep(time.Minute)
 	})
 }
+
+// Guards against capacity reserved for waiting gangs keeping other jobs from starting on an
+// idle fleet.
+func TestReservationsLeaveIdleWorkersToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		for _, rack := range []string{"r0", "r1", "r2"} {
+			step := gangStep(1, 8)
+			step.RequiredLabel, step.Estimate = rack, 20*time.Second
+			b.submit(step)
+		}
+		b.sleep(time.Second)
+		for _, rack := range []string{"r0", "r1", "r2"} {
+			step := gangStep(4, 8)
+			step.RequiredLabel, step.Estimate = rack, 20*time.Second
+			b.submit(step)
+		}
+		b.sleep(time.Second)
+		step := gangStep(4, 8)
+		step.RequiredLabel = "r3"
+		b.submit(step)
+		step = smallStep(2)
+		step.Estimate = 60 * time.Second
+		b.workers.Accepted(b.submit(step).ID)
+		b.wantNoStandstill(15 * time.Second)
+		b.sleep(2 * time.Minute)
+	})
+}
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -97,7 +97,8 @@
 	MayUseEjected     bool          // ejected workers may be used if the request is blocked otherwise
 	MayPreempt        bool
 	// MaxStopCost bounds the total StopCost of the victims.
-	MaxStopCost float64
+	MaxStopCost    float64
+	MayUseReserved bool // capacity that is reserved for gangs may be used
 	// Reserve makes a reservation for a blocked gang, so that smaller work behind it
 	// cannot delay it indefinitely.
 	Reserve bool
@@ -349,6 +350,9 @@
 // availableBeforeReservations reduces the free capacity of a worker by the reservations
 // that start before a task of the request ends.
 func (p *Planner) availableBeforeReservations(r Request, w *Worker, free workload.Resources) workload.Resources {
+	if r.MayUseReserved {
+		return free
+	}
 	for _, c := range w.reservations {
 		if r.ExpectedDuration <= c.from {
 			continue
--- a/pkg/placement/reason.go
+++ b/pkg/placement/reason.go
@@ -26,7 +26,7 @@
 // relaxation is a request with some of its constraints lifted.
 type relaxation struct {
 	Request
-	anyRack, anyWorkerState, ignoreReservations, useKeptForStops bool
+	anyRack, anyWorkerState, useKeptForStops bool
 }
 
 // constraints lists what may block a request although capacity is free.
@@ -35,7 +35,7 @@
 	lift   func(*relaxation)
 }{
 	{KeptForStops, func(x *relaxation) { x.useKeptForStops = true }},
-	{Reserved, func(x *relaxation) { x.ignoreReservations = true }},
+	{Reserved, func(x *relaxation) { x.MayUseReserved = true }},
 	{Headroom, func(x *relaxation) { x.MayUseHeadroom = true }},
 	{Ejected, func(x *relaxation) { x.MayUseEjected = true }},
 	{SingleRack, func(x *relaxation) { x.anyRack = true }},
@@ -124,10 +124,7 @@
 		if !r.Demand.Fits(free) {
 			continue
 		}
-		if !r.ignoreReservations {
-			free = p.availableBeforeReservations(r.Request, w, free)
-		}
-		n += min(copies(r.Demand, free), perWorkerLimit(r.Request, w))
+		n += min(copies(r.Demand, p.availableBeforeReservations(r.Request, w, free)), perWorkerLimit(r.Request, w))
 	}
 	return n
 }
