fleet: failed gangs count against the worker that failed them

What callers saw: a fault of the change that introduced suspect groups. Gangs used up their attempts on workers that fail all they start, because these were not found out.

Cause: a group is suspect if it failed on at least half of the workers that ran it, and only successful or running tasks counted as run elsewhere. The other members of a gang end as broken with the one that fails, so a gang that failed on two racks was always suspect, and its failures were withdrawn from the workers.

Evidence: TestFailedGangsCountAgainstWorkers (gangs of 15 on 16 workers, three of which fail all they start) fails before: no worker is ejected.

Why it works: the members that did not fail themselves count as run elsewhere, so a gang is suspect only if half of its members' workers failed it.

--- a/pkg/fleet/ejection.go
+++ b/pkg/fleet/ejection.go
@@ -103,10 +103,10 @@
 	}
 	sound := map[string]bool{}
 	for i, t := range g.tasks() {
-		if id := t.Assigned.Worker; t.Phase == workload.Done || (g.runs[i] != nil && g.runs[i].phase == phaseRunning) {
-			if _, failed := g.failureRacks[id]; !failed {
-				sound[id] = true
-			}
+		// The other members of a gang end with the one that fails.
+		ran := g.spec().Gang || t.Phase == workload.Done || (g.runs[i] != nil && g.runs[i].phase == phaseRunning)
+		if _, failed := g.failureRacks[t.Assigned.Worker]; ran && !failed {
+			sound[t.Assigned.Worker] = true
 		}
 	}
 	ran := len(g.failureRacks) + len(sound)
--- a/pkg/fleet/ejection_test.go
+++ b/pkg/fleet/ejection_test.go
@@ -121,3 +121,29 @@
 		})
 	}
 }
+
+// Guards against gangs being taken for the cause of their failures, so that workers that fail
+// all they start are not found out: each run of a gang meets another such worker.
+func TestFailedGangsCountAgainstWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &testbed{t: t, started: time.Now(), store: memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})}
+		b.workers = fleettest.New(b.store, 16, 4, workerCapacity)
+		b.startVM()
+		b.sleep(time.Second)
+		for _, i := range []int{1, 6, 11} {
+			b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.FailAll = true })
+		}
+		for range 4 {
+			j := b.buildJob(gangStep(15, 8))
+			j.Class.MaxAttempts = 2
+			b.storeJob(j)
+			b.sleep(500 * time.Millisecond)
+		}
+		_, owner := b.vms[0].elector.Owner()
+		if n := len(owner.EjectedWorkers()); n == 0 {
+			t.Error("no worker is ejected after gangs failed on three of them")
+		}
+		b.killVM(0)
+		time.Sleep(time.Minute) // lets the emulator's timers expire
+	})
+}
