--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -28,7 +28,7 @@
 	// capacity of the service; it fades as arrivals become known.
 	initialHeadroomShare = 0.25
 	// idleShare is the share of a service in use below which a job without any run may use
-	// the headroom after maxIdleWait: the platform requires that a job starts within 3 s
+	// the headroom, ejected workers, reserved capacity and several racks after maxIdleWait: the platform requires that a job starts within 3 s
 	// while half of the capacity is free.
 	idleShare   = 0.5
 	maxIdleWait = 2 * time.Second
@@ -142,18 +142,21 @@
 }
 
 // mayUseHeadroom reports whether a group may use the capacity kept for urgent work: an
-// urgent group, one whose target is at risk, tasks that last, which serve users of their
-// own, and a job that has been standing without a run while the service has little to do.
-func (p *servicePlanner) mayUseHeadroom(c pendingGroup, standing time.Duration) bool {
-	if c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning {
-		return true
-	}
+// urgent group, one whose target is at risk, and tasks that last, which serve users of
+// their own.
+func (p *servicePlanner) mayUseHeadroom(c pendingGroup) bool {
+	return c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning
+}
+
+// standsIdle reports whether a job has been standing without a run while the service has
+// little to do. Free capacity then goes before any preference.
+func (p *servicePlanner) standsIdle(c pendingGroup, standing time.Duration) bool {
 	return standing >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
 }
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
 func (p *servicePlanner) usedShare() float64 {
-	return usedShare(p.used, p.capacity)
+	return usedShare(p.used, p.listedCapacity)
 }
 
 // usedShare returns the share of a capacity that is in use, in its scarcest resource.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -59,6 +59,7 @@
 		return awaitingDue
 	}
 	o.markWithinGuarantee(waiting)
+	o.ejectWorst(now)
 	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
 	o.explained = 0
@@ -245,8 +246,9 @@
 	workers  []*worker
 	victims  []victim // by index of the snapshot's groups
 
-	capacity, used workload.Resources // of all workers that accept tasks
-	headroomKept   bool
+	capacity             workload.Resources // of all workers that accept tasks
+	listedCapacity, used workload.Resources // of all listed workers
+	headroomKept         bool
 }
 
 // newServicePlanner returns a planner over a fresh snapshot of the workers of a service;
@@ -258,7 +260,7 @@
 		o.planners[service] = p
 	}
 	p.cycle, p.headroomKept = o.cycles, false
-	p.capacity, p.used = workload.Resources{}, workload.Resources{}
+	p.capacity, p.listedCapacity, p.used = workload.Resources{}, workload.Resources{}, workload.Resources{}
 	s := &p.snapshot
 	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
 	for _, w := range o.sortedWorkers() {
@@ -270,10 +272,14 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
 			Free: w.Capacity.Sub(all), FreeAfterStops: w.Capacity.Sub(all).Add(beingStopped),
 			Schedulable: o.schedulable(w, now),
+			Ejected:     w.ejected,
 			Penalty:     o.penalty(w),
 		}
 		if pw.Schedulable {
-			p.capacity, p.used = p.capacity.Add(w.Capacity), p.used.Add(all)
+			p.capacity = p.capacity.Add(w.Capacity)
+		}
+		if w.listed {
+			p.listedCapacity, p.used = p.listedCapacity.Add(w.Capacity), p.used.Add(all)
 		}
 		first := len(p.runs)
 		for r := range w.runs {
@@ -297,7 +303,7 @@
 	if !o.ruleEnabled(RuleFailedWorkersLast) {
 		return 0
 	}
-	return len(w.failedJobs)
+	return len(w.failedAt)
 }
 
 // sortedWorkers returns all workers sorted by ID; the lock is held.
@@ -342,16 +348,19 @@
 func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
 	g, spec := c.group, c.group.spec()
 	waited := now - g.readySince
+	standsIdle := p.standsIdle(c, now-o.standingSince(g, now))
 	r := placement.Request{
 		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
 		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
-		MayUseHeadroom: p.mayUseHeadroom(c, now-o.standingSince(g, now)),
+		MayUseHeadroom: standsIdle || p.mayUseHeadroom(c),
+		MayUseEjected:  standsIdle,
+		MayUseReserved: standsIdle,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
-		r.AllowMultiRack, r.MultiRackSlowdown = c.withinGuarantee && waited >= multiRackDelay, o.opts.RemoteSlowdown
+		r.AllowMultiRack, r.MultiRackSlowdown = standsIdle || (c.withinGuarantee && waited >= multiRackDelay), o.opts.RemoteSlowdown
 	}
 	if !o.automationHeld() {
 		r.MaxStopCost = o.maxStopCost(c)
@@ -441,7 +450,7 @@
 		switch {
 		case w.unansweredCalls > 0:
 			unresponsive++
-		case o.schedulable(w, now):
+		case o.schedulable(w, now) && !w.ejected:
 			schedulable++
 			if len(w.runs) == 0 {
 				empty++
--- /dev/null
+++ b/pkg/fleet/preferences_test.go
@@ -0,0 +1,115 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// submitAccepted submits a patient job that must not stand still.
+func (b *testbed) submitAccepted(step workload.Step) {
+	b.workers.Accepted(b.submitPatient(step).ID)
+}
+
+// wantNoStandstill watches for jobs that stand still for a time.
+func (b *testbed) wantNoStandstill(length time.Duration) {
+	b.t.Helper()
+	d := b.workers.NewStandstillDetector(fleettest.StandstillThreshold)
+	b.observe(d, length)
+	for _, s := range d.Standstills() {
+		b.t.Error(s)
+	}
+}
+
+// Guards against a group that is kept off the only workers with a ticket for good, because
+// a task of it failed there once.
+func TestGroupReturnsToItsTicketHoldersAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		cloud := fleettest.NewCloud(b.workers, time.Second)
+		cloud.AllowedWorkers = []string{"w02"}
+		b.adjustOptions = func(o *fleet.Options) { o.Advice = cloud }
+		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &catalog.AdvicePolicy{TicketTTL: 5 * time.Second}}}}
+		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
+			return fleettest.Outcome{Duration: 300 * time.Millisecond, Fails: run == 1}
+		})
+		b.startVM()
+		b.sleep(time.Second)
+		j := b.submit(smallStep(1))
+		b.workers.Accepted(j.ID)
+		b.wantNoStandstill(10 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
+
+// Guards against a job that waits on an idle fleet for the end of the headroom, because the
+// few workers that accept tasks are in use.
+func TestHeadroomIsLentWhileManyWorkersDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHeadroomTestbed(t, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 30 * time.Second} })
+		for i := range 10 {
+			b.workers.Drain(15-i, time.Minute)
+		}
+		b.sleep(time.Second)
+		b.submitAccepted(smallStep(4 * 8))
+		b.sleep(time.Second)
+		b.submitAccepted(gangStep(1, 8))
+		b.submitAccepted(smallStep(2))
+		b.wantNoStandstill(10 * time.Second)
+		b.sleep(3 * time.Minute)
+	})
+}
+
+// Guards against a gang that waits on an idle fleet for a rack of its own.
+func TestGangDoesNotWaitForARackOnAnIdleFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		for _, rack := range []string{"r0", "r1", "r2", "r3"} {
+			step := gangStep(1, 8)
+			step.RequiredLabel, step.Estimate = rack, 20*time.Second
+			b.submit(step)
+		}
+		b.sleep(time.Second)
+		step := gangStep(4, 8)
+		step.SameRack, step.Estimate = true, 20*time.Second
+		b.workers.Accepted(b.submit(step).ID)
+		b.wantNoStandstill(30 * time.Second)
+		b.sleep(time.Minute)
+	})
+}
+
+// Guards against capacity reserved for waiting gangs keeping other jobs from starting on an
+// idle fleet.
+func TestReservationsLeaveIdleWorkersToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		for _, rack := range []string{"r0", "r1", "r2"} {
+			step := gangStep(1, 8)
+			step.RequiredLabel, step.Estimate = rack, 20*time.Second
+			b.submit(step)
+		}
+		b.sleep(time.Second)
+		for _, rack := range []string{"r0", "r1", "r2"} {
+			step := gangStep(4, 8)
+			step.RequiredLabel, step.Estimate = rack, 20*time.Second
+			b.submit(step)
+		}
+		b.sleep(time.Second)
+		step := gangStep(4, 8)
+		step.RequiredLabel = "r3"
+		b.submit(step)
+		step = smallStep(2)
+		step.Estimate = 60 * time.Second
+		b.workers.Accepted(b.submit(step).ID)
+		b.wantNoStandstill(15 * time.Second)
+		b.sleep(2 * time.Minute)
+	})
+}
--- a/pkg/placement/reason.go
+++ b/pkg/placement/reason.go
@@ -14,6 +14,7 @@
 	KeptForStops  Reason = "kept_for_stops" // kept for other requests that wait for stops
 	Reserved      Reason = "reserved"       // reserved for waiting gangs
 	Headroom      Reason = "headroom"       // kept free for urgent work
+	Ejected       Reason = "ejected"        // the free workers are ejected after failed runs
 	SingleRack    Reason = "single_rack"    // fits on several racks only
 	Excluded      Reason = "excluded"       // tasks of the step failed on the free workers
 	NotEligible   Reason = "advice"         // the free workers are not in EligibleWorkers
@@ -25,7 +26,7 @@
 // relaxation is a request with some of its constraints lifted.
 type relaxation struct {
 	Request
-	anyRack, anyWorkerState, ignoreReservations, useKeptForStops bool
+	anyRack, anyWorkerState, useKeptForStops bool
 }
 
 // constraints lists what may block a request although capacity is free.
@@ -34,8 +35,9 @@
 	lift   func(*relaxation)
 }{
 	{KeptForStops, func(x *relaxation) { x.useKeptForStops = true }},
-	{Reserved, func(x *relaxation) { x.ignoreReservations = true }},
+	{Reserved, func(x *relaxation) { x.MayUseReserved = true }},
 	{Headroom, func(x *relaxation) { x.MayUseHeadroom = true }},
+	{Ejected, func(x *relaxation) { x.MayUseEjected = true }},
 	{SingleRack, func(x *relaxation) { x.anyRack = true }},
 	{Excluded, func(x *relaxation) { x.ExcludedWorkers = nil }},
 	{NotEligible, func(x *relaxation) { x.EligibleWorkers = nil }},
@@ -115,17 +117,14 @@
 	n := 0
 	for _, i := range scope {
 		w := &p.workers[i]
-		if (!w.Schedulable && !r.anyWorkerState) || (w.headroom && !r.MayUseHeadroom) || !p.eligible(r.Request, w) {
+		if (!r.admits(w) && !r.anyWorkerState) || (w.headroom && !r.MayUseHeadroom) || !p.eligible(r.Request, w) {
 			continue
 		}
 		free := r.free(w)
 		if !r.Demand.Fits(free) {
 			continue
 		}
-		if !r.ignoreReservations {
-			free = p.availableBeforeReservations(r.Request, w, free)
-		}
-		n += min(copies(r.Demand, free), perWorkerLimit(r.Request, w))
+		n += min(copies(r.Demand, p.availableBeforeReservations(r.Request, w, free)), perWorkerLimit(r.Request, w))
 	}
 	return n
 }
