fleet: count missing machines in consecutive lists only

What callers saw: two runs of a task at the same time. A worker that was cut off for a moment had its runs given up at the first list of the machines that omitted its machine, after 2.0 s of silence, while they went on.

Cause: a machine counts as gone after two lists in a row without it, since a list may omit one that is up. The count was kept when the lists were no longer read, because all workers answered again. An omission during the next silence of the worker, however much later, counted as the second one. The counts of removed workers were kept forever.

TestMachineMissingInListsLongApartKeepsRunsOfSilentWorker fails in 5 of 5 plays on with a second run of a task.

Why it works: the counts begin anew whenever the lists are read again.

Result: the test and those of vanished machines pass in 5 of 5 plays.

--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -29,7 +29,6 @@
 	if o.opts.Machines == nil {
 		return
 	}
-	missedLists := map[string]int{} // consecutive lists without a worker's machine, by worker
 	// A list requested earlier may be older than the takeover.
 	if !wait.Sleep(o.ctx, maxMachineListAge) {
 		return
@@ -40,6 +39,7 @@
 		case <-o.ctx.Done():
 			return
 		}
+		missedLists := map[string]int{} // consecutive lists without a worker's machine, by worker
 		for o.anyBusyWorkerUnreachable() {
 			requestedAt := o.opts.Clock()
 			ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +156,47 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// partialMachineList omits a machine from some lists.
+type partialMachineList struct {
+	fleet.MachineClient
+	omitted string
+	partial atomic.Int64 // number of next lists that omit it
+}
+
+func (l *partialMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	if l.partial.Load() > 0 {
+		l.partial.Add(-1)
+		return incompleteMachineList{l.MachineClient, l.omitted}.Machines(ctx)
+	}
+	return l.MachineClient.Machines(ctx)
+}
+
+// Guards against a second run of the tasks of a silent worker because single lists of the
+// machines, long apart, omit its machine.
+func TestMachineMissingInListsLongApartKeepsRunsOfSilentWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 6)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		list := &partialMachineList{MachineClient: cloud, omitted: "m-w00"}
+		b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = list, cloud }
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 15 * time.Second} })
+		onEach := smallStep(4)
+		onEach.MaxPerWorker = 1
+		j := b.submit(onEach)
+		b.sleep(time.Second)
+		list.partial.Store(1)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.LoseAnswers = 3 })
+		b.submit(onEach)
+		b.sleep(3 * time.Second)
+		if n := list.partial.Load(); n > 0 {
+			t.Fatal("the machines were not listed while the start was unanswered")
+		}
+		list.partial.Store(1)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.Unreachable = true })
+		b.sleep(40 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
