fleet: do not add deleted jobs from a list that is older

What callers saw: an ended job runs again, and is reported as queued, after its state had been available for its whole retention.

Cause: when the store no longer has the watched history, the owner lists all jobs and adds those that it does not know. If it deletes the records of an ended job after the store has read the list and before the list is applied, the job is unknown by then and is added as a new one.

Evidence: found in review. TestJobDeletedWhileJobsAreListedDoesNotRunAgain fails in 5 of 5 plays before the change: the task starts a second time after its successful end was acknowledged.

Why it works: jobs that were known before the list was requested are never added from it; the owner knows them still or has deleted them.

Result: the test passes in 5 of 5 plays.

--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -306,6 +307,9 @@
 		}
 	}
 	relist := func() (int64, error) {
+		o.mu.Lock()
+		before := maps.Clone(o.jobs)
+		o.mu.Unlock()
 		var entries []platform.Entry
 		revision, err := o.listPrefix(JobPrefix, func(e platform.Entry) { entries = append(entries, e) })
 		if err != nil {
@@ -314,6 +318,9 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range entries {
+			if id, _ := parseJobKey(e.Key); before[id] != nil && o.jobs[id] == nil {
+				continue // its records were deleted after they were listed
+			}
 			o.applyJob(e, nil, sourceList)
 		}
 		return revision, nil
--- a/pkg/fleet/store_test.go
+++ b/pkg/fleet/store_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -163,3 +166,74 @@
 		b.sleep(5 * time.Second)
 	})
 }
+
+// relistStore makes the watch of jobs start again, with a slow list, when records of ended
+// jobs are deleted.
+type relistStore struct {
+	platform.Transactor
+	once     sync.Once
+	deletion chan struct{}
+	slowed   atomic.Bool
+}
+
+func (s *relistStore) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if slices.ContainsFunc(txn.Deletes, func(key string) bool { return strings.HasPrefix(key, fleet.JobPrefix) }) {
+		s.once.Do(func() { close(s.deletion) })
+		time.Sleep(5 * time.Millisecond)
+	}
+	return s.Transactor.Commit(ctx, txn)
+}
+
+func (s *relistStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.PollResult, error) {
+	if prefix != fleet.JobPrefix || s.slowed.Load() {
+		return s.Transactor.Poll(ctx, prefix, after, wait)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.deletion:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	res, err := s.Transactor.Poll(ctx, prefix, after, wait)
+	select {
+	case <-s.deletion:
+		return platform.PollResult{}, errkind.New(errkind.Conflict, "the history is gone")
+	default:
+		return res, err
+	}
+}
+
+func (s *relistStore) List(ctx context.Context, prefix, after string, limit int) (platform.ListResult, error) {
+	res, err := s.Transactor.List(ctx, prefix, after, limit)
+	select {
+	case <-s.deletion:
+		if prefix == fleet.JobPrefix && !s.slowed.Swap(true) {
+			time.Sleep(50 * time.Millisecond)
+		}
+	default:
+	}
+	return res, err
+}
+
+// Guards against running an ended job again because the jobs are listed while its records
+// are deleted.
+func TestJobDeletedWhileJobsAreListedDoesNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 2)
+		store := &relistStore{Transactor: b.store, deletion: make(chan struct{})}
+		b.adjustOptions = func(o *fleet.Options) { o.Store, o.EndedJobRetention = store, time.Second }
+		b.startVM()
+		b.sleep(time.Second)
+		j := b.submit(smallStep(1))
+		b.sleep(40 * time.Second)
+		if !store.slowed.Load() {
+			t.Fatal("the jobs were not listed again")
+		}
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 1 {
+			t.Errorf("the task started %d times", n)
+		}
+	})
+}
