fleet: settle a start whose run a poll has confirmed

What callers saw: when a worker crashed and the owner changed, a job whose run had started 20 s before had nothing running for 10.6 s.

Cause: a start settles when its single send is accepted, or after maxOrderDelay if it had an unanswered send. If a poll of the worker lists the run before the answer arrives, the start is not awaited any more. It then counts neither as accepted nor as unanswered, so its run stays unsettled for its whole life, and a successor counts it as a start that may still be on its way.

TestStartConfirmedByAPollDoesNotHoldUpASuccessor fails in 5 of 5 plays before the change, with a single task and with a gang.

Why it works: the run is listed after one send, so the only order has arrived, and the start is settled at once.

Result: the test passes in 5 of 5 plays.

--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -148,6 +148,7 @@
 		select {
 		case <-next.C:
 			if !o.awaitOwnership() || !o.stillStarting(r) {
+				o.recordUnawaitedStart(r)
 				return Unanswered
 			}
 			sent++
@@ -197,6 +198,16 @@
 	r.startUnanswered = true
 }
 
+// recordUnawaitedStart records what is known of a start whose answer is not awaited any
+// more. If a poll has confirmed the run, its only order has reached the worker.
+func (o *Owner) recordUnawaitedStart(r *run) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r.startedAt > 0 {
+		o.recordStartSettled(r)
+	}
+}
+
 func (o *Owner) handleStartAccepted(w *worker, r *run) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/fleet/rewrite_test.go
+++ b/pkg/fleet/rewrite_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -168,3 +169,69 @@
 		})
 	}
 }
+
+// pollingClient polls workers all the time, and loses the answers to starts.
+type pollingClient struct {
+	fleet.WorkerClient
+	loseStarts atomic.Bool
+	mu         sync.Mutex
+	startedOn  map[string][]string // by job: the addresses at which its tasks were started
+}
+
+func newPollingClient(c fleet.WorkerClient) *pollingClient {
+	return &pollingClient{WorkerClient: c, startedOn: map[string][]string{}}
+}
+
+func (c *pollingClient) RenewLease(ctx context.Context, address, instance string, r fleet.RenewLeaseRequest) (fleet.RenewLeaseReply, fleet.Verdict, error) {
+	r.MaxWait = min(r.MaxWait, 5*time.Millisecond)
+	return c.WorkerClient.RenewLease(ctx, address, instance, r)
+}
+
+func (c *pollingClient) Start(ctx context.Context, address, instance string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	c.mu.Lock()
+	c.startedOn[o.Task.Job] = append(c.startedOn[o.Task.Job], address)
+	c.mu.Unlock()
+	reply, err := c.WorkerClient.Start(ctx, address, instance, o)
+	if c.loseStarts.Load() {
+		<-ctx.Done()
+		return fleet.OrderReply{Verdict: fleet.Unanswered}, ctx.Err()
+	}
+	return reply, err
+}
+
+// Guards against a successor that waits for a start whose run a poll confirmed before the
+// answer to the start was due.
+func TestStartConfirmedByAPollDoesNotHoldUpASuccessor(t *testing.T) {
+	for kind, step := range map[string]workload.Step{"single task": smallStep(1), "gang": gangStep(2, 4)} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 6)
+				cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+				client := newPollingClient(b.workers)
+				b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves, o.Workers = cloud, cloud, client }
+				b.startVM()
+				b.startVM()
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 40 * time.Second} })
+				busy := smallStep(6) // keeps all workers polled
+				busy.MaxPerWorker = 1
+				b.submit(busy)
+				b.sleep(2 * time.Second)
+				client.loseStarts.Store(true)
+				j := b.submit(step)
+				b.workers.Accepted(j.ID)
+				b.sleep(20 * time.Second)
+				client.loseStarts.Store(false)
+				b.wantState(j, workload.Running)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: time.Second} })
+				b.workers.Crash(slices.IndexFunc([]string{"w00:1", "w01:1", "w02:1", "w03:1", "w04:1", "w05:1"}, func(a string) bool { return slices.Contains(client.startedOn[j.ID], a) }), 30*time.Second)
+				d := b.workers.NewStandstillDetector(fleettest.StandstillThreshold)
+				b.killVM(b.ownerIndex())
+				b.observe(d, 20*time.Second)
+				for _, s := range d.Standstills() {
+					t.Error(s)
+				}
+			})
+		})
+	}
+}
