fleet: await a start that is on its way when its gang is stopped

What callers saw: two runs of a task at the same time, on a worker that had crashed and started again and on the one that replaced it.

Cause: if a member of a gang is refused, the others are stopped. A start whose answer was still open then is not awaited any more, but did not count as unanswered. When the machine list showed the worker's machine as down, the run was given up at once, although its order could still reach the next process of the worker, which knows of no stop.

Why it works: such a start counts as unanswered, so its run is kept until the new process has been told to stop it, or for maxOrderDelay.

--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -148,7 +148,9 @@
 		select {
 		case <-next.C:
 			if !o.awaitOwnership() || !o.stillStarting(r) {
-				o.recordUnawaitedStart(r)
+				if open > 0 {
+					o.recordUnawaitedStart(r)
+				}
 				return Unanswered
 			}
 			sent++
@@ -199,12 +201,15 @@
 }
 
 // recordUnawaitedStart records what is known of a start whose answer is not awaited any
-// more. If a poll has confirmed the run, its only order has reached the worker.
+// more: if a poll has confirmed the run, its only order has reached the worker, otherwise
+// the order may be on its way.
 func (o *Owner) recordUnawaitedStart(r *run) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if r.startedAt > 0 {
 		o.recordStartSettled(r)
+	} else {
+		r.startUnanswered = true
 	}
 }
 
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -200,3 +200,42 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// delayedStartClient delays the first start at an address on its way.
+type delayedStartClient struct {
+	fleet.WorkerClient
+	address string
+	delay   time.Duration
+	done    atomic.Bool
+}
+
+func (c *delayedStartClient) Start(ctx context.Context, address, instance string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	if address != c.address || c.done.Swap(true) {
+		return c.WorkerClient.Start(ctx, address, instance, o)
+	}
+	time.AfterFunc(c.delay, func() {
+		_, _ = c.WorkerClient.Start(context.Background(), address, instance, o)
+	})
+	<-ctx.Done()
+	return fleet.OrderReply{Verdict: fleet.Unanswered}, ctx.Err()
+}
+
+// Guards against a second run of a task whose only start was on its way when its gang was
+// stopped: it reaches the next process of a worker that crashed.
+func TestStartOnItsWayWhenItsGangIsStoppedIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		client := &delayedStartClient{WorkerClient: b.workers, address: "w01:1", delay: 6 * time.Second}
+		b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves, o.Workers = cloud, cloud, client }
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.RefuseOrders = 1 })
+		j := b.submit(gangStep(2, 8))
+		b.sleep(25 * time.Millisecond)
+		b.workers.Crash(1, 4*time.Second)
+		b.sleep(time.Minute)
+		b.wantState(j, workload.Completed)
+	})
+}
