gateway: notify the owner of a cancellation that is stored already

What callers saw: a cancellation whose first call stored it without notifying the owner, and of which the owner learned from its watch only, up to 3.5 s late if the connection of the watch was dead; the platform bounds starts of the job to 3 s.

Evidence: found in review. TestRepeatedCancellationNotifiesTheOwner fails in 5 of 5 plays before the change: 0 notifications.

Why it works: the owner is notified whenever the cancellation is known to be stored. A notification of one that it knows, or of a job that it does not know, changes nothing.

Result: the tests of the package pass in 5 of 5 plays.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -206,17 +206,17 @@
 	if stored == nil || stored.Queue != queue {
 		return errkind.New(errkind.NotFound, "no such job")
 	}
-	if cancelled {
-		return nil
-	}
-	_, err = g.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: fleet.CancelKey(id)}},
-		Writes:     []platform.Write{{Key: fleet.CancelKey(id)}},
-	})
-	if err != nil && !errkind.Is(err, errkind.Conflict) {
-		return err
+	if !cancelled {
+		_, err = g.commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: fleet.CancelKey(id)}},
+			Writes:     []platform.Write{{Key: fleet.CancelKey(id)}},
+		})
+		if err != nil && !errkind.Is(err, errkind.Conflict) {
+			return err
+		}
 	}
-	// A conflict means that this call, sent twice, or a concurrent one has stored it.
+	// It may have been stored by this call, sent twice, or by a VM that did not notify the
+	// owner.
 	g.opts.Owner.NotifyCancelRequested(id)
 	return nil
 }
--- a/pkg/gateway/notify_test.go
+++ b/pkg/gateway/notify_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/platform/memory"
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -81,3 +82,25 @@
 		}
 	})
 }
+
+// Guards against a stored cancellation of which the owner is not notified, because the VM
+// that stored it did not live to do so: a repeated call finds it in the store.
+func TestRepeatedCancellationNotifiesTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := &notedOwner{}
+		g := newGatewayWithLostAnswers(owner)
+		j := newJob()
+		if err := g.Accept(t.Context(), j); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := g.opts.Store.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: fleet.CancelKey(j.ID)}}}); !errkind.Is(err, errkind.StoreUnavailable) {
+			t.Fatal(err)
+		}
+		if err := g.Cancel(t.Context(), j.ID, j.Queue); err != nil {
+			t.Fatal(err)
+		}
+		if owner.cancelled.Load() == 0 {
+			t.Error("the owner was not notified of the cancellation")
+		}
+	})
+}
