fleet: bound the pause after a slow or unanswered machine list

What callers saw: a job whose worker had crashed had nothing running for 7.2 to 8.6 s when one list of the machines was not answered, and for 5.8 s when lists took 0.8 s.

Cause: the pause after a list is ten times the time that it took, which keeps lists of many pages within the platform's rate limit. A list that is not answered takes 1 s, so the next one followed 10 s later, when the worker's lease had expired anyway.

Why it works: a failed list is repeated after the minimum pause, as one that the platform refuses at once was before, and the pause after a slow list is at most 2 s. Lists of up to 200 ms have the same pause as before.

--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -15,6 +15,8 @@
 	// machinePollPauseFactor is the pause after a poll in multiples of the time that it
 	// took, so that a list of many pages stays within the platform's rate limit.
 	machinePollPauseFactor = 10
+	// maxMachinePollPause bounds that pause while the platform is slow.
+	maxMachinePollPause = 2 * time.Second
 	// maxMachineListAge is the maximum age of a machine list when it arrives.
 	maxMachineListAge = time.Second
 	// minMissedMachineLists is the number of consecutive lists without a machine after
@@ -45,10 +47,11 @@
 			ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
 			list, err := o.opts.Machines.Machines(ctx)
 			cancel()
-			pause := max(minMachinePollPause, machinePollPauseFactor*(o.opts.Clock()-requestedAt))
+			pause := minMachinePollPause
 			if err == nil {
-				if o.applyMachineList(list, requestedAt, missedLists) {
-					pause = minMachinePollPause
+				took := o.opts.Clock() - requestedAt
+				if !o.applyMachineList(list, requestedAt, missedLists) {
+					pause = min(maxMachinePollPause, max(pause, machinePollPauseFactor*took))
 				}
 			} else if o.ctx.Err() == nil {
 				o.opts.Log.V(1).Info("failed to read the machine list", "reason", err.Error())
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -239,3 +240,57 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// slowMachineList takes long to list the machines, and longer than the timeout of the call
+// at first.
+type slowMachineList struct {
+	fleet.MachineClient
+	unanswered atomic.Int64 // number of next calls that are not answered
+	delay      time.Duration
+}
+
+func (l *slowMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	if l.unanswered.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, errkind.Wrap(ctx.Err(), errkind.Unavailable, "no answer")
+	}
+	time.Sleep(l.delay)
+	return l.MachineClient.Machines(ctx)
+}
+
+// Guards against a pause of many seconds after a list of the machines that was slow or not
+// answered: jobs with runs on crashed workers wait for the next list.
+func TestSlowMachineListDoesNotHoldUpLostWork(t *testing.T) {
+	const (
+		detection  = 2700 * time.Millisecond // the longest poll
+		listBound  = time.Second
+		pauseBound = 2 * time.Second
+	)
+	tests := map[string]*slowMachineList{"one list unanswered": {}, "slow lists": {delay: 800 * time.Millisecond}}
+	for name, list := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 8)
+				cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+				list.MachineClient = cloud
+				b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = list, cloud }
+				b.startVM()
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 12 * time.Second} })
+				jobs := []*workload.Job{b.submit(gangStep(2, 8)), b.submit(gangStep(2, 8))}
+				b.sleep(2 * time.Second)
+				list.unanswered.Store(map[bool]int64{true: 1}[list.delay == 0])
+				d := b.workers.NewStandstillDetector(detection + pauseBound + listBound)
+				for n, j := range jobs {
+					b.workers.Accepted(j.ID)
+					b.workers.Crash(slices.IndexFunc([]int{0, 1, 2, 3, 4, 5, 6, 7}, b.workers.Busy), 30*time.Second)
+					b.observe(d, time.Duration(n+1)*detection+listBound)
+				}
+				b.observe(d, 20*time.Second)
+				for _, s := range d.Standstills() {
+					t.Error(s)
+				}
+			})
+		})
+	}
+}
