fleet: keep a machine in its wave when one list omits it

What callers saw: a maintenance wave was reported as completed without the maintenance of a machine that stayed, and a maintenance began while as many machines of the wave were down as its limit allows.

Cause: a list of the machines may omit one that is up, as found for the runs of workers. A wave skipped a machine for good at the first list without it, and did not count a machine in maintenance that the latest list lacks.

Why it works: a machine of a wave counts as gone only if all lists of 2 s lack it. Until then it is neither skipped nor taken down, and counts as unavailable.

--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -1,7 +1,10 @@
 package fleet_test
 
 import (
+	"context"
 	"encoding/json"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,6 +115,51 @@
 	})
 }
 
+// omittingMachineList omits a machine from one list, the first with the machine in a state.
+type omittingMachineList struct {
+	fleet.MachineClient
+	omitted string
+	state   fleet.MachineState
+	done    atomic.Bool
+}
+
+func (l *omittingMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	list, err := l.MachineClient.Machines(ctx)
+	n := slices.IndexFunc(list, func(m fleet.Machine) bool { return m.ID == l.omitted && m.State == l.state })
+	if n >= 0 && !l.done.Swap(true) {
+		list = slices.Delete(list, n, n+1)
+	}
+	return list, err
+}
+
+// Guards against a completed wave without the maintenance of a machine that one list of the
+// machines omits, and against exceeding the limit of machines that are down when the list
+// omits one in maintenance.
+func TestMachineMissingInOneListStaysInItsWave(t *testing.T) {
+	for _, state := range []fleet.MachineState{fleet.MachineUp, fleet.MachineMaintenance} {
+		t.Run(string(state), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 4)
+				cloud := fleettest.NewCloud(b.workers, 3*time.Second)
+				list := &omittingMachineList{MachineClient: cloud, omitted: "m-w00", state: state}
+				b.adjustOptions = func(o *fleet.Options) {
+					o.Machines, o.Waves, o.MaintenanceDuration = list, cloud, 3*time.Second
+				}
+				b.startVM()
+				b.sleep(time.Second)
+				cloud.AddWave(fleet.Wave{Number: 1, Machines: []string{"m-w00", "m-w01", "m-w02"}, TimeLimit: 30 * time.Second, MaxDown: 1})
+				b.sleep(30 * time.Second)
+				if !list.done.Load() {
+					t.Error("no list omitted the machine")
+				}
+				if !cloud.Completed(1) {
+					t.Error("the wave is not completed after 30 s")
+				}
+			})
+		})
+	}
+}
+
 // Guards against preemption during an automation hold, and against preemption that does
 // not resume after the hold is released.
 func TestHoldStopsPreemption(t *testing.T) {
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -23,6 +23,9 @@
 	machineListTimeout = time.Second
 	// machineListInterval is the age at which machineOpsLoop refreshes its list.
 	machineListInterval = time.Second
+	// machineGoneAfter is how long lists must lack a machine of a wave until it counts as
+	// gone: a list may omit one that is up.
+	machineGoneAfter = 2 * machineListInterval
 	// drainTimeShare is the part of a machine's share of the wave's time limit for which
 	// its runs may continue before they are stopped.
 	drainTimeShare = 0.4
@@ -36,6 +39,7 @@
 	cordonedAt           map[string]time.Duration // by machine; when it was cordoned
 	maintenanceStartedAt map[string]time.Duration // by machine; when its maintenance began
 	skipped              map[string]bool          // machines that no longer exist or were refused
+	missingSince         map[string]time.Duration // by machine; the first of the latest lists without it
 }
 
 // machineOpsLoop carries out maintenance waves and moves machines between pools while
@@ -92,7 +96,7 @@
 		o.opts.Log.Info("maintenance wave added", "wave", w.Number, "machines", len(w.Machines), "withinMS", w.TimeLimit.Milliseconds(), "maxDown", w.MaxDown)
 		o.waves[w.Number] = &waveState{
 			Wave: w, startedAt: o.opts.Clock(), cordonedAt: map[string]time.Duration{}, maintenanceStartedAt: map[string]time.Duration{},
-			skipped: map[string]bool{},
+			skipped: map[string]bool{}, missingSince: map[string]time.Duration{},
 		}
 	}
 	return len(o.activeWaves()) > 0
@@ -134,14 +138,15 @@
 	if !w.markedRunning {
 		w.markedRunning = o.markWave(w.Number, false)
 	}
+	o.noteMissingMachines(w)
 	now := o.opts.Clock()
 	unavailable := o.countUnavailable(w)
 	for _, id := range w.Machines {
 		if w.skipped[id] || w.maintenanceStartedAt[id] != 0 {
 			continue
 		}
-		if _, exists := o.machines[id]; !exists {
-			w.skipped[id] = true
+		if _, missing := w.missingSince[id]; missing {
+			w.skipped[id] = o.machineGone(w, id)
 			continue
 		}
 		if w.cordonedAt[id] == 0 {
@@ -162,6 +167,22 @@
 	}
 }
 
+// noteMissingMachines records which machines of a wave the latest list lacks.
+func (o *Owner) noteMissingMachines(w *waveState) {
+	for _, id := range w.Machines {
+		if _, exists := o.machines[id]; exists {
+			delete(w.missingSince, id)
+		} else if _, missing := w.missingSince[id]; !missing {
+			w.missingSince[id] = o.machinesReadAt
+		}
+	}
+}
+
+// machineGone reports whether a missing machine of a wave counts as gone.
+func (o *Owner) machineGone(w *waveState, id string) bool {
+	return o.machinesReadAt-w.missingSince[id] >= machineGoneAfter
+}
+
 // drainTimeLimit returns how long the runs on a cordoned machine of a wave may continue
 // before they are stopped.
 func (o *Owner) drainTimeLimit(w *waveState) time.Duration {
@@ -170,19 +191,25 @@
 }
 
 // countUnavailable counts the machines of a wave that are cordoned or in maintenance. A
-// machine counts until a list that was read after its maintenance shows it as up. A
-// machine that a former owner took down is added as cordoned; its maintenance is
-// requested again, which changes nothing.
+// machine counts until a list that was read after its maintenance shows it as up; one that
+// is missing may be in maintenance and counts until it is gone. A machine that a former
+// owner took down is added as cordoned; its maintenance is requested again, which changes
+// nothing.
 func (o *Owner) countUnavailable(w *waveState) int {
 	unavailable := 0
 	for _, id := range w.Machines {
-		m, exists := o.machines[id]
-		since := w.maintenanceStartedAt[id]
-		if exists && since == 0 && m.State == MachineMaintenance && w.cordonedAt[id] == 0 {
+		if _, missing := w.missingSince[id]; missing {
+			if !o.machineGone(w, id) {
+				unavailable++
+			}
+			continue
+		}
+		m, since := o.machines[id], w.maintenanceStartedAt[id]
+		if since == 0 && m.State == MachineMaintenance && w.cordonedAt[id] == 0 {
 			w.cordonedAt[id] = o.opts.Clock()
 		}
 		back := since != 0 && m.State == MachineUp && o.machinesReadAt > since+o.opts.MaintenanceDuration
-		if exists && !back && (since != 0 || w.cordonedAt[id] != 0) {
+		if !back && (since != 0 || w.cordonedAt[id] != 0) {
 			unavailable++
 		}
 	}
