--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -155,3 +157,140 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// partialMachineList omits a machine from some lists.
+type partialMachineList struct {
+	fleet.MachineClient
+	omitted string
+	partial atomic.Int64 // number of next lists that omit it
+}
+
+func (l *partialMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	if l.partial.Load() > 0 {
+		l.partial.Add(-1)
+		return incompleteMachineList{l.MachineClient, l.omitted}.Machines(ctx)
+	}
+	return l.MachineClient.Machines(ctx)
+}
+
+// Guards against a second run of the tasks of a silent worker because single lists of the
+// machines, long apart, omit its machine.
+func TestMachineMissingInListsLongApartKeepsRunsOfSilentWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 6)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		list := &partialMachineList{MachineClient: cloud, omitted: "m-w00"}
+		b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = list, cloud }
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 15 * time.Second} })
+		onEach := smallStep(4)
+		onEach.MaxPerWorker = 1
+		j := b.submit(onEach)
+		b.sleep(time.Second)
+		list.partial.Store(1)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.LoseAnswers = 3 })
+		b.submit(onEach)
+		b.sleep(3 * time.Second)
+		if n := list.partial.Load(); n > 0 {
+			t.Fatal("the machines were not listed while the start was unanswered")
+		}
+		list.partial.Store(1)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.Unreachable = true })
+		b.sleep(40 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
+
+// delayedStartClient delays the first start at an address on its way.
+type delayedStartClient struct {
+	fleet.WorkerClient
+	address string
+	delay   time.Duration
+	done    atomic.Bool
+}
+
+func (c *delayedStartClient) Start(ctx context.Context, address, instance string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	if address != c.address || c.done.Swap(true) {
+		return c.WorkerClient.Start(ctx, address, instance, o)
+	}
+	time.AfterFunc(c.delay, func() {
+		_, _ = c.WorkerClient.Start(context.Background(), address, instance, o)
+	})
+	<-ctx.Done()
+	return fleet.OrderReply{Verdict: fleet.Unanswered}, ctx.Err()
+}
+
+// Guards against a second run of a task whose only start was on its way when its gang was
+// stopped: it reaches the next process of a worker that crashed.
+func TestStartOnItsWayWhenItsGangIsStoppedIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		client := &delayedStartClient{WorkerClient: b.workers, address: "w01:1", delay: 6 * time.Second}
+		b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves, o.Workers = cloud, cloud, client }
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.RefuseOrders = 1 })
+		j := b.submit(gangStep(2, 8))
+		b.sleep(25 * time.Millisecond)
+		b.workers.Crash(1, 4*time.Second)
+		b.sleep(time.Minute)
+		b.wantState(j, workload.Completed)
+	})
+}
+
+// slowMachineList takes long to list the machines, and longer than the timeout of the call
+// at first.
+type slowMachineList struct {
+	fleet.MachineClient
+	unanswered atomic.Int64 // number of next calls that are not answered
+	delay      time.Duration
+}
+
+func (l *slowMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	if l.unanswered.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, errkind.Wrap(ctx.Err(), errkind.Unavailable, "no answer")
+	}
+	time.Sleep(l.delay)
+	return l.MachineClient.Machines(ctx)
+}
+
+// Guards against a pause of many seconds after a list of the machines that was slow or not
+// answered: jobs with runs on crashed workers wait for the next list.
+func TestSlowMachineListDoesNotHoldUpLostWork(t *testing.T) {
+	const (
+		detection  = 2700 * time.Millisecond // the longest poll
+		listBound  = time.Second
+		pauseBound = 2 * time.Second
+	)
+	tests := map[string]*slowMachineList{"one list unanswered": {}, "slow lists": {delay: 800 * time.Millisecond}}
+	for name, list := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 8)
+				cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+				list.MachineClient = cloud
+				b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = list, cloud }
+				b.startVM()
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 12 * time.Second} })
+				jobs := []*workload.Job{b.submit(gangStep(2, 8)), b.submit(gangStep(2, 8))}
+				b.sleep(2 * time.Second)
+				list.unanswered.Store(map[bool]int64{true: 1}[list.delay == 0])
+				d := b.workers.NewStandstillDetector(detection + pauseBound + listBound)
+				for n, j := range jobs {
+					b.workers.Accepted(j.ID)
+					b.workers.Crash(slices.IndexFunc([]int{0, 1, 2, 3, 4, 5, 6, 7}, b.workers.Busy), 30*time.Second)
+					b.observe(d, time.Duration(n+1)*detection+listBound)
+				}
+				b.observe(d, 20*time.Second)
+				for _, s := range d.Standstills() {
+					t.Error(s)
+				}
+			})
+		})
+	}
+}
