explain: name ejected workers as the reason of a standing job

What operators saw: explain printed the bare reason "ejected" for a job that stood because the free workers were ejected.

Cause: added the reason after the table of explanations, and the test of that table lists the reasons by hand and was not extended.

Evidence: TestEveryReasonIsExplained with the missing reason fails before and passes now.

--- a/pkg/explain/standing.go
+++ b/pkg/explain/standing.go
@@ -28,6 +28,7 @@
 	"kept_for_stops": "the free capacity was kept for other work that waited for stops",
 	"reserved":       "the free capacity was reserved for a waiting gang",
 	"headroom":       "the free capacity was kept for urgent work",
+	"ejected":        "the free workers were ejected, as runs of several jobs had failed on them",
 	"single_rack":    "it would have fitted only on several racks",
 	"excluded":       "it had failed on the workers that were free",
 	"advice":         "it had no tickets for the workers that were free",
--- a/pkg/fleet/health_test.go
+++ b/pkg/fleet/health_test.go
@@ -176,7 +176,7 @@
 		reasonNotStored, reasonStarting, reasonStopping, reasonUncertain, reasonAdopted, reasonFormerRun, reasonStartFailed, reasonNotPlanned, reasonAwaitingStops, reasonBlocked,
 	}
 	for _, r := range []placement.Reason{
-		placement.NoCapacity, placement.Fragmented, placement.Unschedulable, placement.KeptForStops, placement.Reserved, placement.Headroom, placement.SingleRack,
+		placement.NoCapacity, placement.Fragmented, placement.Unschedulable, placement.KeptForStops, placement.Reserved, placement.Headroom, placement.Ejected, placement.SingleRack,
 		placement.Excluded, placement.NotEligible, placement.Limit, placement.Label, placement.Combined,
 	} {
 		reasons = append(reasons, standingReason(r))
