fleet: free capacity goes first for each task of a long-running step

What callers saw: a task of a long-running step did not run again after a failure while others of its job ran, although its capacity was free many times over (rule LOST, which holds for each such task, however full the service is).

Cause: reserved capacity, ejected workers and several racks are lent to a job that has stood for 2 s without any run, on a service less than half in use. Both conditions are those of other jobs. Beside running tasks of its job a long-running task got none of these. A waiting gang that reserves the workers of the job's running tasks then keeps it away for good.

Evidence: TestLongRunningTasksMayUseReservedCapacity (two long-running tasks and a gang that waits for their rack, service a quarter full at most) fails before: the task had 1 start 6 s after its run failed.

Why it works: for a long-running step the 2 s count from the last run of each task, and neither its job's other runs nor the share in use matter. The case of ejected workers has the same condition and no test of its own.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -27,9 +27,9 @@
 	// initialHeadroomShare is the headroom while no arrivals are known, as a share of the
 	// capacity of the service; it fades as arrivals become known.
 	initialHeadroomShare = 0.25
-	// idleShare is the share of a service in use below which a job without any run may use
-	// the headroom, ejected workers, reserved capacity and several racks after maxIdleWait: the platform requires that a job starts within 3 s
-	// while half of the capacity is free.
+	// idleShare is the share of a service in use below which a job without any run gets
+	// free capacity before any preference after maxIdleWait: the platform requires that
+	// it starts within 3 s then.
 	idleShare   = 0.5
 	maxIdleWait = 2 * time.Second
 )
@@ -148,10 +148,17 @@
 	return c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning
 }
 
-// standsIdle reports whether a job has been standing without a run while the service has
-// little to do. Free capacity then goes before any preference.
-func (p *servicePlanner) standsIdle(c pendingGroup, standing time.Duration) bool {
-	return standing >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
+// freeCapacityFirst reports whether free capacity goes before any preference for a group:
+// it may use the headroom, reserved capacity, ejected workers and several racks. These are
+// groups of jobs that have been standing without a run while the service has little to do.
+// A task of a long-running step has to come back whatever else its job and the service do.
+// The lock is held.
+func (o *Owner) freeCapacityFirst(p *servicePlanner, c pendingGroup, now time.Duration) bool {
+	if c.group.spec().LongRunning {
+		since, ok := o.longRunningStandingSince(c.group, now)
+		return ok && now-since >= maxIdleWait
+	}
+	return now-o.standingSince(c.group, now) >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
 }
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -348,19 +348,19 @@
 func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
 	g, spec := c.group, c.group.spec()
 	waited := now - g.readySince
-	standsIdle := p.standsIdle(c, now-o.standingSince(g, now))
+	freeCapacityFirst := o.freeCapacityFirst(p, c, now)
 	r := placement.Request{
 		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
 		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
-		MayUseHeadroom: standsIdle || p.mayUseHeadroom(c),
-		MayUseEjected:  standsIdle,
-		MayUseReserved: standsIdle,
+		MayUseHeadroom: freeCapacityFirst || p.mayUseHeadroom(c),
+		MayUseEjected:  freeCapacityFirst,
+		MayUseReserved: freeCapacityFirst,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
-		r.AllowMultiRack, r.MultiRackSlowdown = standsIdle || (c.withinGuarantee && waited >= multiRackDelay), o.opts.RemoteSlowdown
+		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst || (c.withinGuarantee && waited >= multiRackDelay), o.opts.RemoteSlowdown
 	}
 	if !o.automationHeld() {
 		r.MaxStopCost = o.maxStopCost(c)
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -113,3 +113,31 @@
 		b.sleep(2 * time.Minute)
 	})
 }
+
+// Guards against a long-running task that stays away for good, because the capacity for it
+// is reserved for a gang that waits for the other tasks of its job.
+func TestLongRunningTasksMayUseReservedCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 8)
+		b.workers.SetOutcome(func(task workload.TaskID, run int64) fleettest.Outcome {
+			if task.Index == 1 && run == 1 {
+				return fleettest.Outcome{Duration: 20 * time.Second, Fails: true}
+			}
+			return fleettest.Outcome{Duration: time.Minute}
+		})
+		step := smallStep(2)
+		step.LongRunning, step.RequiredLabel = true, "r0"
+		service := b.submit(step)
+		b.sleep(19 * time.Second)
+		step = gangStep(4, 8)
+		step.RequiredLabel, step.Estimate = "r0", 20*time.Second
+		gang := b.submit(step)
+		b.sleep(7 * time.Second) // 6 s after the end of the run
+		if n := b.workers.Starts(workload.TaskID{Job: service.ID, Index: 1}); n != 2 {
+			t.Errorf("the task has started %d times 6 s after its run failed, want 2", n)
+		}
+		b.cancel(gang)
+		b.cancel(service)
+		b.sleep(3 * time.Minute)
+	})
+}
