fleet: reservations and ejections do not break guarantees

What callers saw: an urgent job within its workspace's guarantee had not begun 2.7 s after its acceptance (rule RECLAIM) although its capacity was free.

Cause: a group within its guarantee may stop runs at any cost, but not use free capacity that is reserved for a gang outside its guarantee or that is on ejected workers. If such capacity is all that suits it, there is nothing to stop, and it stays blocked. Only the wait for a single rack was bounded, by 1 s.

Why it works: after the same 1 s, free capacity goes before all preferences for such a group. Ejected workers are still the last resort, after preemption: the planner first tries the request without them.

--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -21,9 +21,9 @@
 	// maxReservations bounds the number of blocked gangs with a reservation at a
 	// time; more would leave the fleet idle.
 	maxReservations = 3
-	// multiRackDelay is how long a gang within its guarantee waits for a single rack
-	// before it is placed on several: the platform requires a start within 2.7 s.
-	multiRackDelay = time.Second
+	// guaranteeDelay is how long a group within its guarantee waits before free capacity
+	// goes before any preference: the platform requires a start within 2.7 s.
+	guaranteeDelay = time.Second
 	// maxStopCostRatio bounds the work that an urgent job outside its guarantee may
 	// destroy by preemption, in multiples of its own work. A higher bound brings
 	// callers no further gain; docs/measurements.md compares the bounds.
@@ -348,7 +348,7 @@
 func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
 	g, spec := c.group, c.group.spec()
 	waited := now - g.readySince
-	freeCapacityFirst := o.freeCapacityFirst(p, c, now)
+	freeCapacityFirst := o.freeCapacityFirst(p, c, now) || (c.withinGuarantee && waited >= guaranteeDelay)
 	r := placement.Request{
 		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
@@ -360,7 +360,7 @@
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
-		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst || (c.withinGuarantee && waited >= multiRackDelay), o.opts.RemoteSlowdown
+		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst, o.opts.RemoteSlowdown
 	}
 	if !o.automationHeld() {
 		r.MaxStopCost = o.maxStopCost(c)
