placement: a blocked request allocates nothing

What callers saw: short tasks did not start on free workers. In a cycle in which an urgent request was blocked by a reservation only, the capacity was lost to all requests after it, also to tasks that end before the reservation begins.

Cause: preempt looks for victims without regard to reservations. If the request fits without any victim, it allocated the capacity, but returned no victims, which Place takes for no fit, so that the request was blocked as well.

Why it works: without victims there is nothing to preempt, and nothing is allocated. A request that fits without victims or reservations is placed before.

--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -183,3 +183,20 @@
 		t.Errorf("a request that does not fit at all: %+v", o)
 	}
 }
+
+// Guards against capacity that is lost to all requests of a cycle, because a request that
+// needs no victims but only reserved capacity is blocked and yet allocated.
+func TestBlockedRequestLeavesReservedCapacityToShortTasks(t *testing.T) {
+	p := New(snapshotOf(8, 0))
+	if got := p.Place(Request{Demand: gpus(8), Count: 2, Gang: true, Reserve: true, ExpectedDuration: 20 * time.Second}); got.Code != Blocked {
+		t.Fatalf("the gang: got %v", got)
+	}
+	urgent := Request{Demand: gpus(8), Count: 1, ExpectedDuration: 20 * time.Second, MayPreempt: true, MaxStopCost: 1, Priority: 0}
+	if got := p.Place(urgent); got.Code != Blocked {
+		t.Fatalf("the urgent request: got %v", got)
+	}
+	short := Request{Demand: gpus(8), Count: 1, ExpectedDuration: time.Second, Priority: 2}
+	if got := p.Place(short); got.Code != Placed {
+		t.Errorf("the short task: got %v, want it placed before the reservation", got)
+	}
+}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -20,8 +20,8 @@
 			best = found
 		}
 	}
-	if best.workers == nil {
-		return nil
+	if len(best.victims) == 0 {
+		return nil // there is no fit, or what is missing is reserved rather than in use
 	}
 	for _, g := range best.victims {
 		p.preempted[g] = true
