fleet: lost runs do not keep the other tasks of a job waiting

Cause: reserved capacity, headroom, ejected workers and several racks are lent only to a job without any run. A run that is lost with its worker counts until the lease of the worker has expired, 9 s and more, and after a takeover up to 18 s.

Why it works: the 2 s count from when a worker that answers last had a run of the job. A worker that is only cut off may still run the task; then the other tasks get the free capacity sooner than they have to.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -150,7 +150,8 @@
 
 // freeCapacityFirst reports whether free capacity goes before any preference for a group:
 // it may use the headroom, reserved capacity, ejected workers and several racks. These are
-// groups of jobs that have been standing without a run while the service has little to do.
+// groups of jobs that have been standing without a run on a worker that answers, while the
+// service has little to do.
 // A task of a long-running step has to come back whatever else its job and the service do.
 // The lock is held.
 func (o *Owner) freeCapacityFirst(p *servicePlanner, c pendingGroup, now time.Duration) bool {
@@ -158,7 +159,25 @@
 		since, ok := o.longRunningStandingSince(c.group, now)
 		return ok && now-since >= maxIdleWait
 	}
-	return now-o.standingSince(c.group, now) >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
+	return p.usedShare() < idleShare && now-max(o.standingSince(c.group, now), c.group.job.lastSeenRunning(now)) >= maxIdleWait
+}
+
+// lastSeenRunning returns when a worker that answers last had a run of the job; now if one
+// has.
+func (j *job) lastSeenRunning(now time.Duration) time.Duration {
+	last := j.lastRanAt
+	for _, g := range j.groups {
+		for _, r := range g.runs {
+			switch {
+			case r.phase != phaseRunning:
+			case r.worker.unansweredCalls == 0:
+				return now
+			default:
+				last = max(last, r.worker.lastAnswerAt)
+			}
+		}
+	}
+	return last
 }
 
 // usedShare returns the share of the service that is in use, in its scarcest resource.
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -141,3 +141,46 @@
 		b.sleep(3 * time.Minute)
 	})
 }
+
+// Guards against a job that waits on an idle service for reserved capacity until the lease
+// of a lost run of another of its tasks has expired.
+func TestLostRunDoesNotKeepOtherTasksWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		b.workers = fleettest.New(b.store, 18, 6, workerCapacity)
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(task workload.TaskID, run int64) fleettest.Outcome {
+			if task.Index == 1 && run == 1 && task.Job == "0000000000000004" {
+				return fleettest.Outcome{Duration: time.Second, Fails: true}
+			}
+			return fleettest.Outcome{Duration: 40 * time.Second}
+		})
+		step := gangStep(1, 8)
+		step.RequiredLabel, step.Estimate = "r0", 40*time.Second
+		b.submit(step)
+		b.submit(step)
+		b.sleep(time.Second)
+		step = gangStep(5, 8)
+		step.RequiredLabel, step.Estimate = "r0", 40*time.Second
+		b.submit(step)
+		b.sleep(time.Second)
+		step = smallStep(2)
+		step.RequiredLabel, step.MaxPerWorker, step.Estimate = "r0", 1, 60*time.Second
+		j := b.buildJob(step)
+		j.Class.MaxAttempts = 4
+		b.storeJob(j)
+		b.sleep(3400 * time.Millisecond) // it starts after 2 s, and a task of it fails 1 s later
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID, Index: 1}); n != 1 {
+			t.Fatalf("%d starts of the task that fails, want 1", n)
+		}
+		for i := 2; i < 6; i++ {
+			if b.workers.Busy(i) {
+				b.workers.Crash(i, time.Hour)
+			}
+		}
+		b.workers.Accepted(j.ID)
+		b.wantNoStandstill(10 * time.Second)
+		b.sleep(3 * time.Minute)
+	})
+}
