fleet: runs of workers that do not answer are no use of a service

Cause: preferences yield to free capacity while less than half of a service is in use, and the share is taken over all listed workers with all their runs. Runs that were lost with their workers count until the leases have expired, and the entries of the workers stay listed meanwhile.

Why it works: the share is the lower one of that of all listed workers and that of those that answer. The metric and the log lines still give the first.

--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -180,13 +180,21 @@
 	return last
 }
 
-// usedShare returns the share of the service that is in use, in its scarcest resource.
+// usedShare returns the share of the service that is in use. Runs on workers that do not
+// answer may have been lost with them, so the share is at most that of the other workers.
 func (p *servicePlanner) usedShare() float64 {
-	return usedShare(p.used, p.listedCapacity)
+	return min(p.listed.share(), p.answering.share())
 }
 
-// usedShare returns the share of a capacity that is in use, in its scarcest resource.
-func usedShare(used, capacity workload.Resources) float64 {
+// serviceUse is the capacity of workers of a service and what their runs use of it.
+type serviceUse struct{ capacity, used workload.Resources }
+
+func (u *serviceUse) add(w *worker, used workload.Resources) {
+	u.capacity, u.used = u.capacity.Add(w.Capacity), u.used.Add(used)
+}
+
+// share returns the share that is in use, in the scarcest resource.
+func (u *serviceUse) share() float64 {
 	share := func(used, capacity int64) float64 { return float64(used) / float64(max(1, capacity)) }
-	return max(share(used.MilliCPU, capacity.MilliCPU), share(used.Accelerators, capacity.Accelerators))
+	return max(share(u.used.MilliCPU, u.capacity.MilliCPU), share(u.used.Accelerators, u.capacity.Accelerators))
 }
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -246,9 +246,9 @@
 	workers  []*worker
 	victims  []victim // by index of the snapshot's groups
 
-	capacity             workload.Resources // of all workers that accept tasks
-	listedCapacity, used workload.Resources // of all listed workers
-	headroomKept         bool
+	capacity          workload.Resources // of all workers that accept tasks
+	listed, answering serviceUse         // of the listed workers, and of those that answer
+	headroomKept      bool
 }
 
 // newServicePlanner returns a planner over a fresh snapshot of the workers of a service;
@@ -260,7 +260,7 @@
 		o.planners[service] = p
 	}
 	p.cycle, p.headroomKept = o.cycles, false
-	p.capacity, p.listedCapacity, p.used = workload.Resources{}, workload.Resources{}, workload.Resources{}
+	p.capacity, p.listed, p.answering = workload.Resources{}, serviceUse{}, serviceUse{}
 	s := &p.snapshot
 	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
 	for _, w := range o.sortedWorkers() {
@@ -279,7 +279,10 @@
 			p.capacity = p.capacity.Add(w.Capacity)
 		}
 		if w.listed {
-			p.listedCapacity, p.used = p.listedCapacity.Add(w.Capacity), p.used.Add(all)
+			p.listed.add(w, all)
+		}
+		if w.listed && w.unansweredCalls == 0 {
+			p.answering.add(w, all)
 		}
 		first := len(p.runs)
 		for r := range w.runs {
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -184,3 +184,33 @@
 		b.sleep(3 * time.Minute)
 	})
 }
+
+// Guards against a gang that waits on an idle service for a rack of its own, because the runs
+// of lost workers count as use of the service.
+func TestRunsOfLostWorkersDoNotKeepJobsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 60 * time.Second} })
+		for rack, n := range map[string]int{"r0": 2, "r1": 2, "r2": 2, "r3": 4} {
+			for range n {
+				step := gangStep(1, 8)
+				step.RequiredLabel, step.Estimate = rack, 40*time.Second
+				b.submit(step)
+			}
+		}
+		b.sleep(time.Second)
+		kept := false
+		for i := range 16 {
+			if b.workers.Busy(i) && kept {
+				b.workers.Crash(i, time.Hour)
+			}
+			kept = kept || b.workers.Busy(i)
+		}
+		b.sleep(4 * time.Second)
+		step := gangStep(3, 8)
+		step.SameRack, step.Estimate = true, 40*time.Second
+		b.workers.Accepted(b.submit(step).ID)
+		b.wantNoStandstill(10 * time.Second)
+		b.sleep(3 * time.Minute)
+	})
+}
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -258,13 +258,13 @@
 
 // serviceState is the state of a service in an assessment.
 type serviceState struct {
-	capacity, used workload.Resources // of the listed workers
-	listed         int
-	states         map[string]int // number of workers by state
-	uncontacted    int            // listed workers that have not answered this owner yet
-	silenced       int            // listed workers that have stopped answering in the last second
-	queuedOrders   int
-	suspectJobs    int
+	use          serviceUse // of the listed workers
+	listed       int
+	states       map[string]int // number of workers by state
+	uncontacted  int            // listed workers that have not answered this owner yet
+	silenced     int            // listed workers that have stopped answering in the last second
+	queuedOrders int
+	suspectJobs  int
 
 	reasons map[standingReason]int
 	oldest  standingJob
@@ -346,7 +346,7 @@
 	}
 	used, _ := w.usage()
 	s.listed++
-	s.capacity, s.used = s.capacity.Add(w.Capacity), s.used.Add(used)
+	s.use.add(w, used)
 	if !w.contacted {
 		s.uncontacted++
 	}
@@ -414,7 +414,7 @@
 	}
 	busy := func(s standingJob) int {
 		service := a.service(s.service)
-		if usedShare(service.used, service.capacity) < idleShare {
+		if service.use.share() < idleShare {
 			return 0
 		}
 		return 1
@@ -470,7 +470,7 @@
 func (o *Owner) logStandingSummary(name string, s *serviceState, now time.Duration) {
 	writes := o.writeState(now)
 	o.opts.Log.Info("jobs are standing", "service", name, "jobs", s.jobs, "oldest", s.oldest.group.job.ID, "oldestMS", (now - s.oldest.since).Milliseconds(),
-		"reasons", s.reasons, "live", len(o.live), "usedShare", usedShare(s.used, s.capacity), "workers", s.listed, "states", s.states, "uncontacted", s.uncontacted,
+		"reasons", s.reasons, "live", len(o.live), "usedShare", s.use.share(), "workers", s.listed, "states", s.states, "uncontacted", s.uncontacted,
 		"queuedOrders", s.queuedOrders, "openWrites", writes.open, "oldestWriteMS", writes.oldest.Milliseconds(), "writeAttempts", writes.attempts, "writeError", writes.lastError,
 		"unstoredJobs", len(o.dirty), "oldestUnstoredMS", writes.oldestUnstored.Milliseconds(),
 		"leaseValidMS", (o.validUntil - now).Milliseconds(), "cycleAgoMS", (now - o.cycle.endedAt).Milliseconds(),
@@ -486,7 +486,7 @@
 		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored,
 	}
 	for name, s := range a.services {
-		g.UsedShare[name] = usedShare(s.used, s.capacity)
+		g.UsedShare[name] = s.use.share()
 		g.QueuedOrders += s.queuedOrders
 		g.JobsSuspect[name] = s.suspectJobs
 		for reason, n := range s.reasons {
