fleet: a takeover does not restart the wait of a later step

Cause: headroom and the other preferences yield to a job that has had nothing running for 2 s. A new owner counted from the takeover for each job that had ever run, also if no task of it was assigned any more.

Why it works: a job without assigned tasks had nothing running at the takeover. When its runs ended is not stored, so it counts as having waited 2 s.

--- a/pkg/fleet/headroom_test.go
+++ b/pkg/fleet/headroom_test.go
@@ -99,6 +99,27 @@
 	})
 }
 
+// Guards against a job that waits anew for free capacity after each change of the owner,
+// although nothing of it was running before.
+func TestTakeoverKeepsTheWaitOfALaterStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHeadroomTestbed(t, 16)
+		b.startVM()
+		step := smallStep(1)
+		step.RequiredLabel = "r3"
+		j := b.buildJob(step)
+		step = gangStep(2, 8)
+		step.RequiredLabel = "r0"
+		step.After = []int{0}
+		j.Steps = append(j.Steps, step)
+		j.Class.TargetRuntime = time.Hour
+		b.storeJob(j)
+		b.workers.Accepted(j.ID)
+		time.AfterFunc(2500*time.Millisecond, func() { b.killVM(b.ownerIndex()) }) // 1.5 s after the end of the first step
+		b.wantNoStandstill(10 * time.Second)
+	})
+}
+
 // Guards against a long-running task that stays away although there is capacity for it,
 // because all that is free is kept as headroom. The platform wants it back within 3 s,
 // however full the service is.
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -102,7 +102,7 @@
 }
 
 func (g *taskGroup) noteRan(index int, now time.Duration) {
-	g.job.lastRanAt = now
+	g.job.lastRanAt = max(g.job.lastRanAt, now)
 	if g.spec().LongRunning {
 		if g.lastRanAt == nil {
 			g.lastRanAt = map[int]time.Duration{}
@@ -111,13 +111,17 @@
 	}
 }
 
-// noteAdopted counts the tasks of a job that were started under a former owner as running
-// until the takeover.
+// noteAdopted counts the tasks of a job that were assigned under a former owner as running
+// until the takeover. When those that had ended ran last is not stored; they count as away
+// for maxIdleWait, so that their job does not wait anew for free capacity.
 func (j *job) noteAdopted(now time.Duration) {
 	for _, g := range j.groups {
 		for i, t := range g.tasks() {
-			if t.Run > 0 {
+			switch {
+			case t.Phase == workload.Assigned:
 				g.noteRan(i, now)
+			case t.Run > 0:
+				g.noteRan(i, now-maxIdleWait)
 			}
 		}
 	}
