fleet: log an ejection of a worker once

What operators saw: a log line for each failed run on a worker that was ejected already, without bound and written under the lock of the owner.

Cause: each further failure extends the ejection, and the line was written with the extension.

--- a/pkg/fleet/ejection.go
+++ b/pkg/fleet/ejection.go
@@ -81,14 +81,17 @@
 	if now-w.ejectedUntil > maxEjectionTime {
 		w.ejections = 0
 	}
-	if now >= w.ejectedUntil {
+	begins := now >= w.ejectedUntil
+	if begins {
 		w.ejections++
 		o.opts.Metrics.Event("worker_ejected")
 	}
 	length := min(maxEjectionTime, baseEjectionTime<<min(w.ejections-1, maxDoublings))
 	w.ejectedUntil = max(w.ejectedUntil, now+length)
-	o.opts.Log.Info("runs of several jobs failed on the worker; it is ejected for now", "worker", w.ID, "jobs", len(w.failedAt),
-		"ejections", w.ejections, "forMS", length.Milliseconds())
+	if begins {
+		o.opts.Log.Info("runs of several jobs failed on the worker; it is ejected for now", "worker", w.ID, "jobs", len(w.failedAt),
+			"ejections", w.ejections, "forMS", length.Milliseconds())
+	}
 }
 
 // failsEverywhere reports whether the group rather than its workers is the likely cause
--- a/pkg/fleet/health_test.go
+++ b/pkg/fleet/health_test.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// Guards against a line for each failed run on a worker that is ejected already.
+func TestEjectionIsLoggedOnce(t *testing.T) {
+	o, now, lines := newIdleOwner()
+	*now = time.Minute
+	w := &worker{WorkerEntry: WorkerEntry{ID: "w", Rack: "r"}, failedAt: map[string]time.Duration{}}
+	for i := range 100 {
+		record := &workload.Job{ID: fmt.Sprintf("%016x", i), Steps: []workload.Step{{Tasks: 1}}}
+		o.recordWorkerFailure(w, newJob(record, workload.NewProgress(record)).groups[0])
+		*now += time.Millisecond
+	}
+	if n := len(*lines); n != 1 {
+		t.Errorf("%d lines, want 1", n)
+	}
+}
+
 // BenchmarkAssess measures an assessment of jobs that all stand, with one run that is
 // unresolved for each of half of the workers.
 func BenchmarkAssess(b *testing.B) {
