fleet: a machine whose return to its pool failed is used again

What callers saw: jobs waited for good beside an idle machine. A machine that was fetched from a standby pool had been cordoned for its return, and the platform did not move it: it was busy, or the request was lost.

Cause: the cordon ended only with the worker. While jobs wait no machine is returned, so a refused return was not repeated, and after an unanswered request the owner forgot that the machine was to be returned.

Why it works: a return that is refused, or that the platform has not carried out by the time jobs wait, ends the cordon, unless the machine is due for maintenance. The home pool is kept until the machine is seen there. The case in which the platform carries out an unanswered move later, with new tasks on the machine, has no test.

--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -58,6 +58,7 @@
 	machines       map[string]Machine
 	machinesReadAt time.Duration
 	homePools      map[string]string // home pool of each machine that was moved out of standby
+	returning      map[string]bool   // those that are cordoned for their return
 
 	adaptiveWriteTimeout storecall.AdaptiveTimeout // of progress writes
 	adaptiveStartTimeout storecall.AdaptiveTimeout // of start orders
@@ -76,7 +77,7 @@
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
 		batches: map[*progressBatch]struct{}{}, watchAnsweredAt: map[string]time.Duration{},
-		waves: map[int64]*waveState{}, homePools: map[string]string{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
+		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), validityChanged: make(chan struct{}),
 	}
 }
--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -54,9 +54,35 @@
 			}
 		}
 	}
-	if len(wanted) == 0 {
-		o.returnIdleMachines()
+	if len(wanted) > 0 {
+		o.keepFetchedMachines()
+		return
 	}
+	o.returnIdleMachines()
+}
+
+// keepFetchedMachines ends the returns of machines that the platform has not moved yet.
+func (o *Owner) keepFetchedMachines() {
+	for id := range o.returning {
+		if m, exists := o.machines[id]; !exists || m.State == MachineUp {
+			o.endReturn(id)
+		}
+	}
+}
+
+// endReturn lets the worker of a machine that was to be returned get tasks again, unless
+// the machine is due for maintenance.
+func (o *Owner) endReturn(id string) {
+	if !o.returning[id] {
+		return
+	}
+	delete(o.returning, id)
+	for _, w := range o.waves {
+		if w.cordonedAt[id] != 0 && w.maintenanceStartedAt[id] == 0 && !w.skipped[id] {
+			return
+		}
+	}
+	o.cordon(id, false)
 }
 
 // backloggedServices returns the services with groups that have waited longer than
@@ -88,17 +114,19 @@
 	now := o.opts.Clock()
 	for id, home := range o.homePools {
 		m, exists := o.machines[id]
-		if !exists {
-			delete(o.homePools, id)
+		if exists && m.State != MachineUp {
 			continue
 		}
-		if m.State != MachineUp || m.Pool == home {
+		if !exists || m.Pool == home {
+			o.endReturn(id)
+			delete(o.homePools, id)
 			continue
 		}
 		if since, idle := o.workerIdleSince(id, now); idle && now-since >= idleReturnDelay {
+			o.returning[id] = true
 			o.cordon(id, true)
-			if o.drainMachine(id, false) && o.moveMachine(m, home) {
-				delete(o.homePools, id)
+			if !o.drainMachine(id, false) || !o.moveMachine(m, home) {
+				o.endReturn(id)
 			}
 		}
 	}
