placement: plan a request once if no worker is ejected

Cost: a request that may use ejected workers was planned twice when it was blocked, first without them, also if none is ejected. BenchmarkBlocked/workers=1100 with MayUseEjected on all requests: 14.8 ms a cycle before, 8.6 ms now, and 8.1 ms without MayUseEjected (one run of 50 cycles each, beside other load).

Both plans are the same if no worker is ejected, so decisions do not change.

--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -123,6 +123,7 @@
 	groups       []Group
 	racks        [][]int // indexes of workers by rack
 	allWorkers   []int   // indexes of all workers
+	anyEjected   bool
 	preempted    []bool  // by group: a victim of an earlier request
 	groupWorkers [][]int // workers of each group, one entry for each run
 
@@ -139,6 +140,7 @@
 	byRack := map[string]int{}
 	for i := range p.workers {
 		p.allWorkers[i] = i
+		p.anyEjected = p.anyEjected || p.workers[i].Ejected
 		n, ok := byRack[p.workers[i].Rack]
 		if !ok {
 			n = len(p.racks)
@@ -152,7 +154,7 @@
 
 // Place decides on one request and allocates the capacity it needs.
 func (p *Planner) Place(r Request) Outcome {
-	if r.MayUseEjected {
+	if r.MayUseEjected && p.anyEjected {
 		strict := r
 		strict.MayUseEjected, strict.Reserve, strict.Explain = false, false, false
 		if outcome := p.place(strict); outcome.Code != Blocked {
