--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -69,7 +69,7 @@
 		placementWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "carawayusher_placement_wait_seconds", Help: "Time from a step's turn to its placement.", Buckets: latencyBuckets,
 		}),
-		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs.", "event"),
+		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs, ended and ejected workers, suspect jobs.", "event"),
 
 		jobsStanding:   gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
 		workers:        gauges("workers", "Workers known to the owner by state.", "service", "state"),
