--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -21,9 +21,9 @@
 	// maxReservations bounds the number of blocked gangs with a reservation at a
 	// time; more would leave the fleet idle.
 	maxReservations = 3
-	// multiRackDelay is how long a gang within its guarantee waits for a single rack
-	// before it is placed on several: the platform requires a start within 2.7 s.
-	multiRackDelay = time.Second
+	// guaranteeDelay is how long a group within its guarantee waits before free capacity
+	// goes before any preference: the platform requires a start within 2.7 s.
+	guaranteeDelay = time.Second
 	// maxStopCostRatio bounds the work that an urgent job outside its guarantee may
 	// destroy by preemption, in multiples of its own work. A higher bound brings
 	// callers no further gain; docs/measurements.md compares the bounds.
@@ -246,9 +246,9 @@
 	workers  []*worker
 	victims  []victim // by index of the snapshot's groups
 
-	capacity             workload.Resources // of all workers that accept tasks
-	listedCapacity, used workload.Resources // of all listed workers
-	headroomKept         bool
+	capacity          workload.Resources // of all workers that accept tasks
+	listed, answering serviceUse         // of the listed workers, and of those that answer
+	headroomKept      bool
 }
 
 // newServicePlanner returns a planner over a fresh snapshot of the workers of a service;
@@ -260,7 +260,7 @@
 		o.planners[service] = p
 	}
 	p.cycle, p.headroomKept = o.cycles, false
-	p.capacity, p.listedCapacity, p.used = workload.Resources{}, workload.Resources{}, workload.Resources{}
+	p.capacity, p.listed, p.answering = workload.Resources{}, serviceUse{}, serviceUse{}
 	s := &p.snapshot
 	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
 	for _, w := range o.sortedWorkers() {
@@ -279,7 +279,10 @@
 			p.capacity = p.capacity.Add(w.Capacity)
 		}
 		if w.listed {
-			p.listedCapacity, p.used = p.listedCapacity.Add(w.Capacity), p.used.Add(all)
+			p.listed.add(w, all)
+		}
+		if w.listed && w.unansweredCalls == 0 {
+			p.answering.add(w, all)
 		}
 		first := len(p.runs)
 		for r := range w.runs {
@@ -348,19 +351,19 @@
 func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
 	g, spec := c.group, c.group.spec()
 	waited := now - g.readySince
-	standsIdle := p.standsIdle(c, now-o.standingSince(g, now))
+	freeCapacityFirst := o.freeCapacityFirst(p, c, now) || (c.withinGuarantee && waited >= guaranteeDelay)
 	r := placement.Request{
 		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
 		MaxPerWorker: spec.MaxPerWorker, RunningPerWorker: runningPerWorker(g), ExcludedWorkers: g.excludedWorkers,
 		Priority: c.priority, ExpectedDuration: c.expectedRunTime,
-		MayUseHeadroom: standsIdle || p.mayUseHeadroom(c),
-		MayUseEjected:  standsIdle,
-		MayUseReserved: standsIdle,
+		MayUseHeadroom: freeCapacityFirst || p.mayUseHeadroom(c),
+		MayUseEjected:  freeCapacityFirst,
+		MayUseReserved: freeCapacityFirst,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
-		r.AllowMultiRack, r.MultiRackSlowdown = standsIdle || (c.withinGuarantee && waited >= multiRackDelay), o.opts.RemoteSlowdown
+		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst, o.opts.RemoteSlowdown
 	}
 	if !o.automationHeld() {
 		r.MaxStopCost = o.maxStopCost(c)
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -12,8 +12,8 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// A job stands when one of its tasks may run and none of its runs is running, or when a
-// task of a long-running step does not run. The owner reports which jobs stand and why;
+// A job stands when one of its tasks may run and none of its runs is running on a worker that
+// answers, or when a task of a long-running step does not run. The owner reports which jobs stand and why;
 // the reports do not affect its decisions.
 const (
 	standingInterval  = 500 * time.Millisecond  // between two assessments
@@ -44,6 +44,7 @@
 	reasonStarting      standingReason = "starting"       // the start is not confirmed yet
 	reasonStopping      standingReason = "stopping"       // the end of a stopped run is not known yet
 	reasonUncertain     standingReason = "uncertain"      // it is unknown whether a run has started or still runs
+	reasonSilent        standingReason = "silent"         // the worker of a running run does not answer
 	reasonAdopted       standingReason = "adopted"        // a run of a former owner is not resolved yet
 	reasonFormerRun     standingReason = "former_run"     // members of the gang's former run are left
 	reasonStartFailed   standingReason = "start_failed"   // the latest start was not accepted
@@ -102,7 +103,7 @@
 }
 
 func (g *taskGroup) noteRan(index int, now time.Duration) {
-	g.job.lastRanAt = now
+	g.job.lastRanAt = max(g.job.lastRanAt, now)
 	if g.spec().LongRunning {
 		if g.lastRanAt == nil {
 			g.lastRanAt = map[int]time.Duration{}
@@ -111,13 +112,17 @@
 	}
 }
 
-// noteAdopted counts the tasks of a job that were started under a former owner as running
-// until the takeover.
+// noteAdopted counts the tasks of a job that were assigned under a former owner as running
+// until the takeover. When those that had ended ran last is not stored; they count as away
+// for maxIdleWait, so that their job does not wait anew for free capacity.
 func (j *job) noteAdopted(now time.Duration) {
 	for _, g := range j.groups {
 		for i, t := range g.tasks() {
-			if t.Run > 0 {
+			switch {
+			case t.Phase == workload.Assigned:
 				g.noteRan(i, now)
+			case t.Run > 0:
+				g.noteRan(i, now-maxIdleWait)
 			}
 		}
 	}
@@ -150,10 +155,15 @@
 // has not been running; false if all are running.
 func (o *Owner) longRunningStandingSince(g *taskGroup, now time.Duration) (since time.Duration, ok bool) {
 	for i := range g.tasks() {
-		if r := g.runs[i]; r != nil && r.phase == phaseRunning {
+		r := g.runs[i]
+		if r != nil && r.isRunning() {
 			continue
 		}
-		if from := max(o.dueSince(g, now), g.lastRanAt[i]); !ok || from < since {
+		from := max(o.dueSince(g, now), g.lastRanAt[i])
+		if r != nil && r.phase == phaseRunning {
+			from = max(from, r.worker.unansweredSince)
+		}
+		if !ok || from < since {
 			since, ok = from, true
 		}
 	}
@@ -171,7 +181,7 @@
 		if (running && !g.spec().LongRunning) || g.complete() || j.DueUnixMS(g.occurrence) > unixMS || !o.dependenciesDone(g) {
 			continue
 		}
-		since, ok := o.standingSince(g, now), true
+		since, ok := max(o.standingSince(g, now), j.silentSince()), true
 		if g.spec().LongRunning {
 			since, ok = o.longRunningStandingSince(g, now)
 		}
@@ -186,12 +196,15 @@
 	return s, true
 }
 
-// hasRunningRun reports whether a worker has confirmed a run of the job that is not
+// isRunning reports whether a worker that answers has confirmed the run, and the run is not
 // known to have ended and is not being stopped.
+func (r *run) isRunning() bool { return r.phase == phaseRunning && r.worker.unansweredCalls == 0 }
+
+// hasRunningRun reports whether a run of the job is running.
 func (j *job) hasRunningRun() bool {
 	for _, g := range j.groups {
 		for _, r := range g.runs {
-			if r.phase == phaseRunning {
+			if r.isRunning() {
 				return true
 			}
 		}
@@ -199,6 +212,20 @@
 	return false
 }
 
+// silentSince returns since when no worker with a confirmed run of the job answers; 0 if the
+// job has no such run.
+func (j *job) silentSince() time.Duration {
+	since := time.Duration(0)
+	for _, g := range j.groups {
+		for _, r := range g.runs {
+			if r.phase == phaseRunning {
+				since = max(since, r.worker.unansweredSince)
+			}
+		}
+	}
+	return since
+}
+
 // standingReason returns why none of the group's tasks runs, and the run for which the
 // group waits.
 func (g *taskGroup) standingReason(now time.Duration) (standingReason, *run) {
@@ -230,7 +257,7 @@
 func (g *taskGroup) oldestRun() *run {
 	var oldest *run
 	for _, r := range g.runs {
-		if r.phase == phaseRunning {
+		if r.isRunning() {
 			continue
 		}
 		if oldest == nil || cmp.Or(cmp.Compare(r.phaseSince, oldest.phaseSince), cmp.Compare(r.index, oldest.index)) < 0 {
@@ -248,7 +275,9 @@
 		return reasonStarting
 	case phaseStopping:
 		return reasonStopping
-	case phaseUncertain, phaseRunning:
+	case phaseRunning:
+		return reasonSilent
+	case phaseUncertain:
 	}
 	if r.adopted {
 		return reasonAdopted
@@ -258,13 +287,13 @@
 
 // serviceState is the state of a service in an assessment.
 type serviceState struct {
-	capacity, used workload.Resources // of the listed workers
-	listed         int
-	states         map[string]int // number of workers by state
-	uncontacted    int            // listed workers that have not answered this owner yet
-	silenced       int            // listed workers that have stopped answering in the last second
-	queuedOrders   int
-	suspectJobs    int
+	use          serviceUse // of the listed workers
+	listed       int
+	states       map[string]int // number of workers by state
+	uncontacted  int            // listed workers that have not answered this owner yet
+	silenced     int            // listed workers that have stopped answering in the last second
+	queuedOrders int
+	suspectJobs  int
 
 	reasons map[standingReason]int
 	oldest  standingJob
@@ -346,7 +375,7 @@
 	}
 	used, _ := w.usage()
 	s.listed++
-	s.capacity, s.used = s.capacity.Add(w.Capacity), s.used.Add(used)
+	s.use.add(w, used)
 	if !w.contacted {
 		s.uncontacted++
 	}
@@ -414,7 +443,7 @@
 	}
 	busy := func(s standingJob) int {
 		service := a.service(s.service)
-		if usedShare(service.used, service.capacity) < idleShare {
+		if service.use.share() < idleShare {
 			return 0
 		}
 		return 1
@@ -470,7 +499,7 @@
 func (o *Owner) logStandingSummary(name string, s *serviceState, now time.Duration) {
 	writes := o.writeState(now)
 	o.opts.Log.Info("jobs are standing", "service", name, "jobs", s.jobs, "oldest", s.oldest.group.job.ID, "oldestMS", (now - s.oldest.since).Milliseconds(),
-		"reasons", s.reasons, "live", len(o.live), "usedShare", usedShare(s.used, s.capacity), "workers", s.listed, "states", s.states, "uncontacted", s.uncontacted,
+		"reasons", s.reasons, "live", len(o.live), "usedShare", s.use.share(), "workers", s.listed, "states", s.states, "uncontacted", s.uncontacted,
 		"queuedOrders", s.queuedOrders, "openWrites", writes.open, "oldestWriteMS", writes.oldest.Milliseconds(), "writeAttempts", writes.attempts, "writeError", writes.lastError,
 		"unstoredJobs", len(o.dirty), "oldestUnstoredMS", writes.oldestUnstored.Milliseconds(),
 		"leaseValidMS", (o.validUntil - now).Milliseconds(), "cycleAgoMS", (now - o.cycle.endedAt).Milliseconds(),
@@ -486,7 +515,7 @@
 		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored,
 	}
 	for name, s := range a.services {
-		g.UsedShare[name] = usedShare(s.used, s.capacity)
+		g.UsedShare[name] = s.use.share()
 		g.QueuedOrders += s.queuedOrders
 		g.JobsSuspect[name] = s.suspectJobs
 		for reason, n := range s.reasons {
