fleet: a busy owner reads the machine list often enough

Cause: a successor that contacts 1,100 workers at 0.8 of a core needed 1.9 s for the six pages of the machine list. The read was limited to 1 s, and the next one followed after ten times the time of the failed one, 10 s. Runs on workers that are gone were resolved by the end of their former lease, 10.4 s after the takeover, before the second list. Evidence: takeover at 52.28, reading from 53.3 to 54.3 (limit), reading at 64.3; the only line 'worker has ended because its machine is down or gone' is at 65.07.

Change: a poll may take 3 s. The pause after it is at most 1 s, or the time for the listed machines at 3,000 a second, so that long lists stay within the platform's rate. A failed reading is logged. The age of the pages is of no concern: runs and workers newer than the request are left alone, as before.

The test failed before with a list that takes 1.3 s: nothing ran for 6.9 s.

--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -13,8 +13,15 @@
 	// while workers do not answer.
 	minMachinePollPause = 300 * time.Millisecond
 	// machinePollPauseFactor is the pause after a poll in multiples of the time that it
-	// took, so that a list of many pages stays within the platform's rate limit.
-	machinePollPauseFactor = 10
+	// took, so that a list of many pages stays within the platform's rate limit. It is
+	// at most maxMachinePollPause, or the time for the listed machines at
+	// maxMachinesPolledPerSecond: a busy owner takes long for a list of few pages.
+	machinePollPauseFactor     = 10
+	maxMachinePollPause        = time.Second
+	maxMachinesPolledPerSecond = 3000
+	// machinePollTimeout bounds a poll. A busy owner needs more than a second for a
+	// thousand machines.
+	machinePollTimeout = 3 * time.Second
 	// maxMachineListAge is the maximum age of a machine list when it arrives.
 	maxMachineListAge = time.Second
 	// minMissedMachineLists is the number of consecutive lists without a machine after
@@ -42,16 +49,16 @@
 		}
 		for o.anyBusyWorkerUnreachable() {
 			requestedAt := o.opts.Clock()
-			ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
+			ctx, cancel := context.WithTimeout(o.ctx, machinePollTimeout)
 			list, err := o.opts.Machines.Machines(ctx)
 			cancel()
-			pause := max(minMachinePollPause, machinePollPauseFactor*(o.opts.Clock()-requestedAt))
+			pause := machinePollPause(o.opts.Clock()-requestedAt, len(list))
 			if err == nil {
 				if o.applyMachineList(list, requestedAt, missedLists) {
 					pause = minMachinePollPause
 				}
 			} else if o.ctx.Err() == nil {
-				o.opts.Log.V(1).Info("failed to read the machine list", "reason", err.Error())
+				o.opts.Log.Info("failed to read the machine list", "reason", err.Error(), "tookMS", (o.opts.Clock() - requestedAt).Milliseconds())
 			}
 			if !wait.Sleep(o.ctx, pause) {
 				return
@@ -60,6 +67,12 @@
 	}
 }
 
+// machinePollPause returns the pause after a poll that took a time and listed machines.
+func machinePollPause(took time.Duration, machines int) time.Duration {
+	longest := max(maxMachinePollPause, time.Duration(machines)*time.Second/maxMachinesPolledPerSecond)
+	return max(minMachinePollPause, min(longest, machinePollPauseFactor*took))
+}
+
 // anyBusyWorkerUnreachable reports whether any worker with runs does not answer or has
 // no known address.
 func (o *Owner) anyBusyWorkerUnreachable() bool {
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -155,3 +155,51 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// slowMachines is a machine list that takes a time to be read.
+type slowMachines struct {
+	fleet.MachineClient
+	delay time.Duration
+}
+
+func (m slowMachines) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	select {
+	case <-time.After(m.delay):
+		return m.MachineClient.Machines(ctx)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against gangs that wait for the lease of a worker that is gone because the list
+// of machines takes long to be read.
+func TestSlowMachineListDoesNotDelayLostWork(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond} {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 6)
+				cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+				b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = slowMachines{cloud, delay}, cloud }
+				for range 2 {
+					b.startVM()
+				}
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 8 * time.Second} })
+				j := b.submit(gangStep(2, 8))
+				b.workers.Accepted(j.ID)
+				b.sleep(2 * time.Second)
+				b.killVM(b.ownerIndex())
+				lost := slices.IndexFunc([]int{0, 1, 2, 3, 4, 5}, b.workers.Busy)
+				b.workers.Crash(lost, time.Hour)
+				time.AfterFunc(2*time.Second, func() { b.workers.Leave(lost) })
+				b.sleep(4 * time.Second) // while the machine is disrupted, and the successor reads its first list
+				d := b.workers.NewStandstillDetector(fleettest.StandstillThreshold)
+				b.observe(d, 20*time.Second)
+				for _, s := range d.Standstills() {
+					t.Error(s)
+				}
+				b.wantState(j, workload.Completed)
+			})
+		})
+	}
+}
