fleet: renew the ownership lease without the lock of the fleet

Cause: each renewal first read the validity of the lease under the lock of the fleet's state. A successor contacts all workers, and each answer takes that lock; the renewal waited behind them for 0.7 to 1.2 s ("owner was delayed", lockWaitMS) of a lease of 1.2 s. The lease expired, the next VM took over and contacted all workers again.

Why it works: the validity has a lock of its own that is held for a few instructions.

--- a/pkg/fleet/describe_test.go
+++ b/pkg/fleet/describe_test.go
@@ -17,7 +17,7 @@
 	defer o.mu.Unlock()
 	now := o.opts.Clock()
 	var text strings.Builder
-	fmt.Fprintf(&text, "owner %d since %v, loaded %v, valid for %v, %s;", o.ownership.token, now-o.tookOverAt, o.loaded, o.validUntil-now, o.describeWorkers(now))
+	fmt.Fprintf(&text, "owner %d since %v, loaded %v, valid for %v, %s;", o.ownership.token, now-o.tookOverAt, o.loaded, o.validUntil()-now, o.describeWorkers(now))
 	j := o.jobs[id]
 	if j == nil {
 		return text.String() + " job unknown"
--- a/pkg/fleet/health.go
+++ b/pkg/fleet/health.go
@@ -63,10 +63,10 @@
 func (o *Owner) reportDelay(timerLate, lockWait time.Duration) {
 	now := o.opts.Clock()
 	if timerLate > ownerDelayLimit || lockWait > ownerDelayLimit {
-		o.opts.Log.Info("owner was delayed", "timerLateMS", timerLate.Milliseconds(), "lockWaitMS", lockWait.Milliseconds(), "leaseValidMS", (o.validUntil - now).Milliseconds())
+		o.opts.Log.Info("owner was delayed", "timerLateMS", timerLate.Milliseconds(), "lockWaitMS", lockWait.Milliseconds(), "leaseValidMS", (o.validUntil() - now).Milliseconds())
 	}
-	if now >= o.validUntil && o.ctx.Err() == nil {
-		o.opts.Log.Info("ownership lease is not valid; orders and writes wait for its renewal", "expiredMS", (now - o.validUntil).Milliseconds())
+	if now >= o.validUntil() && o.ctx.Err() == nil {
+		o.opts.Log.Info("ownership lease is not valid; orders and writes wait for its renewal", "expiredMS", (now - o.validUntil()).Milliseconds())
 	}
 }
 
--- a/pkg/fleet/health_test.go
+++ b/pkg/fleet/health_test.go
@@ -70,7 +70,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			o, now, lines := newIdleOwner()
-			*now, o.validUntil = time.Minute, tc.validUntil
+			*now, o.validity = time.Minute, newLeaseValidity(tc.validUntil)
 			o.reportDelay(tc.timerLate, tc.lockWait)
 			if got := strings.Join(*lines, "\n"); !strings.Contains(got, tc.want) || (tc.want == "") != (got == "") {
 				t.Errorf("got %q, want %q", got, tc.want)
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -113,7 +113,7 @@
 	// An unanswered poll may still have renewed the lease, so a worker that does not
 	// answer gets no further renewals and its lease expires.
 	before := w.maxDeadlineMS
-	if extend && w.contacted && w.unansweredCalls == 0 && now < o.validUntil {
+	if extend && w.contacted && w.unansweredCalls == 0 && now < o.validUntil() {
 		request.LeaseEndMS = w.estimatedClockMS(now) + o.workerLeaseTTL().Milliseconds()
 		w.maxDeadlineMS = max(w.maxDeadlineMS, request.LeaseEndMS)
 	}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -20,6 +20,7 @@
 type Owner struct {
 	opts      Options
 	ownership ownershipLease
+	validity  *leaseValidity
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -28,7 +29,6 @@
 	mu              sync.Mutex
 	loaded          bool
 	resigned        bool
-	validUntil      time.Duration
 	tookOverAt      time.Duration
 	jobs            map[string]*job
 	live            map[string]*job // jobs whose progress has no final state yet
@@ -66,19 +66,18 @@
 	cycleTrigger       chan struct{} // requests a scheduling cycle
 	machineListTrigger chan struct{} // requests the machine list: a worker with runs does not answer
 	writeSlots         chan struct{} // semaphore: one element for each open write
-	validityChanged    chan struct{} // closed and replaced when the ownership lease is renewed
 }
 
 func newOwner(opts Options, acquired ownershipLease) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
-		validUntil: acquired.validUntil,
-		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
+		validity: newLeaseValidity(acquired.validUntil),
+		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
 		batches: map[*progressBatch]struct{}{}, watchAnsweredAt: map[string]time.Duration{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
-		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), validityChanged: make(chan struct{}),
+		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites),
 	}
 }
 
@@ -164,7 +163,7 @@
 		return false
 	}
 	now := o.opts.Clock()
-	renewedAt := o.validityEnd() - LeaseTTL + ownershipMargin
+	renewedAt := o.validUntil() - LeaseTTL + ownershipMargin
 	return now-renewedAt >= cutOffThreshold && now-o.opts.LastStoreAnswer() >= cutOffThreshold
 }
 
@@ -204,41 +203,29 @@
 	err := o.opts.Store.KeepAlive(ctx, o.ownership.id)
 	switch {
 	case err == nil:
-		o.extendValidity(sentAt + LeaseTTL - ownershipMargin)
+		o.validity.extend(sentAt + LeaseTTL - ownershipMargin)
 	case errkind.Is(err, errkind.NotFound):
 		o.endOwnership("the ownership lease has expired")
 	case o.ctx.Err() == nil:
-		o.opts.Log.Info("ownership not renewed", "reason", err.Error(), "validForMS", (o.validityEnd() - o.opts.Clock()).Milliseconds())
+		o.opts.Log.Info("ownership not renewed", "reason", err.Error(), "validForMS", (o.validUntil() - o.opts.Clock()).Milliseconds())
 	}
 }
 
-func (o *Owner) extendValidity(until time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if until > o.validUntil {
-		o.validUntil = until
-	}
-	close(o.validityChanged)
-	o.validityChanged = make(chan struct{})
-}
-
-func (o *Owner) validityEnd() time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.validUntil
+// validUntil returns when the ownership lease ends.
+func (o *Owner) validUntil() time.Duration {
+	until, _ := o.validity.end()
+	return until
 }
 
 // awaitOwnership waits until the ownership lease is valid; it returns false once
 // ownership has ended.
 func (o *Owner) awaitOwnership() bool {
 	for {
-		o.mu.Lock()
-		valid, changed := o.opts.Clock() < o.validUntil, o.validityChanged
-		o.mu.Unlock()
+		until, changed := o.validity.end()
 		if o.ctx.Err() != nil {
 			return false
 		}
-		if valid {
+		if o.opts.Clock() < until {
 			return true
 		}
 		select {
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -502,7 +502,7 @@
 		"reasons", s.reasons, "live", len(o.live), "usedShare", s.use.share(), "workers", s.listed, "states", s.states, "uncontacted", s.uncontacted,
 		"queuedOrders", s.queuedOrders, "openWrites", writes.open, "oldestWriteMS", writes.oldest.Milliseconds(), "writeAttempts", writes.attempts, "writeError", writes.lastError,
 		"unstoredJobs", len(o.dirty), "oldestUnstoredMS", writes.oldestUnstored.Milliseconds(),
-		"leaseValidMS", (o.validUntil - now).Milliseconds(), "cycleAgoMS", (now - o.cycle.endedAt).Milliseconds(),
+		"leaseValidMS", (o.validUntil() - now).Milliseconds(), "cycleAgoMS", (now - o.cycle.endedAt).Milliseconds(),
 		"jobsWatchAgoMS", o.watchAge(JobPrefix, now).Milliseconds(), "workersWatchAgoMS", o.watchAge(o.opts.WorkerPrefix, now).Milliseconds(),
 		"held", o.automationHeld(), "ownerMS", (now - o.tookOverAt).Milliseconds())
 }
