fleet: a successor contacts workers a few at a time

Takeovers followed each other, each successor contacted all workers with runs at once, and nothing ran meanwhile.

Cause: a metastable failure. After a takeover the lease loop and the order loop of each worker called it at the same time, and the order loop once more for each run on it. On a fraction of a core the renewals of the lease were late behind these calls, the lease expired, and the next VM began the same work.

Why it works: one call tells a successor of all runs of a worker. At most 32 such calls are in progress; one that is late by the answer times of the others no longer counts, so that workers that are up do not wait for those that do not answer.

--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -26,6 +26,10 @@
 		if !o.awaitOwnership() {
 			return
 		}
+		if !state.contacted && !o.ensureContact(w) {
+			wait.Sleep(o.ctx, o.probeInterval(w))
+			continue
+		}
 		delay := renewMaxWait
 		if state.fillersColocated {
 			delay = colocatedMaxWait
@@ -67,6 +71,7 @@
 	busy             bool // the worker has to be polled
 	endsPending      bool // ends on it are not yet stored
 	unanswered       bool // the last call was not answered
+	contacted        bool // the current incarnation has answered this owner
 	fillersColocated bool // fillers run beside long-running tasks
 	removed          bool // the worker was removed
 }
@@ -74,7 +79,7 @@
 func (o *Owner) leaseLoopStateOf(w *worker) leaseLoopState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls > 0, fillersColocated: w.colocatesFillers(), removed: w.removed}
+	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls > 0, contacted: w.contacted, fillersColocated: w.colocatesFillers(), removed: w.removed}
 	for r := range w.runs {
 		s.busy = s.busy || r.phase != phasePlanned
 	}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -50,6 +50,12 @@
 	// counts as uncertain.
 	maxStartSends = 3
 	startTimeout  = 600 * time.Millisecond
+	// maxOpenContacts is the maximum number of concurrent first calls to workers. A
+	// successor calls all workers with runs; its own lease must not wait behind them.
+	maxOpenContacts = 32
+	// minContactSlotHold is the least time for which a first call that is not answered
+	// counts as one of these.
+	minContactSlotHold = 100 * time.Millisecond
 	// renewMaxWait is how long a lease renewal at a busy worker waits for the end of a
 	// run, the platform's maximum.
 	renewMaxWait = 2 * time.Second
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -19,7 +20,7 @@
 	orderStart orderKind = iota
 	orderStop
 	orderResolve        // stop the run and poll the worker to find out whether it started
-	orderAdopt          // poll for a run that a former owner assigned; resolve it if it is not listed
+	orderAdopt          // contact the worker for a run that a former owner assigned; resolve it if it is not listed
 	orderThrottle       // set the speed of a filler run
 	orderStopUnassigned // stop a run that belongs to no assignment
 )
@@ -92,11 +93,34 @@
 // under the current fencing token and its clock is known; it polls the worker if
 // needed.
 func (o *Owner) ensureContact(w *worker) bool {
+	if o.inContact(w) {
+		return true
+	}
+	select {
+	case o.contactSlots <- struct{}{}:
+	case <-o.ctx.Done():
+		return false
+	}
+	release := sync.OnceFunc(func() { <-o.contactSlots })
+	defer release()
+	if o.inContact(w) {
+		return true
+	}
+	// Workers that answer do not wait for those that do not.
+	late := time.AfterFunc(max(minContactSlotHold, o.adaptiveContactTimeout.HedgeAfter()), release)
+	defer late.Stop()
+	sentAt := time.Now()
+	answered := o.pollWorker(w, 0, false)
+	if answered {
+		o.adaptiveContactTimeout.RecordAnswer(time.Since(sentAt))
+	}
+	return answered
+}
+
+func (o *Owner) inContact(w *worker) bool {
 	o.mu.Lock()
-	now := o.opts.Clock()
-	fresh := w.contacted && now-w.clockReadAt < maxClockReadingAge
-	o.mu.Unlock()
-	return fresh || o.pollWorker(w, 0, false)
+	defer o.mu.Unlock()
+	return w.contacted && o.opts.Clock()-w.clockReadAt < maxClockReadingAge
 }
 
 // executeStart sends a start order, with retries, and handles its outcome.
@@ -443,10 +467,10 @@
 	})
 }
 
-// executeAdopt polls a worker for a run that a former owner assigned. A run that
+// executeAdopt contacts the worker of a run that a former owner assigned. A run that
 // the worker lists continues; another is resolved.
 func (o *Owner) executeAdopt(w *worker, r *run) {
-	if !o.pollWorker(w, 0, false) {
+	if !o.ensureContact(w) {
 		o.retryOrderLater(w, order{kind: orderAdopt, run: r})
 		return
 	}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -60,12 +60,14 @@
 	homePools      map[string]string // home pool of each machine that was moved out of standby
 	returning      map[string]bool   // those that are cordoned for their return
 
-	adaptiveWriteTimeout storecall.AdaptiveTimeout // of progress writes
-	adaptiveStartTimeout storecall.AdaptiveTimeout // of start orders
+	adaptiveWriteTimeout   storecall.AdaptiveTimeout // of progress writes
+	adaptiveStartTimeout   storecall.AdaptiveTimeout // of start orders
+	adaptiveContactTimeout storecall.AdaptiveTimeout // of first calls to workers
 
 	cycleTrigger       chan struct{} // requests a scheduling cycle
 	machineListTrigger chan struct{} // requests the machine list: a worker with runs does not answer
 	writeSlots         chan struct{} // semaphore: one element for each open write
+	contactSlots       chan struct{} // semaphore: one element for each first call to a worker
 }
 
 func newOwner(opts Options, acquired ownershipLease) *Owner {
@@ -77,7 +79,7 @@
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
 		batches: map[*progressBatch]struct{}{}, watchAnsweredAt: map[string]time.Duration{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
-		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites),
+		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), contactSlots: make(chan struct{}, maxOpenContacts),
 	}
 }
 
