fleet: late starts of removed runs are stopped at the next worker process

A task could run twice at the same time, or again after it was done: a start order was delayed on its way, its run was stopped or had ended through a second copy of the order, and the worker crashed and started anew under its ID. The late start then reached a process that knows of no stop and whose clock starts again, so it accepted the order.

beginIncarnation resolves only the runs that are still assigned to the worker. A run that was removed before the crash was forgotten, and a worker without runs is not polled.

The owner now remembers, by worker ID, each removed run whose start has an unanswered send, until maxOrderDelay after the first send. When a new incarnation becomes known, or a worker whose entry was removed is listed again, it stops these runs there at once and repeats a stop until it is accepted or the start no longer arrives. The stops do not use the order queue, where they would wait for starts to the former process.

Two cases remain open. A start that arrives after the new process has begun and before the owner's stop does is carried out and stopped then; that takes the notice of the entry (workerBatchDelay and the answer of the store) and one call. And the memory ends with the owner: a successor does not know the runs that its predecessor removed.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -83,6 +83,7 @@
 		o.lastScanAt = now
 		o.abandonExpiredRuns(now)
 		o.settleOldStarts(now)
+		o.dropLapsedGivenUpRuns(now)
 	}
 	o.finishCancelled()
 	o.finishFailed()
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -350,6 +350,7 @@
 	if r.phase == phaseRunning {
 		r.noteRan(o.opts.Clock())
 	}
+	o.recordGivenUp(r)
 	delete(r.worker.runs, r)
 	if r.group.runs[r.index] == r {
 		delete(r.group.runs, r.index)
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -47,6 +47,7 @@
 	cycle            cycleStats                  // of the latest placement cycle
 	explained        int                         // blocked requests of this cycle whose reason was computed
 	batches          map[*progressBatch]struct{} // being written
+	givenUpRuns      map[string][]givenUpRun     // by worker
 	watchAnsweredAt  map[string]time.Duration    // latest answer to a watch, by prefix
 	placedSinceStart bool                        // this owner has placed a group
 	lateJobLines     lineBudget
@@ -76,7 +77,7 @@
 		validUntil: acquired.validUntil,
 		jobs:       map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
-		batches: map[*progressBatch]struct{}{}, watchAnsweredAt: map[string]time.Duration{},
+		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), validityChanged: make(chan struct{}),
 	}
--- a/pkg/fleet/takeover_test.go
+++ b/pkg/fleet/takeover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -81,3 +82,50 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// Guards against a late start that reaches the next process of a worker although its run has
+// ended or the entry of the worker was removed meanwhile, or the first stop is lost.
+func TestLateStartAtTheNextProcessIsStoppedWhateverHappenedBefore(t *testing.T) {
+	crash := func(b *testbed) { b.workers.Crash(1, time.Second) }
+	tests := map[string]struct {
+		refuse   int // orders that another member's worker refuses
+		duration time.Duration
+		fault    func(b *testbed)
+	}{
+		"run has ended": {0, time.Second, crash},
+		"entry was removed": {0, time.Second, func(b *testbed) {
+			crash(b)
+			_, err := b.store.Commit(t.Context(), platform.Txn{Deletes: []string{fleettest.WorkerPrefix + "w01"}})
+			if err != nil {
+				t.Error(err)
+			}
+		}},
+		"stop is lost": {1, 20 * time.Second, func(b *testbed) {
+			crash(b)
+			b.workers.UpdateFaults(1, func(f *fleettest.Faults) { f.Unreachable = true })
+			time.AfterFunc(2*time.Second, func() {
+				b.workers.UpdateFaults(1, func(f *fleettest.Faults) { f.Unreachable = false })
+			})
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 4)
+				client := &delayedStartClient{WorkerClient: b.workers, address: "w01:1", delay: 6 * time.Second}
+				b.adjustOptions = func(o *fleet.Options) { o.Workers = client }
+				b.startVM()
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: tc.duration} })
+				b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.RefuseOrders = tc.refuse })
+				step := gangStep(2, 4)
+				step.MaxPerWorker = 1
+				j := b.submit(step)
+				b.sleep(2500 * time.Millisecond)
+				tc.fault(b)
+				b.sleep(time.Minute)
+				b.wantState(j, workload.Completed)
+			})
+		})
+	}
+}
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -36,6 +36,7 @@
 	if w == nil {
 		w = o.addWorker(entry)
 		w.listed, w.drainingSince = true, o.opts.Clock()
+		o.stopGivenUpRuns(w) // it was removed when its entry was, and may have started anew
 		return
 	}
 	before := w.WorkerEntry
@@ -96,13 +97,14 @@
 
 // beginIncarnation resets the state of a restarted worker, on which no former run is
 // running. Orders sent before may still reach the new incarnation, so each run is
-// resolved there; the lock is held.
+// resolved there and each one given up before is stopped; the lock is held.
 func (o *Owner) beginIncarnation(w *worker, source string) {
 	o.opts.Log.Info("worker has started anew", "worker", w.ID, "source", source, "runs", len(w.runs))
 	w.incarnationSince = o.opts.Clock()
 	w.contacted, w.lastEndSeq, w.ackThrough, w.unackedEnds, w.ackDue = false, 0, 0, nil, false
 	w.maxDeadlineMS, w.priorExpiry = 0, o.opts.Clock()+maxOrderDelay
 	w.resetEjection()
+	o.stopGivenUpRuns(w)
 	for r := range w.runs {
 		if r.phase != phasePlanned {
 			o.queueResolve(r)
