--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -27,9 +27,9 @@
 	// initialHeadroomShare is the headroom while no arrivals are known, as a share of the
 	// capacity of the service; it fades as arrivals become known.
 	initialHeadroomShare = 0.25
-	// idleShare is the share of a service in use below which a job without any run may use
-	// the headroom, ejected workers, reserved capacity and several racks after maxIdleWait: the platform requires that a job starts within 3 s
-	// while half of the capacity is free.
+	// idleShare is the share of a service in use below which a job without any run gets
+	// free capacity before any preference after maxIdleWait: the platform requires that
+	// it starts within 3 s then.
 	idleShare   = 0.5
 	maxIdleWait = 2 * time.Second
 )
@@ -148,19 +148,52 @@
 	return c.priority == 0 || c.slack < 0 || c.group.spec().LongRunning
 }
 
-// standsIdle reports whether a job has been standing without a run while the service has
-// little to do. Free capacity then goes before any preference.
-func (p *servicePlanner) standsIdle(c pendingGroup, standing time.Duration) bool {
-	return standing >= maxIdleWait && p.usedShare() < idleShare && !c.group.job.hasRuns()
+// freeCapacityFirst reports whether free capacity goes before any preference for a group:
+// it may use the headroom, reserved capacity, ejected workers and several racks. These are
+// groups of jobs that have been standing without a run on a worker that answers, while the
+// service has little to do.
+// A task of a long-running step has to come back whatever else its job and the service do.
+// The lock is held.
+func (o *Owner) freeCapacityFirst(p *servicePlanner, c pendingGroup, now time.Duration) bool {
+	if c.group.spec().LongRunning {
+		since, ok := o.longRunningStandingSince(c.group, now)
+		return ok && now-since >= maxIdleWait
+	}
+	return p.usedShare() < idleShare && now-max(o.standingSince(c.group, now), c.group.job.lastSeenRunning(now)) >= maxIdleWait
+}
+
+// lastSeenRunning returns when a worker that answers last had a run of the job; now if one
+// has.
+func (j *job) lastSeenRunning(now time.Duration) time.Duration {
+	last := j.lastRanAt
+	for _, g := range j.groups {
+		for _, r := range g.runs {
+			if r.isRunning() {
+				return now
+			}
+			if r.phase == phaseRunning {
+				last = max(last, r.worker.lastAnswerAt)
+			}
+		}
+	}
+	return last
 }
 
-// usedShare returns the share of the service that is in use, in its scarcest resource.
+// usedShare returns the share of the service that is in use. Runs on workers that do not
+// answer may have been lost with them, so the share is at most that of the other workers.
 func (p *servicePlanner) usedShare() float64 {
-	return usedShare(p.used, p.listedCapacity)
+	return min(p.listed.share(), p.answering.share())
+}
+
+// serviceUse is the capacity of workers of a service and what their runs use of it.
+type serviceUse struct{ capacity, used workload.Resources }
+
+func (u *serviceUse) add(w *worker, used workload.Resources) {
+	u.capacity, u.used = u.capacity.Add(w.Capacity), u.used.Add(used)
 }
 
-// usedShare returns the share of a capacity that is in use, in its scarcest resource.
-func usedShare(used, capacity workload.Resources) float64 {
+// share returns the share that is in use, in the scarcest resource.
+func (u *serviceUse) share() float64 {
 	share := func(used, capacity int64) float64 { return float64(used) / float64(max(1, capacity)) }
-	return max(share(used.MilliCPU, capacity.MilliCPU), share(used.Accelerators, capacity.Accelerators))
+	return max(share(u.used.MilliCPU, u.capacity.MilliCPU), share(u.used.Accelerators, u.capacity.Accelerators))
 }
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -113,3 +113,104 @@
 		b.sleep(2 * time.Minute)
 	})
 }
+
+// Guards against a long-running task that stays away for good, because the capacity for it
+// is reserved for a gang that waits for the other tasks of its job.
+func TestLongRunningTasksMayUseReservedCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 8)
+		b.workers.SetOutcome(func(task workload.TaskID, run int64) fleettest.Outcome {
+			if task.Index == 1 && run == 1 {
+				return fleettest.Outcome{Duration: 20 * time.Second, Fails: true}
+			}
+			return fleettest.Outcome{Duration: time.Minute}
+		})
+		step := smallStep(2)
+		step.LongRunning, step.RequiredLabel = true, "r0"
+		service := b.submit(step)
+		b.sleep(19 * time.Second)
+		step = gangStep(4, 8)
+		step.RequiredLabel, step.Estimate = "r0", 20*time.Second
+		gang := b.submit(step)
+		b.sleep(7 * time.Second) // 6 s after the end of the run
+		if n := b.workers.Starts(workload.TaskID{Job: service.ID, Index: 1}); n != 2 {
+			t.Errorf("the task has started %d times 6 s after its run failed, want 2", n)
+		}
+		b.cancel(gang)
+		b.cancel(service)
+		b.sleep(3 * time.Minute)
+	})
+}
+
+// Guards against a job that waits on an idle service for reserved capacity until the lease
+// of a lost run of another of its tasks has expired.
+func TestLostRunDoesNotKeepOtherTasksWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		b.workers = fleettest.New(b.store, 18, 6, workerCapacity)
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(task workload.TaskID, run int64) fleettest.Outcome {
+			if task.Index == 1 && run == 1 && task.Job == "0000000000000004" {
+				return fleettest.Outcome{Duration: time.Second, Fails: true}
+			}
+			return fleettest.Outcome{Duration: 40 * time.Second}
+		})
+		step := gangStep(1, 8)
+		step.RequiredLabel, step.Estimate = "r0", 40*time.Second
+		b.submit(step)
+		b.submit(step)
+		b.sleep(time.Second)
+		step = gangStep(5, 8)
+		step.RequiredLabel, step.Estimate = "r0", 40*time.Second
+		b.submit(step)
+		b.sleep(time.Second)
+		step = smallStep(2)
+		step.RequiredLabel, step.MaxPerWorker, step.Estimate = "r0", 1, 60*time.Second
+		j := b.buildJob(step)
+		j.Class.MaxAttempts = 4
+		b.storeJob(j)
+		b.sleep(3400 * time.Millisecond) // it starts after 2 s, and a task of it fails 1 s later
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID, Index: 1}); n != 1 {
+			t.Fatalf("%d starts of the task that fails, want 1", n)
+		}
+		for i := 2; i < 6; i++ {
+			if b.workers.Busy(i) {
+				b.workers.Crash(i, time.Hour)
+			}
+		}
+		b.workers.Accepted(j.ID)
+		b.wantNoStandstill(10 * time.Second)
+		b.sleep(3 * time.Minute)
+	})
+}
+
+// Guards against a gang that waits on an idle service for a rack of its own, because the runs
+// of lost workers count as use of the service.
+func TestRunsOfLostWorkersDoNotKeepJobsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 16)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 60 * time.Second} })
+		for rack, n := range map[string]int{"r0": 2, "r1": 2, "r2": 2, "r3": 4} {
+			for range n {
+				step := gangStep(1, 8)
+				step.RequiredLabel, step.Estimate = rack, 40*time.Second
+				b.submit(step)
+			}
+		}
+		b.sleep(time.Second)
+		kept := false
+		for i := range 16 {
+			if b.workers.Busy(i) && kept {
+				b.workers.Crash(i, time.Hour)
+			}
+			kept = kept || b.workers.Busy(i)
+		}
+		b.sleep(4 * time.Second)
+		step := gangStep(3, 8)
+		step.SameRack, step.Estimate = true, 40*time.Second
+		b.workers.Accepted(b.submit(step).ID)
+		b.wantNoStandstill(10 * time.Second)
+		b.sleep(3 * time.Minute)
+	})
+}
--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -13,15 +13,13 @@
 	// while workers do not answer.
 	minMachinePollPause = 300 * time.Millisecond
 	// machinePollPauseFactor is the pause after a poll in multiples of the time that it
-	// took, so that a list of many pages stays within the platform's rate limit. It is
-	// at most maxMachinePollPause, or the time for the listed machines at
-	// maxMachinesPolledPerSecond: a busy owner takes long for a list of few pages.
-	machinePollPauseFactor     = 10
-	maxMachinePollPause        = time.Second
-	maxMachinesPolledPerSecond = 3000
-	// machinePollTimeout bounds a poll. A busy owner needs more than a second for a
-	// thousand machines.
-	machinePollTimeout = 3 * time.Second
+	// took, so that a list of many pages stays within the platform's rate limit.
+	machinePollPauseFactor = 10
+	// maxMachinePollPause bounds that pause while the platform is slow.
+	maxMachinePollPause = 2 * time.Second
+	// machinePollTimeout bounds a poll. An owner that is busy after a takeover needs more
+	// than a second for the pages of a thousand machines.
+	machinePollTimeout = 2500 * time.Millisecond
 	// maxMachineListAge is the maximum age of a machine list when it arrives.
 	maxMachineListAge = time.Second
 	// minMissedMachineLists is the number of consecutive lists without a machine after
@@ -36,7 +34,6 @@
 	if o.opts.Machines == nil {
 		return
 	}
-	missedLists := map[string]int{} // consecutive lists without a worker's machine, by worker
 	// A list requested earlier may be older than the takeover.
 	if !wait.Sleep(o.ctx, maxMachineListAge) {
 		return
@@ -47,15 +44,17 @@
 		case <-o.ctx.Done():
 			return
 		}
+		missedLists := map[string]int{} // consecutive lists without a worker's machine, by worker
 		for o.anyBusyWorkerUnreachable() {
 			requestedAt := o.opts.Clock()
 			ctx, cancel := context.WithTimeout(o.ctx, machinePollTimeout)
 			list, err := o.opts.Machines.Machines(ctx)
 			cancel()
-			pause := machinePollPause(o.opts.Clock()-requestedAt, len(list))
+			pause := minMachinePollPause
 			if err == nil {
-				if o.applyMachineList(list, requestedAt, missedLists) {
-					pause = minMachinePollPause
+				took := o.opts.Clock() - requestedAt
+				if !o.applyMachineList(list, requestedAt, missedLists) {
+					pause = min(maxMachinePollPause, max(pause, machinePollPauseFactor*took))
 				}
 			} else if o.ctx.Err() == nil {
 				o.opts.Log.Info("failed to read the machine list", "reason", err.Error(), "tookMS", (o.opts.Clock() - requestedAt).Milliseconds())
@@ -67,12 +66,6 @@
 	}
 }
 
-// machinePollPause returns the pause after a poll that took a time and listed machines.
-func machinePollPause(took time.Duration, machines int) time.Duration {
-	longest := max(maxMachinePollPause, time.Duration(machines)*time.Second/maxMachinesPolledPerSecond)
-	return max(minMachinePollPause, min(longest, machinePollPauseFactor*took))
-}
-
 // anyBusyWorkerUnreachable reports whether any worker with runs does not answer or has
 // no known address.
 func (o *Owner) anyBusyWorkerUnreachable() bool {
