--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -297,13 +297,13 @@
 	}
 }
 
-// slowMachines is a machine list that takes a time to be read.
-type slowMachines struct {
+// lateMachineList takes a time to list the machines, as a busy owner does.
+type lateMachineList struct {
 	fleet.MachineClient
 	delay time.Duration
 }
 
-func (m slowMachines) Machines(ctx context.Context) ([]fleet.Machine, error) {
+func (m lateMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
 	select {
 	case <-time.After(m.delay):
 		return m.MachineClient.Machines(ctx)
@@ -314,13 +314,13 @@
 
 // Guards against gangs that wait for the lease of a worker that is gone because the list
 // of machines takes long to be read.
-func TestSlowMachineListDoesNotDelayLostWork(t *testing.T) {
+func TestSuccessorThatReadsMachineListSlowlyLeavesNoJobStanding(t *testing.T) {
 	for _, delay := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond} {
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newTestbed(t, 0, 6)
 				cloud := fleettest.NewCloud(b.workers, 2*time.Second)
-				b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = slowMachines{cloud, delay}, cloud }
+				b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves = lateMachineList{cloud, delay}, cloud }
 				for range 2 {
 					b.startVM()
 				}
