fleet: successors continue the wait for a start that was not answered

A gang had nothing running for 10.9 s: a send of its start was not answered, and its worker crashed 29 s later, just before a takeover. No owner since had lived for maxOrderDelay (13 s), so each one counted the wait for the start from its own takeover, and the last one began it anew.

The progress record keeps how long an unsettled start is known to have been out, in steps of 5 s, and a successor counts from there. The stored value is a duration that owners measured on their steady clocks, so it is a lower bound of the age, whatever the wall clocks of the VMs do; the time between owners is not counted. It is taken from the first send, as settleOldStarts takes it, and not while the start is being sent. A new assignment begins at 0.

A running run with an unsettled start costs up to two writes more, at 5 and 10 s, one job at a time and only when no other change is to be written, as for settled starts.

The wait still grows by what the steps and the write of each owner leave out: an owner that ends within 5 s of the start or of the last step leaves it where it was, on an idle fleet within about 7 s (an age is noticed and written by cycles, one a second there).

--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -167,7 +167,8 @@
 			}
 			r := &run{
 				group: g, index: i, number: t.Run, worker: w, phase: phaseUncertain, demand: g.spec().Demand(), throttlePercent: unknownThrottlePercent,
-				phaseSince: o.tookOverAt, startSentAt: o.tookOverAt, startUnanswered: !t.Assigned.StartSettled, adopted: true,
+				phaseSince: o.tookOverAt, startUnanswered: !t.Assigned.StartSettled, adopted: true,
+				startSentAt: o.tookOverAt - time.Duration(t.Assigned.StartAgeS)*time.Second,
 			}
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -234,20 +234,46 @@
 	if r.startUnanswered || t.Phase != workload.Assigned || t.Run != r.number || t.Assigned.StartSettled {
 		return
 	}
-	t.Assigned.StartSettled = true
-	if j := r.group.job; j.unsavedSince == 0 {
+	t.Assigned.StartSettled, t.Assigned.StartAgeS = true, 0
+	o.markUnsaved(r.group.job)
+}
+
+// markUnsaved makes a later cycle write what is known of the starts of a job; the lock is
+// held.
+func (o *Owner) markUnsaved(j *job) {
+	if j.unsavedSince == 0 {
 		j.unsavedSince = o.opts.Clock()
 	}
 }
 
+// startAgeStep is the step in which the age of an unsettled start is stored.
+const startAgeStep = 5 * time.Second
+
+// recordStartAge records the age of an unsettled start, so that a successor continues the
+// wait for it; the lock is held.
+func (o *Owner) recordStartAge(r *run, now time.Duration) {
+	t := &r.group.tasks()[r.index]
+	stored := time.Duration(t.Assigned.StartAgeS) * time.Second
+	age := (now - r.startSentAt).Truncate(startAgeStep)
+	if t.Phase == workload.Assigned && t.Run == r.number && stored < min(age, maxOrderDelay) {
+		t.Assigned.StartAgeS = int64(age / time.Second)
+		o.markUnsaved(r.group.job)
+	}
+}
+
 // settleOldStarts settles the starts of running runs that were sent so long ago that no
-// copy of the order can still be on its way; the lock is held.
+// copy of the order can still be on its way, and records the age of the other unsettled
+// starts; the lock is held.
 func (o *Owner) settleOldStarts(now time.Duration) {
 	for _, w := range o.workers {
 		for r := range w.runs {
-			if r.phase == phaseRunning && r.startUnanswered && now-r.startSentAt >= maxOrderDelay {
+			switch {
+			case !r.startUnanswered || r.phase == phaseStarting:
+			case r.phase == phaseRunning && now-r.startSentAt >= maxOrderDelay:
 				r.startUnanswered = false
 				o.recordStartSettled(r)
+			default:
+				o.recordStartAge(r, now)
 			}
 		}
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -32,7 +32,7 @@
 	adopted         bool           // from a former owner; startedAt is estimated from its progress
 	missedPolls     int            // consecutive polls of the worker that did not list the run
 	stopOrdered     bool           // a stop order was queued or sent
-	startSentAt     time.Duration  // when its start was first sent, or adopted from a former owner
+	startSentAt     time.Duration  // when its start was first sent; an upper bound if it is adopted
 	startUnanswered bool           // at least one send of its start order was not answered
 	tailLatency     time.Duration  // reported by a service task
 	throttlePercent int            // percent of full speed that a filler may use
@@ -107,7 +107,7 @@
 	cancelRequested   bool
 	pendingFinalState workload.State // final state to set in the next cycle; empty if none
 
-	unsavedSince   time.Duration // since when settled starts are not in the progress record; 0 if all are
+	unsavedSince   time.Duration // since when the progress record lacks settled starts or ages of starts; 0 if it does not
 	changeSeq      int64         // number of changes of the progress
 	committedSeq   int64         // changeSeq of the progress in the store
 	writeInFlight  bool          // a batch with this job is being written to the store
--- a/pkg/fleet/takeover_test.go
+++ b/pkg/fleet/takeover_test.go
@@ -40,6 +40,31 @@
 	})
 }
 
+// Guards against a successor that counts the age of a start too high, and gives up its run
+// while the start may still arrive, or too low.
+func TestSuccessorGivesUpARunOnceItsStartNoLongerArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newMachineTestbed(t, 2, 6)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: time.Minute} })
+		for i := range 6 {
+			b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.LoseAnswers = 1 })
+		}
+		task := workload.TaskID{Job: b.submit(smallStep(1)).ID}
+		b.sleep(8 * time.Second)
+		b.killVM(b.ownerIndex())
+		b.sleep(2 * time.Second)
+		b.workers.Crash(slices.IndexFunc([]int{0, 1, 2, 3, 4, 5}, b.workers.Busy), 30*time.Second)
+		b.sleep(2900 * time.Millisecond)
+		if n := b.workers.Starts(task); n != 1 {
+			t.Errorf("%d starts 12.9 s after the first", n)
+		}
+		b.sleep(5 * time.Second)
+		if n := b.workers.Starts(task); n != 2 {
+			t.Errorf("%d starts 17.9 s after the first, want 2", n)
+		}
+	})
+}
+
 // Guards against a job that has run before and waits anew for the use of the headroom on an
 // idle fleet after a change of the owner.
 func TestTakeoverKeepsTheWaitForHeadroomOfAJobThatRan(t *testing.T) {
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -22,7 +22,7 @@
 	changeSeqs []int64
 	afterWrite [][]func()
 	txn        platform.Txn
-	settles    bool // it holds one job, for its settled starts only
+	settles    bool // it holds one job, only for what is known of its starts
 	takenAt    time.Duration
 	attempts   int    // failed attempts to write it
 	lastError  string // of the latest attempt
@@ -83,7 +83,7 @@
 }
 
 // takeBatch collects changed jobs that have no open write, first those with orders that
-// wait for it; without changes, a job with settled starts. It returns nil if there are none.
+// wait for it; without changes, a job with news of its starts. It returns nil if there are none.
 func (o *Owner) takeBatch() *progressBatch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -113,10 +113,10 @@
 	return b
 }
 
-// settledWriteDelay lets the settled starts of a job share one write.
+// settledWriteDelay lets the settled starts of a job, and their ages, share one write.
 const settledWriteDelay = 300 * time.Millisecond
 
-// jobToSettle returns the job whose settled starts have waited longest for their write, if
+// jobToSettle returns the job whose news of starts has waited longest for its write, if
 // no such write is open; the lock is held. One job at a time leaves the other writes to
 // changes, which callers and orders wait for.
 func (o *Owner) jobToSettle() *job {
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -40,6 +40,9 @@
 	// StartSettled means that the run has started and that no order to start it is still
 	// on its way.
 	StartSettled bool `cbor:"4,keyasint,omitempty"`
+	// StartAgeS is the minimum time in seconds since the start of an unsettled run was
+	// first sent, as measured by successive owners.
+	StartAgeS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Task is the stored progress of a task. Run and Failures never decrease.
--- a/pkg/workload/progress_test.go
+++ b/pkg/workload/progress_test.go
@@ -23,7 +23,7 @@
 	j := &Job{ID: "0123456789abcdef", Queue: "q", Steps: []Step{{Tasks: 2}}}
 	p := NewProgress(j)
 	*p.Task(0, 0, 0) = Task{Phase: Assigned, Run: 3, Assigned: Assignment{Worker: "w", Incarnation: 7, Machine: "m", StartSettled: true}}
-	*p.Task(0, 0, 1) = Task{Phase: Assigned, Run: 1, Assigned: Assignment{Worker: "w", Incarnation: 7, Machine: "m"}}
+	*p.Task(0, 0, 1) = Task{Phase: Assigned, Run: 1, Assigned: Assignment{Worker: "w", Incarnation: 7, Machine: "m", StartAgeS: 5}}
 	data, err := p.Encode()
 	if err != nil {
 		t.Fatal(err)
