fleet: bound retries to workers for the whole owner

What callers saw: after a stall of the owner's processor for 1 or 2 s, at a load of 48% of it, no job started any more beside idle workers, for as long as the owner lived.

Cause: a metastable failure by retries. The stall makes the calls to many workers time out at once. Each silent worker then got one poll every 300 ms from its lease loop, and for each of its runs another stop and poll every 300 ms; each late start was sent up to three times. These calls queue at the processor for longer than their timeouts (400 to 700 ms), so that they fail as well and are repeated.

Fix, with three bounds: - Orders that resolve a run at a silent worker wait until it answers the lease loop, which polls it once at a time. If the worker lists the run then, the run goes on. - Polls of silent workers need a slot; there are a tenth as many as workers, at least 8. Workers with fewer unanswered polls go first. - Starts need a slot until they are answered or late, so that silent workers do not delay starts on others. A late start is sent again only while less than a fifth of the slots is in use. The order's deadline and timeout count from its slot.

Why it works: the calls in progress that depend on retries are bounded by the number of slots, whose queue at the processor is shorter than the timeouts, so that each round of polls is answered and brings workers back.

Measured: no job stands still after stalls of 1, 2 and 4 s.

The gauge worker_calls_waiting and the fields waitingStarts and waitingProbes show the calls that wait.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -29,6 +29,7 @@
 		w.ackDue = false
 	}
 	o.reconcileRuns(w, reply, sentAt)
+	o.queueAwaitingOrders(w)
 	o.throttleFillers(w)
 	slices.SortFunc(reply.Ended, func(a, b RunEnd) int { return int(a.Sequence - b.Sequence) })
 	for _, end := range reply.Ended {
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -30,10 +30,10 @@
 		if state.fillersColocated {
 			delay = colocatedMaxWait
 		}
-		if state.endsPending || state.unanswered {
+		if state.endsPending || state.unanswered > 0 {
 			delay = 0 // the worker would reply at once with the same ends
 		}
-		if !o.pollWorker(w, delay, true) {
+		if answered := o.renewOrProbe(w, delay, state.unanswered); !answered {
 			wait.Sleep(o.ctx, o.probeInterval(w))
 			continue
 		}
@@ -47,6 +47,18 @@
 	}
 }
 
+// renewOrProbe polls a worker. If the worker has not answered the last calls, it waits for a
+// slot first, before workers with more unanswered calls.
+func (o *Owner) renewOrProbe(w *worker, delay time.Duration, unanswered int) (answered bool) {
+	if unanswered > 0 {
+		if !o.probeSlots.acquire(o.ctx, unanswered) {
+			return false
+		}
+		defer o.probeSlots.release()
+	}
+	return o.pollWorker(w, delay, true)
+}
+
 // Intervals between polls of a worker that does not answer.
 const (
 	probeIntervalBusy = 300 * time.Millisecond // it has runs that have to be resolved
@@ -66,7 +78,7 @@
 type leaseLoopState struct {
 	busy             bool // the worker has to be polled
 	endsPending      bool // ends on it are not yet stored
-	unanswered       bool // the last call was not answered
+	unanswered       int  // consecutive calls without an answer
 	fillersColocated bool // fillers run beside long-running tasks
 	removed          bool // the worker was removed
 }
@@ -74,11 +86,11 @@
 func (o *Owner) leaseLoopStateOf(w *worker) leaseLoopState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls > 0, fillersColocated: w.colocatesFillers(), removed: w.removed}
+	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls, fillersColocated: w.colocatesFillers(), removed: w.removed}
 	for r := range w.runs {
 		s.busy = s.busy || r.phase != phasePlanned
 	}
-	s.busy = w.Address != "" && (s.busy || s.endsPending || w.ackDue || (s.unanswered && w.listed))
+	s.busy = w.Address != "" && (s.busy || s.endsPending || w.ackDue || (s.unanswered > 0 && w.listed))
 	return s
 }
 
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -105,6 +107,11 @@
 		o.handleStartFailure(w, r, NotSent)
 		return
 	}
+	if !o.startSlots.acquire(o.ctx, 0) {
+		return
+	}
+	release := sync.OnceFunc(o.startSlots.release)
+	defer release()
 	if !o.stillStarting(r) {
 		return
 	}
@@ -127,7 +134,7 @@
 	address, id := w.Address, w.ID
 	o.mu.Unlock()
 
-	if verdict := o.sendStartWithRetries(r, address, id, start); verdict == Accepted {
+	if verdict := o.sendStartWithRetries(r, address, id, start, release); verdict == Accepted {
 		o.handleStartAccepted(w, r)
 	} else {
 		o.handleStartFailure(w, r, verdict)
@@ -137,28 +144,49 @@
 // sendStartWithRetries sends a start order and repeats it while it is unanswered;
 // a worker starts a run only once. After an unanswered attempt only an acceptance
 // (or a fenced answer) is conclusive: another refusal may refer to the repeated
-// order only.
-func (o *Owner) sendStartWithRetries(r *run, address, id string, start StartOrder) Verdict {
+// order only. Each attempt holds a slot until its answer is late, so that workers that do
+// not answer do not delay starts on others; releaseSlot gives back that of the first one.
+func (o *Owner) sendStartWithRetries(r *run, address, id string, start StartOrder, releaseSlot func()) Verdict {
 	ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
 	defer cancel()
 	answers := make(chan Verdict, maxStartSends)
-	next := time.NewTimer(0)
-	defer next.Stop()
-	for sent, open := 0, 0; ; {
+	late := time.NewTimer(startTimeout)
+	defer late.Stop()
+	sent, open := 0, 0
+	send := func() {
+		sent++
+		open++
+		go func() { answers <- o.sendStartOnce(ctx, address, id, start) }()
+		late.Reset(o.adaptiveStartTimeout.HedgeAfter() << (sent - 1))
+	}
+	if !o.awaitOwnership() || !o.stillStarting(r) {
+		return Unanswered
+	}
+	send()
+	var repeat *slotRequest // for the next attempt
+	var repeatGranted chan struct{}
+	defer func() {
+		releaseSlot()
+		if repeat != nil {
+			o.startSlots.withdraw(repeat)
+		}
+	}()
+	for {
 		select {
-		case <-next.C:
-			if !o.awaitOwnership() || !o.stillStarting(r) {
-				return Unanswered
-			}
-			sent++
-			open++
-			go func() { answers <- o.sendStartOnce(ctx, address, id, start) }()
+		case <-late.C:
+			releaseSlot()
 			if sent < maxStartSends {
-				next.Reset(o.adaptiveStartTimeout.HedgeAfter() << (sent - 1))
+				repeat = o.startSlots.request(1, repeatShare)
+				repeatGranted = repeat.granted
 			}
-			if sent > 1 {
-				o.markStartUnanswered(r)
+		case <-repeatGranted:
+			repeat, repeatGranted = nil, nil
+			releaseSlot = sync.OnceFunc(o.startSlots.release)
+			if !o.awaitOwnership() || !o.stillStarting(r) {
+				return Unanswered
 			}
+			send()
+			o.markStartUnanswered(r)
 		case v := <-answers:
 			open--
 			if v == Accepted || v == Fenced || (sent == 1 && v != Unanswered) {
@@ -201,6 +229,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w.unansweredCalls = 0
+	o.queueAwaitingOrders(w)
 	if _, present := w.runs[r]; !present {
 		return
 	}
@@ -387,9 +416,12 @@
 const orderRetryDelay = 300 * time.Millisecond
 
 // executeResolve stops a run, so that it can no longer start, and polls the worker to
-// find out whether it started. It is retried until the worker answers or its
-// lease has expired.
+// find out whether it started. It is retried until the worker's lease has expired, while
+// the worker answers the polls of the lease loop.
 func (o *Owner) executeResolve(w *worker, r *run) {
+	if o.awaitAnswer(w, order{kind: orderResolve, run: r}) {
+		return
+	}
 	o.mu.Lock()
 	_, present := w.runs[r]
 	wanted := present && r.phase == phaseUncertain
@@ -413,7 +445,7 @@
 			return
 		}
 	}
-	o.retryOrderLater(w, order{kind: orderResolve, run: r})
+	o.repeatOrder(w, order{kind: orderResolve, run: r})
 }
 
 // retryOrderLater queues an order again after a pause if its run is still there.
@@ -427,11 +459,44 @@
 	})
 }
 
+// repeatOrder queues an order again: once its worker answers, or else after a pause.
+func (o *Owner) repeatOrder(w *worker, ord order) {
+	if !o.awaitAnswer(w, ord) {
+		o.retryOrderLater(w, ord)
+	}
+}
+
+// awaitAnswer puts an order aside if its worker has not answered the last call, until it
+// answers: the lease loop polls it meanwhile. It reports whether it did.
+func (o *Owner) awaitAnswer(w *worker, ord order) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w.unansweredCalls == 0 {
+		return false
+	}
+	if !slices.Contains(w.awaitingAnswer, ord) {
+		w.awaitingAnswer = append(w.awaitingAnswer, ord)
+	}
+	return true
+}
+
+// queueAwaitingOrders queues the orders that were put aside until the worker answers; the
+// lock is held.
+func (o *Owner) queueAwaitingOrders(w *worker) {
+	orders := w.awaitingAnswer
+	w.awaitingAnswer = nil
+	for _, ord := range orders {
+		if _, present := w.runs[ord.run]; present && ord.run.phase == phaseUncertain {
+			o.enqueueOrder(w, ord)
+		}
+	}
+}
+
 // executeAdopt polls a worker for a run that a former owner assigned. A run that
 // the worker lists continues; another is resolved.
 func (o *Owner) executeAdopt(w *worker, r *run) {
 	if !o.pollWorker(w, 0, false) {
-		o.retryOrderLater(w, order{kind: orderAdopt, run: r})
+		o.repeatOrder(w, order{kind: orderAdopt, run: r})
 		return
 	}
 	o.executeResolve(w, r)
--- a/pkg/fleet/overload_test.go
+++ b/pkg/fleet/overload_test.go
@@ -109,7 +109,7 @@
 		// maxUsedShare is the share of the processor that the load may use without a stall.
 		maxUsedShare = 0.5
 	)
-	tests := map[string]time.Duration{"no stall": 0, "stall of 1 s": time.Second, "stall of 2 s": 2 * time.Second}
+	tests := map[string]time.Duration{"no stall": 0, "stall of 1 s": time.Second, "stall of 2 s": 2 * time.Second, "stall of 4 s": 4 * time.Second}
 	for name, stall := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -193,3 +193,182 @@
 		})
 	}
 }
+
+// recordingClient records when starts are accepted and polls answered.
+type recordingClient struct {
+	fleet.WorkerClient
+
+	mu        sync.Mutex
+	startedAt map[workload.TaskID]time.Time
+	polledAt  map[string]time.Time // latest answer by worker
+	lapsed    map[string]int       // reported ends of runs with an expired lease, by worker
+	calls     int                  // starts, stops and polls
+}
+
+func newRecordingClient(client fleet.WorkerClient) *recordingClient {
+	return &recordingClient{WorkerClient: client, startedAt: map[workload.TaskID]time.Time{}, polledAt: map[string]time.Time{}, lapsed: map[string]int{}}
+}
+
+func (c *recordingClient) countCall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+}
+
+func (c *recordingClient) callsSoFar() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+func (c *recordingClient) Stop(ctx context.Context, address, instance string, task workload.TaskID, run, token int64) (fleet.OrderReply, error) {
+	c.countCall()
+	return c.WorkerClient.Stop(ctx, address, instance, task, run, token)
+}
+
+func (c *recordingClient) Start(ctx context.Context, address, instance string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	c.countCall()
+	reply, err := c.WorkerClient.Start(ctx, address, instance, o)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.startedAt[o.Task]; !known && reply.Verdict == fleet.Accepted {
+		c.startedAt[o.Task] = time.Now()
+	}
+	return reply, err
+}
+
+func (c *recordingClient) RenewLease(ctx context.Context, address, instance string, r fleet.RenewLeaseRequest) (fleet.RenewLeaseReply, fleet.Verdict, error) {
+	c.countCall()
+	reply, verdict, err := c.WorkerClient.RenewLease(ctx, address, instance, r)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if verdict == fleet.Accepted {
+		c.polledAt[instance] = time.Now()
+		for _, end := range reply.Ended {
+			if end.Reason == fleet.EndLeaseExpired {
+				c.lapsed[instance]++
+			}
+		}
+	}
+	return reply, verdict, err
+}
+
+// Guards against stops and polls that are repeated for each run of a worker that does not
+// answer: one poll after the other finds out when it answers again.
+func TestSilentWorkerGetsNoRetriesForEachRun(t *testing.T) {
+	const (
+		runs     = 8
+		settling = 5 * time.Second // the starts are given up one after the other
+		silence  = 3 * time.Second
+		maxCalls = int(silence / time.Second * 2)
+	)
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 1)
+		c := newRecordingClient(b.workers)
+		b.adjustOptions = func(o *fleet.Options) { o.Workers = c }
+		b.startVM()
+		b.sleep(2 * time.Second)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.LoseAnswers = 1000 })
+		j := b.submit(smallStep(runs))
+		b.sleep(100 * time.Millisecond)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.Unreachable = true })
+		b.sleep(settling)
+		before := c.callsSoFar()
+		b.sleep(silence)
+		if n := c.callsSoFar() - before; n > maxCalls {
+			t.Errorf("%d calls in %v, want at most %d", n, silence, maxCalls)
+		}
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { *f = fleettest.Faults{ClockRate: 1} })
+		b.sleep(10 * time.Second)
+		if state := b.state(j); state != workload.Completed {
+			t.Errorf("the job is %s after the worker has answered again", state)
+		}
+	})
+}
+
+// Guards against starts on workers that answer waiting for starts on workers that do not.
+func TestSilentWorkersDelayNoStartsOnOthers(t *testing.T) {
+	const (
+		workers  = 200
+		maxDelay = time.Second
+	)
+	for _, silent := range []int{1, workers / 2, workers * 9 / 10} {
+		t.Run(fmt.Sprint(silent, " silent workers"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, workers)
+				c := newRecordingClient(b.workers)
+				b.adjustOptions = func(o *fleet.Options) { o.Workers = c }
+				b.startVM()
+				b.sleep(2 * time.Second)
+				b.submit(smallStep(8 * workers))
+				b.sleep(5 * time.Second)
+				for i := range silent {
+					b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.Unreachable = true })
+				}
+				j := b.submit(smallStep(8 * workers))
+				b.sleep(maxDelay)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				started := 0
+				for task := range c.startedAt {
+					if task.Job == j.ID {
+						started++
+					}
+				}
+				if want := 8 * (workers - silent); started < want {
+					t.Errorf("%d tasks started within %v, want %d", started, maxDelay, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a worker that misses an answer losing its runs because the polls of many
+// workers that have been silent for longer go first.
+func TestShortCutBesideManySilentWorkersLosesNoRun(t *testing.T) {
+	const (
+		workers  = 200
+		silent   = workers * 9 / 10
+		cutFor   = 2500 * time.Millisecond
+		maxDelay = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, workers)
+		c := newRecordingClient(b.workers)
+		b.adjustOptions = func(o *fleet.Options) { o.Workers = c }
+		b.startVM()
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: time.Minute} })
+		b.sleep(2 * time.Second)
+		b.submit(smallStep(8 * workers))
+		b.sleep(3 * time.Second)
+		for i := range silent {
+			b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.Unreachable = true })
+		}
+		b.sleep(30 * time.Second)
+		setCut := func(cut bool) {
+			for i := silent; i < workers; i++ {
+				b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.Unreachable = cut })
+			}
+		}
+		setCut(true)
+		b.sleep(cutFor)
+		setCut(false)
+		healedAt := time.Now()
+		b.sleep(maxDelay)
+		c.mu.Lock()
+		for i := silent; i < workers; i++ {
+			if id := fmt.Sprintf("w%02d", i); c.polledAt[id].Before(healedAt) {
+				t.Errorf("%s is not polled within %v", id, maxDelay)
+			}
+		}
+		c.mu.Unlock()
+		b.sleep(30 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for i := silent; i < workers; i++ {
+			if id := fmt.Sprintf("w%02d", i); c.lapsed[id] > 0 {
+				t.Errorf("%d runs on %s have lapsed", c.lapsed[id], id)
+			}
+		}
+	})
+}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -64,6 +64,8 @@
 
 	cycleTrigger       chan struct{} // requests a scheduling cycle
 	machineListTrigger chan struct{} // requests the machine list: a worker with runs does not answer
+	probeSlots         callSlots     // for polls of workers that do not answer
+	startSlots         callSlots     // for start orders whose answer is not late
 	writeSlots         chan struct{} // semaphore: one element for each open write
 	validityChanged    chan struct{} // closed and replaced when the ownership lease is renewed
 }
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -340,7 +340,7 @@
 
 func (s *serviceState) addWorker(w *worker, now time.Duration) {
 	s.states[w.state(now)]++
-	s.queuedOrders += len(w.orders)
+	s.queuedOrders += w.queuedOrders()
 	if !w.listed {
 		return
 	}
@@ -396,7 +396,8 @@
 		last, ok := r.silencedAt[name]
 		if service.silenced > 1 && service.silenced*silencedShare > service.listed && (!ok || a.now-last >= time.Second) {
 			r.silencedAt[name] = a.now
-			o.opts.Log.Info("many workers have stopped answering", "service", name, "silenced", service.silenced, "workers", service.listed, "states", service.states)
+			o.opts.Log.Info("many workers have stopped answering", "service", name, "silenced", service.silenced, "workers", service.listed, "states", service.states,
+				"waitingStarts", o.startSlots.queueLength(), "waitingProbes", o.probeSlots.queueLength())
 		}
 	}
 	o.opts.Metrics.OwnerGauges(o.gauges(a))
@@ -446,7 +447,7 @@
 		w := r.worker
 		fields = append(fields, "worker", w.ID, "workerState", w.state(now), "phase", r.phase.String(), "phaseMS", (now - r.phaseSince).Milliseconds(),
 			"stopOrdered", r.stopOrdered, "contacted", w.contacted, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds(),
-			"leaseEndsInMS", (w.leaseExpiredBy() - now).Milliseconds(), "workerOrders", len(w.orders))
+			"leaseEndsInMS", (w.leaseExpiredBy() - now).Milliseconds(), "workerOrders", w.queuedOrders())
 	}
 	o.opts.Log.Info("job is standing", fields...)
 }
@@ -471,7 +472,7 @@
 	writes := o.writeState(now)
 	o.opts.Log.Info("jobs are standing", "service", name, "jobs", s.jobs, "oldest", s.oldest.group.job.ID, "oldestMS", (now - s.oldest.since).Milliseconds(),
 		"reasons", s.reasons, "live", len(o.live), "usedShare", usedShare(s.used, s.capacity), "workers", s.listed, "states", s.states, "uncontacted", s.uncontacted,
-		"queuedOrders", s.queuedOrders, "openWrites", writes.open, "oldestWriteMS", writes.oldest.Milliseconds(), "writeAttempts", writes.attempts, "writeError", writes.lastError,
+		"queuedOrders", s.queuedOrders, "waitingStarts", o.startSlots.queueLength(), "waitingProbes", o.probeSlots.queueLength(), "openWrites", writes.open, "oldestWriteMS", writes.oldest.Milliseconds(), "writeAttempts", writes.attempts, "writeError", writes.lastError,
 		"unstoredJobs", len(o.dirty), "oldestUnstoredMS", writes.oldestUnstored.Milliseconds(),
 		"leaseValidMS", (o.validUntil - now).Milliseconds(), "cycleAgoMS", (now - o.cycle.endedAt).Milliseconds(),
 		"jobsWatchAgoMS", o.watchAge(JobPrefix, now).Milliseconds(), "workersWatchAgoMS", o.watchAge(o.opts.WorkerPrefix, now).Milliseconds(),
@@ -483,7 +484,7 @@
 	writes := o.writeState(a.now)
 	g := metrics.OwnerGauges{
 		JobsStanding: map[metrics.ServiceLabel]int{}, JobsSuspect: map[string]int{}, Workers: map[metrics.ServiceLabel]int{}, UsedShare: map[string]float64{},
-		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored,
+		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored, WaitingStarts: o.startSlots.queueLength(), WaitingProbes: o.probeSlots.queueLength(),
 	}
 	for name, s := range a.services {
 		g.UsedShare[name] = usedShare(s.used, s.capacity)
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -195,9 +195,10 @@
 	ejectedUntil    time.Duration            // no new runs before this time, if it is ejected
 	ejected         bool                     // see ejectWorst
 
-	orders  chan order
-	wake    chan struct{} // wakes the lease renewal loop
-	removed bool          // from the owner's workers; its loops end
+	orders         chan order
+	awaitingAnswer []order       // put aside until it answers
+	wake           chan struct{} // wakes the lease renewal loop
+	removed        bool          // from the owner's workers; its loops end
 }
 
 // usage returns the resources of all runs on the worker, and of those that are being
@@ -212,6 +213,9 @@
 	return all, beingStopped
 }
 
+// queuedOrders returns the number of orders that wait for the order loop or for an answer.
+func (w *worker) queuedOrders() int { return len(w.orders) + len(w.awaitingAnswer) }
+
 // leaseExpiredBy returns the time by which every run on an unresponsive worker has
 // certainly expired, allowing for drift of the worker's clock.
 func (w *worker) leaseExpiredBy() time.Duration {
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -20,6 +20,7 @@
 	}
 	o.workers[entry.ID] = w
 	o.workersByID = nil
+	o.limitCalls()
 	o.goRun(func() { o.orderLoop(w) })
 	o.goRun(func() { o.leaseLoop(w) })
 	return w
@@ -77,6 +78,7 @@
 	w.removed = true
 	delete(o.workers, w.ID)
 	o.workersByID = nil
+	o.limitCalls()
 	close(w.orders)
 	o.wakeLeaseLoop(w)
 }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -36,6 +36,7 @@
 	openWrites     prometheus.Gauge
 	oldestUnstored prometheus.Gauge
 	queuedOrders   prometheus.Gauge
+	callsWaiting   *prometheus.GaugeVec
 	cycleDuration  *prometheus.HistogramVec
 	cycleGap       *prometheus.HistogramVec
 	takeover       *prometheus.HistogramVec
@@ -78,12 +79,13 @@
 		openWrites:     gauge("open_writes", "Batches of job progress that are being written."),
 		oldestUnstored: gauge("oldest_unstored_change_seconds", "Age of the oldest change of job progress that is not stored."),
 		queuedOrders:   gauge("queued_orders", "Orders to workers that are queued."),
+		callsWaiting:   gauges("worker_calls_waiting", "Starts, and polls of workers that do not answer, that wait for others to end.", "kind"),
 		cycleDuration:  histogram("cycle_seconds", "Duration of a placement cycle."),
 		cycleGap:       histogram("cycle_gap_seconds", "Time between two placement cycles."),
 		takeover:       histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
 		jobKnownAge:    histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
 	}
-	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
+	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
--- a/pkg/metrics/owner.go
+++ b/pkg/metrics/owner.go
@@ -15,6 +15,8 @@
 	OpenWrites     int
 	OldestUnstored time.Duration
 	QueuedOrders   int
+	WaitingStarts  int // that wait for other starts
+	WaitingProbes  int // of workers that do not answer
 }
 
 // OwnerGauges replaces the gauges of the owner.
@@ -41,6 +43,8 @@
 	s.openWrites.Set(float64(g.OpenWrites))
 	s.oldestUnstored.Set(g.OldestUnstored.Seconds())
 	s.queuedOrders.Set(float64(g.QueuedOrders))
+	s.callsWaiting.WithLabelValues("start").Set(float64(g.WaitingStarts))
+	s.callsWaiting.WithLabelValues("probe").Set(float64(g.WaitingProbes))
 }
 
 // Cycle observes the duration of a placement cycle and the time since the one before.
