--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -124,16 +124,14 @@
 // after that the end is acknowledged. The lock is held.
 func (o *Owner) applyRunEnd(w *worker, end RunEnd) {
 	w.lastEndSeq = end.Sequence
-	ran := time.Duration(0) // unknown without a confirmed start
+	ran := time.Duration(0)
 	entry := unackedEnd{sequence: end.Sequence}
 	defer func() { w.unackedEnds = append(w.unackedEnds, entry) }()
 	for r := range w.runs {
 		if r.number == end.Run && r.group.taskID(r.index) == end.Task {
 			o.removeRun(r)
 			r.noteRan(o.opts.Clock())
-			if r.startedAt > 0 && !r.adopted {
-				ran = o.opts.Clock() - r.startedAt
-			}
+			ran = r.runTime(o.opts.Clock())
 			if end.Reason == EndDone && ran > 0 {
 				o.recordRunTime(r.group, ran)
 			}
@@ -156,6 +154,15 @@
 	entry.job, entry.changeSeq = j, j.changeSeq
 }
 
+// runTime returns how long a run has run, or 0 without a start that this owner has seen
+// confirmed.
+func (r *run) runTime(now time.Duration) time.Duration {
+	if r.startedAt == 0 || r.adopted {
+		return 0
+	}
+	return now - r.startedAt
+}
+
 // updateTaskAfterEnd updates a task whose newest run has ended; the lock is held.
 func (o *Owner) updateTaskAfterEnd(w *worker, g *taskGroup, t *workload.Task, end RunEnd, ran time.Duration) {
 	o.opts.Metrics.RunEnded(string(end.Reason))
@@ -297,7 +304,7 @@
 			}
 			o.opts.Metrics.Event("run_lapsed")
 			o.opts.Log.Info("run has lapsed on a silent worker", "task", r.group.taskID(r.index).String(), "run", r.number,
-				"worker", w.ID, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds(), "ranMS", (now - r.startedAt).Milliseconds())
+				"worker", w.ID, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds(), "ranMS", r.runTime(now).Milliseconds())
 			o.abandonRun(r)
 		}
 	}
--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -160,6 +160,6 @@
 	if abandoned > 0 {
 		o.opts.Metrics.Event("worker_ended")
 		o.opts.Log.Info("worker has ended because its machine is down or gone", "worker", w.ID, "machine", w.Machine, "state", state, "runs", abandoned,
-			"silentMS", (o.opts.Clock() - w.lastAnswerAt).Milliseconds())
+			"silentMS", (o.opts.Clock() - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds())
 	}
 }
