--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -26,6 +26,10 @@
 		if !o.awaitOwnership() {
 			return
 		}
+		if !state.contacted && !o.ensureContact(w) {
+			wait.Sleep(o.ctx, o.probeInterval(w))
+			continue
+		}
 		delay := renewMaxWait
 		if state.fillersColocated {
 			delay = colocatedMaxWait
@@ -67,6 +71,7 @@
 	busy             bool // the worker has to be polled
 	endsPending      bool // ends on it are not yet stored
 	unanswered       bool // the last call was not answered
+	contacted        bool // the current incarnation has answered this owner
 	fillersColocated bool // fillers run beside long-running tasks
 	removed          bool // the worker was removed
 }
@@ -74,7 +79,7 @@
 func (o *Owner) leaseLoopStateOf(w *worker) leaseLoopState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls > 0, fillersColocated: w.colocatesFillers(), removed: w.removed}
+	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls > 0, contacted: w.contacted, fillersColocated: w.colocatesFillers(), removed: w.removed}
 	for r := range w.runs {
 		s.busy = s.busy || r.phase != phasePlanned
 	}
@@ -113,7 +118,7 @@
 	// An unanswered poll may still have renewed the lease, so a worker that does not
 	// answer gets no further renewals and its lease expires.
 	before := w.maxDeadlineMS
-	if extend && w.contacted && w.unansweredCalls == 0 && now < o.validUntil {
+	if extend && w.contacted && w.unansweredCalls == 0 && now < o.validUntil() {
 		request.LeaseEndMS = w.estimatedClockMS(now) + o.workerLeaseTTL().Milliseconds()
 		w.maxDeadlineMS = max(w.maxDeadlineMS, request.LeaseEndMS)
 	}
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -18,9 +18,9 @@
 	// to do; a wave lasts for seconds.
 	wavePollInterval = 2 * time.Second
 	// machineOpTimeout bounds a call that changes a machine, and machineListTimeout a
-	// call that lists the machines.
+	// list of the machines, for which a busy owner reads a page after the other.
 	machineOpTimeout   = time.Second
-	machineListTimeout = time.Second
+	machineListTimeout = 3 * time.Second
 	// machineListInterval is the age at which machineOpsLoop refreshes its list.
 	machineListInterval = time.Second
 	// machineGoneAfter is how long lists must lack a machine of a wave until it counts as
--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -13,13 +13,12 @@
 	// while workers do not answer.
 	minMachinePollPause = 300 * time.Millisecond
 	// machinePollPauseFactor is the pause after a poll in multiples of the time that it
-	// took, so that a list of many pages stays within the platform's rate limit.
-	machinePollPauseFactor = 10
-	// maxMachinePollPause bounds that pause while the platform is slow.
-	maxMachinePollPause = 2 * time.Second
-	// machinePollTimeout bounds a poll. An owner that is busy after a takeover needs more
-	// than a second for the pages of a thousand machines.
-	machinePollTimeout = 2500 * time.Millisecond
+	// took, so that a list of many pages stays within the platform's rate limit. It is
+	// at most maxMachinePollPause, or the time for the listed machines at
+	// maxMachinesPolledPerSecond: a busy owner takes long for a list of few pages.
+	machinePollPauseFactor     = 10
+	maxMachinePollPause        = time.Second
+	maxMachinesPolledPerSecond = 3000
 	// maxMachineListAge is the maximum age of a machine list when it arrives.
 	maxMachineListAge = time.Second
 	// minMissedMachineLists is the number of consecutive lists without a machine after
@@ -47,14 +46,14 @@
 		missedLists := map[string]int{} // consecutive lists without a worker's machine, by worker
 		for o.anyBusyWorkerUnreachable() {
 			requestedAt := o.opts.Clock()
-			ctx, cancel := context.WithTimeout(o.ctx, machinePollTimeout)
+			ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
 			list, err := o.opts.Machines.Machines(ctx)
 			cancel()
 			pause := minMachinePollPause
 			if err == nil {
 				took := o.opts.Clock() - requestedAt
 				if !o.applyMachineList(list, requestedAt, missedLists) {
-					pause = min(maxMachinePollPause, max(pause, machinePollPauseFactor*took))
+					pause = machinePollPause(took, len(list))
 				}
 			} else if o.ctx.Err() == nil {
 				o.opts.Log.Info("failed to read the machine list", "reason", err.Error(), "tookMS", (o.opts.Clock() - requestedAt).Milliseconds())
@@ -66,6 +65,12 @@
 	}
 }
 
+// machinePollPause returns the pause after a poll that took a time and listed machines.
+func machinePollPause(took time.Duration, machines int) time.Duration {
+	longest := max(maxMachinePollPause, time.Duration(machines)*time.Second/maxMachinesPolledPerSecond)
+	return max(minMachinePollPause, min(longest, machinePollPauseFactor*took))
+}
+
 // anyBusyWorkerUnreachable reports whether any worker with runs does not answer or has
 // no known address.
 func (o *Owner) anyBusyWorkerUnreachable() bool {
--- a/pkg/fleet/vanished_test.go
+++ b/pkg/fleet/vanished_test.go
@@ -241,8 +241,7 @@
 	})
 }
 
-// slowMachineList takes long to list the machines, and longer than the timeout of the call
-// at first.
+// slowMachineList takes long to list the machines, and does not answer at first.
 type slowMachineList struct {
 	fleet.MachineClient
 	unanswered atomic.Int64 // number of next calls that are not answered
@@ -250,7 +249,10 @@
 }
 
 func (l *slowMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+	const callTimeout = time.Second // of the platform's client, for each page
 	if l.unanswered.Add(-1) >= 0 {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return nil, errkind.Wrap(ctx.Err(), errkind.Unavailable, "no answer")
 	}
@@ -301,10 +303,10 @@
 	delay time.Duration
 }
 
-func (l lateMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
+func (m lateMachineList) Machines(ctx context.Context) ([]fleet.Machine, error) {
 	select {
-	case <-time.After(l.delay):
-		return l.MachineClient.Machines(ctx)
+	case <-time.After(m.delay):
+		return m.MachineClient.Machines(ctx)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
