--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,6 +130,11 @@
 		o.handleStartFailure(w, r, NotSent)
 		return
 	}
+	if !o.startSlots.acquire(o.ctx, 0) {
+		return
+	}
+	release := sync.OnceFunc(o.startSlots.release)
+	defer release()
 	if !o.stillStarting(r) {
 		return
 	}
@@ -151,7 +157,7 @@
 	address, id := w.Address, w.ID
 	o.mu.Unlock()
 
-	if verdict := o.sendStartWithRetries(r, address, id, start); verdict == Accepted {
+	if verdict := o.sendStartWithRetries(r, address, id, start, release); verdict == Accepted {
 		o.handleStartAccepted(w, r)
 	} else {
 		o.handleStartFailure(w, r, verdict)
@@ -161,31 +167,52 @@
 // sendStartWithRetries sends a start order and repeats it while it is unanswered;
 // a worker starts a run only once. After an unanswered attempt only an acceptance
 // (or a fenced answer) is conclusive: another refusal may refer to the repeated
-// order only.
-func (o *Owner) sendStartWithRetries(r *run, address, id string, start StartOrder) Verdict {
+// order only. Each attempt holds a slot until its answer is late, so that workers that do
+// not answer do not delay starts on others; releaseSlot gives back that of the first one.
+func (o *Owner) sendStartWithRetries(r *run, address, id string, start StartOrder, releaseSlot func()) Verdict {
 	ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
 	defer cancel()
 	answers := make(chan Verdict, maxStartSends)
-	next := time.NewTimer(0)
-	defer next.Stop()
-	for sent, open := 0, 0; ; {
+	late := time.NewTimer(startTimeout)
+	defer late.Stop()
+	sent, open := 0, 0
+	send := func() {
+		sent++
+		open++
+		go func() { answers <- o.sendStartOnce(ctx, address, id, start) }()
+		late.Reset(o.adaptiveStartTimeout.HedgeAfter() << (sent - 1))
+	}
+	if !o.awaitOwnership() || !o.stillStarting(r) {
+		return Unanswered
+	}
+	send()
+	var repeat *slotRequest // for the next attempt
+	var repeatGranted chan struct{}
+	defer func() {
+		releaseSlot()
+		if repeat != nil {
+			o.startSlots.withdraw(repeat)
+		}
+	}()
+	for {
 		select {
-		case <-next.C:
+		case <-late.C:
+			releaseSlot()
+			if sent < maxStartSends {
+				repeat = o.startSlots.request(1, repeatShare)
+				repeatGranted = repeat.granted
+			}
+		case <-repeatGranted:
+			repeat, repeatGranted = nil, nil
+			releaseSlot = sync.OnceFunc(o.startSlots.release)
 			if !o.awaitOwnership() || !o.stillStarting(r) {
 				if open > 0 {
 					o.recordUnawaitedStart(r)
 				}
 				return Unanswered
 			}
-			sent++
-			open++
-			go func() { answers <- o.sendStartOnce(ctx, address, id, start) }()
-			if sent < maxStartSends {
-				next.Reset(o.adaptiveStartTimeout.HedgeAfter() << (sent - 1))
-			}
-			if sent > 1 {
-				o.markStartUnanswered(r)
-			}
+			send()
+			o.markStartUnanswered(r)
 		case v := <-answers:
 			open--
 			if v == Accepted || v == Fenced || (sent == 1 && v != Unanswered) {
@@ -241,6 +268,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w.unansweredCalls = 0
+	o.queueAwaitingOrders(w)
 	if _, present := w.runs[r]; !present {
 		return
 	}
@@ -258,20 +286,46 @@
 	if r.startUnanswered || t.Phase != workload.Assigned || t.Run != r.number || t.Assigned.StartSettled {
 		return
 	}
-	t.Assigned.StartSettled = true
-	if j := r.group.job; j.unsavedSince == 0 {
+	t.Assigned.StartSettled, t.Assigned.StartAgeS = true, 0
+	o.markUnsaved(r.group.job)
+}
+
+// markUnsaved makes a later cycle write what is known of the starts of a job; the lock is
+// held.
+func (o *Owner) markUnsaved(j *job) {
+	if j.unsavedSince == 0 {
 		j.unsavedSince = o.opts.Clock()
 	}
 }
 
+// startAgeStep is the step in which the age of an unsettled start is stored.
+const startAgeStep = 5 * time.Second
+
+// recordStartAge records the age of an unsettled start, so that a successor continues the
+// wait for it; the lock is held.
+func (o *Owner) recordStartAge(r *run, now time.Duration) {
+	t := &r.group.tasks()[r.index]
+	stored := time.Duration(t.Assigned.StartAgeS) * time.Second
+	age := (now - r.startSentAt).Truncate(startAgeStep)
+	if t.Phase == workload.Assigned && t.Run == r.number && stored < min(age, maxOrderDelay) {
+		t.Assigned.StartAgeS = int64(age / time.Second)
+		o.markUnsaved(r.group.job)
+	}
+}
+
 // settleOldStarts settles the starts of running runs that were sent so long ago that no
-// copy of the order can still be on its way; the lock is held.
+// copy of the order can still be on its way, and records the age of the other unsettled
+// starts; the lock is held.
 func (o *Owner) settleOldStarts(now time.Duration) {
 	for _, w := range o.workers {
 		for r := range w.runs {
-			if r.phase == phaseRunning && r.startUnanswered && now-r.startSentAt >= maxOrderDelay {
+			switch {
+			case !r.startUnanswered || r.phase == phaseStarting:
+			case r.phase == phaseRunning && now-r.startSentAt >= maxOrderDelay:
 				r.startUnanswered = false
 				o.recordStartSettled(r)
+			default:
+				o.recordStartAge(r, now)
 			}
 		}
 	}
@@ -428,9 +482,12 @@
 const orderRetryDelay = 300 * time.Millisecond
 
 // executeResolve stops a run, so that it can no longer start, and polls the worker to
-// find out whether it started. It is retried until the worker answers or its
-// lease has expired.
+// find out whether it started. It is retried until the worker's lease has expired, while
+// the worker answers the polls of the lease loop.
 func (o *Owner) executeResolve(w *worker, r *run) {
+	if o.awaitAnswer(w, order{kind: orderResolve, run: r}) {
+		return
+	}
 	o.mu.Lock()
 	_, present := w.runs[r]
 	wanted := present && r.phase == phaseUncertain
@@ -454,7 +511,7 @@
 			return
 		}
 	}
-	o.retryOrderLater(w, order{kind: orderResolve, run: r})
+	o.repeatOrder(w, order{kind: orderResolve, run: r})
 }
 
 // retryOrderLater queues an order again after a pause if its run is still there.
@@ -468,11 +525,47 @@
 	})
 }
 
+// repeatOrder queues an order again: once its worker answers, or else after a pause.
+func (o *Owner) repeatOrder(w *worker, ord order) {
+	if !o.awaitAnswer(w, ord) {
+		o.retryOrderLater(w, ord)
+	}
+}
+
+// awaitAnswer puts an order aside if its worker has not answered the last call, until it
+// answers: the lease loop polls it meanwhile. It reports whether it did.
+func (o *Owner) awaitAnswer(w *worker, ord order) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w.unansweredCalls == 0 {
+		return false
+	}
+	if !slices.Contains(w.awaitingAnswer, ord) {
+		w.awaitingAnswer = append(w.awaitingAnswer, ord)
+	}
+	return true
+}
+
+// queueAwaitingOrders queues the orders that were put aside until the worker answers; the
+// lock is held.
+func (o *Owner) queueAwaitingOrders(w *worker) {
+	orders := w.awaitingAnswer
+	w.awaitingAnswer = nil
+	for _, ord := range orders {
+		if _, present := w.runs[ord.run]; present && ord.run.phase == phaseUncertain {
+			o.enqueueOrder(w, ord)
+		}
+	}
+}
+
 // executeAdopt contacts the worker of a run that a former owner assigned. A run that
 // the worker lists continues; another is resolved.
 func (o *Owner) executeAdopt(w *worker, r *run) {
+	if o.awaitAnswer(w, order{kind: orderAdopt, run: r}) {
+		return
+	}
 	if !o.ensureContact(w) {
-		o.retryOrderLater(w, order{kind: orderAdopt, run: r})
+		o.repeatOrder(w, order{kind: orderAdopt, run: r})
 		return
 	}
 	o.executeResolve(w, r)
