fleet: one first call at a time to a worker

After a takeover with half of 1,100 workers unreachable, the successor had contacted the last of the other workers only after more than 2 s.

Cause: the order loop and the lease loop of a worker both call ensureContact, so a worker that does not answer held two of the 32 contact slots, each for at least 100 ms, while workers that answer waited in the same queue. The second call also did not use the outcome of the first.

ensureContact now lets one call at a time through to a worker. The other caller waits for it and uses its outcome, so that each worker that does not answer takes one slot. The waiting callers hold no slot.

--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -97,6 +97,21 @@
 	if o.inContact(w) {
 		return true
 	}
+	before := o.unansweredCallsOf(w)
+	// One call at a time to a worker: for one that does not answer, a second call would
+	// take another slot in vain.
+	select {
+	case w.contacting <- struct{}{}:
+	case <-o.ctx.Done():
+		return false
+	}
+	defer func() { <-w.contacting }()
+	if o.inContact(w) {
+		return true
+	}
+	if o.unansweredCallsOf(w) > before {
+		return false
+	}
 	select {
 	case o.contactSlots <- struct{}{}:
 	case <-o.ctx.Done():
@@ -124,6 +139,13 @@
 	return w.contacted && o.opts.Clock()-w.clockReadAt < maxClockReadingAge
 }
 
+// unansweredCallsOf returns the number of consecutive calls that a worker did not answer.
+func (o *Owner) unansweredCallsOf(w *worker) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return w.unansweredCalls
+}
+
 // executeStart sends a start order, with retries, and handles its outcome.
 func (o *Owner) executeStart(w *worker, r *run) {
 	if !o.ensureContact(w) {
--- a/pkg/fleet/overload_test.go
+++ b/pkg/fleet/overload_test.go
@@ -198,15 +198,16 @@
 type recordingClient struct {
 	fleet.WorkerClient
 
-	mu        sync.Mutex
-	startedAt map[workload.TaskID]time.Time
-	polledAt  map[string]time.Time // latest answer by worker
-	lapsed    map[string]int       // reported ends of runs with an expired lease, by worker
-	calls     int                  // starts, stops and polls
+	mu            sync.Mutex
+	startedAt     map[workload.TaskID]time.Time
+	polledAt      map[string]time.Time // latest answer by worker
+	firstPolledAt map[string]time.Time // first answer by worker
+	lapsed        map[string]int       // reported ends of runs with an expired lease, by worker
+	calls         int                  // starts, stops and polls
 }
 
 func newRecordingClient(client fleet.WorkerClient) *recordingClient {
-	return &recordingClient{WorkerClient: client, startedAt: map[workload.TaskID]time.Time{}, polledAt: map[string]time.Time{}, lapsed: map[string]int{}}
+	return &recordingClient{WorkerClient: client, startedAt: map[workload.TaskID]time.Time{}, polledAt: map[string]time.Time{}, firstPolledAt: map[string]time.Time{}, lapsed: map[string]int{}}
 }
 
 func (c *recordingClient) countCall() {
@@ -244,6 +245,9 @@
 	defer c.mu.Unlock()
 	if verdict == fleet.Accepted {
 		c.polledAt[instance] = time.Now()
+		if _, polled := c.firstPolledAt[instance]; !polled {
+			c.firstPolledAt[instance] = time.Now()
+		}
 		for _, end := range reply.Ended {
 			if end.Reason == fleet.EndLeaseExpired {
 				c.lapsed[instance]++
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -197,6 +197,7 @@
 
 	orders         chan order
 	awaitingAnswer []order       // put aside until it answers
+	contacting     chan struct{} // semaphore: one element while ensureContact calls it
 	wake           chan struct{} // wakes the lease renewal loop
 	removed        bool          // from the owner's workers; its loops end
 }
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -13,7 +13,7 @@
 func (o *Owner) addWorker(entry WorkerEntry) *worker {
 	w := &worker{
 		WorkerEntry: entry, runs: map[*run]struct{}{}, failedAt: map[string]time.Duration{},
-		orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{}),
+		orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{}), contacting: make(chan struct{}, 1),
 		incarnationSince: o.opts.Clock(),
 		// A former owner may have renewed the lease just before it lost ownership.
 		priorExpiry: o.tookOverAt + LeaseTTL + o.maxFormerLeaseTTL(),
