fleet: a refused poll keeps the deadline of a later start

A run could count as lapsed while its unanswered start might still be carried out, so that its task could run twice.

Cause: a poll that extends the lease of a worker raises maxDeadlineMS, and sets it back if the connection is refused. A start sent by the order loop meanwhile has a deadline below that lease end, so that maxDeadlineMS did not change, and the refused poll set it back to a value before the deadline of the start. The difference is up to the time that the poll takes to fail.

The latest deadline of a start is now recorded on its own, and a refused poll does not set maxDeadlineMS below it.

--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -156,7 +156,7 @@
 		o.endIncarnation(w)
 	}
 	if verdict == NotSent && w.maxDeadlineMS == request.LeaseEndMS {
-		w.maxDeadlineMS = before
+		w.maxDeadlineMS = max(before, w.maxStartDeadlineMS) // a start may have been sent meanwhile
 	}
 	o.countUnansweredCall(w)
 	if until := o.opts.Clock() + unansweredBackoff; until > w.backoffUntil {
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -174,7 +174,7 @@
 	if a := r.group.advice; a != nil {
 		start.Ticket = a.tickets[w.ID].value
 	}
-	w.maxDeadlineMS = max(w.maxDeadlineMS, start.DeadlineMS)
+	w.recordStartDeadline(start.DeadlineMS)
 	r.startSentAt = now
 	address, id := w.Address, w.ID
 	o.mu.Unlock()
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -172,13 +172,14 @@
 	drainingSince time.Duration
 	runs          map[*run]struct{}
 
-	contacted        bool          // this incarnation has answered a call with the current fencing token
-	clockMS          int64         // the worker's clock, as last reported
-	clockReadAt      time.Duration // when clockMS was received, on the owner's clock
-	maxDeadlineMS    int64         // latest lease end or start deadline sent, on the worker's clock
-	priorExpiry      time.Duration // leases of a former owner and orders to a former incarnation have expired by then
-	lastAnswerAt     time.Duration
-	incarnationSince time.Duration // when this incarnation became known
+	contacted          bool          // this incarnation has answered a call with the current fencing token
+	clockMS            int64         // the worker's clock, as last reported
+	clockReadAt        time.Duration // when clockMS was received, on the owner's clock
+	maxDeadlineMS      int64         // latest lease end or start deadline sent, on the worker's clock
+	maxStartDeadlineMS int64         // latest start deadline sent
+	priorExpiry        time.Duration // leases of a former owner and orders to a former incarnation have expired by then
+	lastAnswerAt       time.Duration
+	incarnationSince   time.Duration // when this incarnation became known
 
 	lastEndSeq  int64
 	ackThrough  int64
@@ -217,6 +218,12 @@
 // queuedOrders returns the number of orders that wait for the order loop or for an answer.
 func (w *worker) queuedOrders() int { return len(w.orders) + len(w.awaitingAnswer) }
 
+// recordStartDeadline records the deadline of a start order; the lock is held.
+func (w *worker) recordStartDeadline(ms int64) {
+	w.maxStartDeadlineMS = max(w.maxStartDeadlineMS, ms)
+	w.maxDeadlineMS = max(w.maxDeadlineMS, ms)
+}
+
 // leaseExpiredBy returns the time by which every run on an unresponsive worker has
 // certainly expired, allowing for drift of the worker's clock.
 func (w *worker) leaseExpiredBy() time.Duration {
