fleet: a refused poll of a former worker process sets no deadline

Runs on a restarted worker that went silent could stand for as long as the former process had been up: their lease did not count as expired.

Cause: if the connection of a poll is refused, pollWorker sets maxDeadlineMS back to its value before the poll if it still equals the lease end of the request. A poll that extends no lease has a lease end of 0, and a new incarnation sets maxDeadlineMS to 0. If the incarnation became known during such a poll, as while a restarting worker refuses connections, the deadline on the clock of the former process came back, and was then compared with the clock of the new one, which starts again.

A refused poll now changes maxDeadlineMS only if it was to extend the lease.

Found by reading. TestRefusedPollOfFormerProcessSetsNoDeadline: before, orders and leases of the new process end at 3600000 ms; now at 0 ms.

--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -155,7 +155,7 @@
 	if verdict == OtherIncarnation {
 		o.endIncarnation(w)
 	}
-	if verdict == NotSent && w.maxDeadlineMS == request.LeaseEndMS {
+	if verdict == NotSent && request.LeaseEndMS > 0 && w.maxDeadlineMS == request.LeaseEndMS {
 		w.maxDeadlineMS = max(before, w.maxStartDeadlineMS) // a start may have been sent meanwhile
 	}
 	o.countUnansweredCall(w)
--- a/pkg/fleet/look_test.go
+++ b/pkg/fleet/look_test.go
@@ -45,3 +45,26 @@
 		})
 	}
 }
+
+// Guards against a refused poll of a former worker process that brings back its deadlines:
+// on the clock of the new process they end too late, and runs on it do not lapse.
+func TestRefusedPollOfFormerProcessSetsNoDeadline(t *testing.T) {
+	const (
+		now            = time.Minute
+		formerDeadline = 3_600_000 // ms on the clock of the former process
+	)
+	w := &worker{WorkerEntry: WorkerEntry{ID: "w", Address: "w"}, contacted: true, unansweredCalls: 1, clockReadAt: now, wake: make(chan struct{}, 1)}
+	w.maxDeadlineMS = formerDeadline
+	o, clock, _ := newIdleOwner()
+	defer o.cancel()
+	*clock = now
+	o.opts.Workers = refusingClient{beforeRefusal: func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.beginIncarnation(w, "test")
+	}}
+	o.pollWorker(w, 0, true)
+	if w.unansweredCalls != 2 || w.maxDeadlineMS != 0 {
+		t.Errorf("after %d refused polls, orders and leases of the new process end at %d ms", w.unansweredCalls, w.maxDeadlineMS)
+	}
+}
