--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -155,8 +155,8 @@
 	if verdict == OtherIncarnation {
 		o.endIncarnation(w)
 	}
-	if verdict == NotSent && w.maxDeadlineMS == request.LeaseEndMS {
-		w.maxDeadlineMS = before
+	if verdict == NotSent && request.LeaseEndMS > 0 && w.maxDeadlineMS == request.LeaseEndMS {
+		w.maxDeadlineMS = max(before, w.maxStartDeadlineMS) // a start may have been sent meanwhile
 	}
 	o.countUnansweredCall(w)
 	if until := o.opts.Clock() + unansweredBackoff; until > w.backoffUntil {
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -13,7 +13,7 @@
 func (o *Owner) addWorker(entry WorkerEntry) *worker {
 	w := &worker{
 		WorkerEntry: entry, runs: map[*run]struct{}{}, failedAt: map[string]time.Duration{},
-		orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{}),
+		orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{}), contacting: make(chan struct{}, 1),
 		incarnationSince: o.opts.Clock(),
 		// A former owner may have renewed the lease just before it lost ownership.
 		priorExpiry: o.tookOverAt + LeaseTTL + o.maxFormerLeaseTTL(),
@@ -104,7 +104,7 @@
 	o.opts.Log.Info("worker has started anew", "worker", w.ID, "source", source, "runs", len(w.runs))
 	w.incarnationSince = o.opts.Clock()
 	w.contacted, w.lastEndSeq, w.ackThrough, w.unackedEnds, w.ackDue = false, 0, 0, nil, false
-	w.maxDeadlineMS, w.priorExpiry = 0, o.opts.Clock()+maxOrderDelay
+	w.maxDeadlineMS, w.maxStartDeadlineMS, w.priorExpiry = 0, 0, o.opts.Clock()+maxOrderDelay
 	w.resetEjection()
 	o.stopGivenUpRuns(w)
 	for r := range w.runs {
