fleet: a refusal at a former address abandons no run of a new process

Runs on a worker process that had started anew at another address could be abandoned while they ran, so that their tasks ran twice.

Cause: if another worker answers at the address of a call, the owner abandons all runs of the worker, since the process at that address has ended. If a new incarnation at another address became known during the call, the runs belonged to the new process already.

endIncarnation now gets the incarnation that was called and does nothing if a later one is known. beginIncarnation has queued the resolution of each former run by then, so none of them waits without an order.

Found by reading. TestRefusalAtFormerAddressAbandonsNoRunOfTheNewProcess makes the incarnation known during a poll and during the stop of a resolved run: before, the run of the new process was abandoned in both cases; now in neither.

--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -134,7 +134,7 @@
 		request.LeaseEndMS = w.estimatedClockMS(now) + o.workerLeaseTTL().Milliseconds()
 		w.maxDeadlineMS = max(w.maxDeadlineMS, request.LeaseEndMS)
 	}
-	address, id := w.Address, w.ID
+	address, id, incarnation := w.Address, w.ID, w.Incarnation
 	o.mu.Unlock()
 	if address == "" {
 		return false
@@ -153,7 +153,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if verdict == OtherIncarnation {
-		o.endIncarnation(w)
+		o.endIncarnation(w, incarnation)
 	}
 	if verdict == NotSent && request.LeaseEndMS > 0 && w.maxDeadlineMS == request.LeaseEndMS {
 		w.maxDeadlineMS = max(before, w.maxStartDeadlineMS) // a start may have been sent meanwhile
--- a/pkg/fleet/look_test.go
+++ b/pkg/fleet/look_test.go
@@ -6,17 +6,25 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
 // refusingClient refuses polls, and calls beforeRefusal first.
 type refusingClient struct {
 	WorkerClient
 	beforeRefusal func()
+	verdict       Verdict
 }
 
 func (c refusingClient) RenewLease(context.Context, string, string, RenewLeaseRequest) (RenewLeaseReply, Verdict, error) {
 	c.beforeRefusal()
-	return RenewLeaseReply{}, NotSent, nil
+	return RenewLeaseReply{}, c.verdict, nil
+}
+
+func (c refusingClient) Stop(context.Context, string, string, workload.TaskID, int64, int64) (OrderReply, error) {
+	c.beforeRefusal()
+	return OrderReply{Verdict: c.verdict}, nil
 }
 
 // Guards against a refused poll that withdraws the deadline of a start sent meanwhile, so
@@ -31,7 +39,7 @@
 			w := &worker{WorkerEntry: WorkerEntry{ID: "w", Address: "w"}, contacted: true, clockReadAt: now, wake: make(chan struct{}, 1)}
 			w.recordStartDeadline(before)
 			var o *Owner
-			client := refusingClient{beforeRefusal: func() {
+			client := refusingClient{verdict: NotSent, beforeRefusal: func() {
 				o.mu.Lock()
 				defer o.mu.Unlock()
 				w.recordStartDeadline(startDeadline)
@@ -58,7 +66,7 @@
 	o, clock, _ := newIdleOwner()
 	defer o.cancel()
 	*clock = now
-	o.opts.Workers = refusingClient{beforeRefusal: func() {
+	o.opts.Workers = refusingClient{verdict: NotSent, beforeRefusal: func() {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.beginIncarnation(w, "test")
@@ -68,3 +76,42 @@
 		t.Errorf("after %d refused polls, orders and leases of the new process end at %d ms", w.unansweredCalls, w.maxDeadlineMS)
 	}
 }
+
+// Guards against a refusal at the address of a former worker process that abandons runs of
+// the new process, which run twice then.
+func TestRefusalAtFormerAddressAbandonsNoRunOfTheNewProcess(t *testing.T) {
+	calls := map[string]func(o *Owner, w *worker, former *run){
+		"poll":    func(o *Owner, w *worker, _ *run) { o.pollWorker(w, 0, true) },
+		"resolve": func(o *Owner, w *worker, former *run) { o.executeResolve(w, former) },
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			o, _, _ := newIdleOwner()
+			defer o.cancel()
+			w := &worker{
+				WorkerEntry: WorkerEntry{ID: "w", Address: "former", Incarnation: 1}, listed: true, contacted: true,
+				runs: map[*run]struct{}{}, orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1),
+			}
+			job := &workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 2}}}
+			g := newJob(job, workload.NewProgress(job)).groups[0]
+			addRun := func(index int, phase runPhase) *run {
+				r := &run{group: g, index: index, number: 1, worker: w, phase: phase}
+				g.runs[index], w.runs[r] = r, struct{}{}
+				return r
+			}
+			former := addRun(0, phaseUncertain)
+			var current *run
+			o.opts.Workers = refusingClient{verdict: OtherIncarnation, beforeRefusal: func() {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				w.Address, w.Incarnation = "new", 2
+				o.beginIncarnation(w, "test")
+				current = addRun(1, phaseRunning)
+			}}
+			call(o, w, former)
+			if _, present := w.runs[current]; !present {
+				t.Error("the run of the new process was abandoned")
+			}
+		})
+	}
+}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -408,7 +408,7 @@
 		o.endOwnership("worker " + w.ID + " has seen a higher token")
 		return
 	case OtherIncarnation:
-		o.endIncarnation(w)
+		o.endIncarnation(w, w.Incarnation) // a start to a former one is uncertain by now
 		o.countUnansweredCall(w)
 	case Unanswered:
 		w.backoffUntil, w.backoffReason = now+unansweredBackoff, v
@@ -512,7 +512,7 @@
 	}
 	o.mu.Lock()
 	_, present := w.runs[r]
-	wanted := present && r.phase == phaseUncertain
+	wanted, incarnation := present && r.phase == phaseUncertain, w.Incarnation
 	if wanted {
 		r.stopOrdered = true
 	}
@@ -523,7 +523,7 @@
 	v := o.stopIfPresent(w, r)
 	if v == OtherIncarnation {
 		o.mu.Lock()
-		o.endIncarnation(w)
+		o.endIncarnation(w, incarnation)
 		o.mu.Unlock()
 		return
 	}
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -85,8 +85,12 @@
 }
 
 // endIncarnation abandons the runs of a worker whose address now belongs to another
-// worker or incarnation: the process that had the runs has ended. The lock is held.
-func (o *Owner) endIncarnation(w *worker) {
+// worker or incarnation: the process that had the runs has ended. If a later incarnation
+// has become known since the call, the runs are resolved or running there. The lock is held.
+func (o *Owner) endIncarnation(w *worker, incarnation int64) {
+	if w.Incarnation != incarnation {
+		return
+	}
 	if len(w.runs) > 0 {
 		o.opts.Log.Info("another worker process answers at the address; the former one has ended", "worker", w.ID, "runs", len(w.runs))
 	}
