fleet: poll workers that have been silent for long in turn

While many workers did not answer, workers that had been silent for longer and answered again got no poll, and so no task, for minutes, although jobs could have run on them.

Cause: polls of workers that do not answer wait for a slot in the order of their unanswered calls. A worker that has been silent for 2 minutes has about 100 of them. If as many others become silent as keep all slots in use, it gets none until each of those has had as many unanswered calls.

The order now counts at most 4 unanswered calls (maxProbeRank): workers that have just missed an answer still go first, and the others take turns.

TestLongSilentWorkersAreContactedBesideNewlySilentOnes (200 workers; 10 silent for 2 minutes, then 80 more; the 10 answer again after 5 s): before, none of the 10 was polled within 20 s (failure), and all of them only after 224 s; now all after 5 s. TestShortCutBesideManySilentWorkersLosesNoRun still passes.

--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -52,10 +52,10 @@
 }
 
 // renewOrProbe polls a worker. If the worker has not answered the last calls, it waits for a
-// slot first, before workers with more unanswered calls.
+// slot first, before workers with more unanswered calls, up to maxProbeRank of them.
 func (o *Owner) renewOrProbe(w *worker, delay time.Duration, unanswered int) (answered bool) {
 	if unanswered > 0 {
-		if !o.probeSlots.acquire(o.ctx, unanswered) {
+		if !o.probeSlots.acquire(o.ctx, min(unanswered, maxProbeRank)) {
 			return false
 		}
 		defer o.probeSlots.release()
@@ -63,6 +63,9 @@
 	return o.pollWorker(w, delay, true)
 }
 
+// maxProbeRank is the number of unanswered calls from which workers are polled in turn.
+const maxProbeRank = 4
+
 // Intervals between polls of a worker that does not answer.
 const (
 	probeIntervalBusy = 300 * time.Millisecond // it has runs that have to be resolved
