--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -52,10 +52,10 @@
 }
 
 // renewOrProbe polls a worker. If the worker has not answered the last calls, it waits for a
-// slot first, before workers with more unanswered calls.
+// slot first, before workers with more unanswered calls, up to maxProbeRank of them.
 func (o *Owner) renewOrProbe(w *worker, delay time.Duration, unanswered int) (answered bool) {
 	if unanswered > 0 {
-		if !o.probeSlots.acquire(o.ctx, unanswered) {
+		if !o.probeSlots.acquire(o.ctx, min(unanswered, maxProbeRank)) {
 			return false
 		}
 		defer o.probeSlots.release()
@@ -63,6 +63,9 @@
 	return o.pollWorker(w, delay, true)
 }
 
+// maxProbeRank is the number of unanswered calls from which workers are polled in turn.
+const maxProbeRank = 4
+
 // Intervals between polls of a worker that does not answer.
 const (
 	probeIntervalBusy = 300 * time.Millisecond // it has runs that have to be resolved
@@ -134,7 +137,7 @@
 		request.LeaseEndMS = w.estimatedClockMS(now) + o.workerLeaseTTL().Milliseconds()
 		w.maxDeadlineMS = max(w.maxDeadlineMS, request.LeaseEndMS)
 	}
-	address, id := w.Address, w.ID
+	address, id, incarnation := w.Address, w.ID, w.Incarnation
 	o.mu.Unlock()
 	if address == "" {
 		return false
@@ -153,7 +156,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if verdict == OtherIncarnation {
-		o.endIncarnation(w)
+		o.endIncarnation(w, incarnation)
 	}
 	if verdict == NotSent && request.LeaseEndMS > 0 && w.maxDeadlineMS == request.LeaseEndMS {
 		w.maxDeadlineMS = max(before, w.maxStartDeadlineMS) // a start may have been sent meanwhile
