placement: failing test of preemption on reserved workers

A request that may preempt chooses victims without regard to reservations. Once they have stopped, the request may not use the reserved capacity, so it is blocked and the runs were stopped in vain (prices for work that was stopped, and urgent work that waits).

--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -200,3 +200,25 @@
 		t.Errorf("the short task: got %v, want it placed before the reservation", got)
 	}
 }
+
+// Guards against runs that are stopped in vain: the request that preempted them is blocked by
+// a reservation once they have ended.
+func TestPreemptionFitsAfterItsStops(t *testing.T) {
+	gang := Request{Demand: gpus(8), Count: 2, Gang: true, Reserve: true, ExpectedDuration: 20 * time.Second}
+	urgent := Request{Demand: gpus(8), Count: 1, ExpectedDuration: 20 * time.Second, MayPreempt: true, MaxStopCost: math.Inf(1)}
+	s := snapshotOf(4, 8)
+	p := New(s.clone())
+	p.Place(gang)
+	got := p.Place(urgent)
+	if got.Code != Preempting {
+		return
+	}
+	for _, v := range got.Victims {
+		s.Workers[v].Runs, s.Workers[v].FreeAfterStops = nil, workerCapacity
+	}
+	p = New(s)
+	p.Place(gang)
+	if again := p.Place(urgent); again.Code != AwaitingStops {
+		t.Errorf("after the stops: got %+v, want it to wait for them", again)
+	}
+}
