--- a/pkg/fleet/store_test.go
+++ b/pkg/fleet/store_test.go
@@ -237,3 +237,26 @@
 		}
 	})
 }
+
+// Guards against the write of a settled start that delays the end of its job: with a slow
+// store the end would wait for a second answer.
+func TestSettledStartDoesNotDelayTheEndOfAShortJob(t *testing.T) {
+	const (
+		delay = 240 * time.Millisecond
+		spare = 50 * time.Millisecond
+	)
+	for runTime := 400 * time.Millisecond; runTime <= 1500*time.Millisecond; runTime += 100 * time.Millisecond {
+		t.Run(runTime.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFaultyStoreTestbed(t, func(s *faultyStore) { s.delay = delay })
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: runTime} })
+				for range 5 {
+					j := b.submit(smallStep(1))
+					b.sleep(runTime + 2*delay + spare)
+					b.wantState(j, workload.Completed)
+					b.sleep(2 * time.Second)
+				}
+			})
+		})
+	}
+}
