--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -151,9 +151,8 @@
 // freeCapacityFirst reports whether free capacity goes before any preference for a group:
 // it may use the headroom, reserved capacity, ejected workers and several racks. These are
 // groups of jobs that have been standing without a run on a worker that answers, while the
-// service has little to do.
-// A task of a long-running step has to come back whatever else its job and the service do.
-// The lock is held.
+// service has little to do, and tasks of long-running steps whatever else their job and the
+// service do. The lock is held.
 func (o *Owner) freeCapacityFirst(p *servicePlanner, c pendingGroup, now time.Duration) bool {
 	if c.group.spec().LongRunning {
 		since, ok := o.longRunningStandingSince(c.group, now)
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -408,7 +408,9 @@
 		o.endOwnership("worker " + w.ID + " has seen a higher token")
 		return
 	case OtherIncarnation:
-		o.endIncarnation(w, w.Incarnation) // a start to a former one is uncertain by now
+		// If another incarnation had become known since the start was sent, the run would no
+		// longer be starting.
+		o.endIncarnation(w, w.Incarnation)
 		o.countUnansweredCall(w)
 	case Unanswered:
 		w.backoffUntil, w.backoffReason = now+unansweredBackoff, v
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -13,7 +13,8 @@
 )
 
 // A job stands when one of its tasks may run and none of its runs is running on a worker that
-// answers, or when a task of a long-running step does not run. The owner reports which jobs stand and why;
+// answers, or when a task of a long-running step does not run. The owner reports which jobs
+// stand and why;
 // the reports do not affect its decisions.
 const (
 	standingInterval  = 500 * time.Millisecond  // between two assessments
@@ -113,8 +114,8 @@
 }
 
 // noteAdopted counts the tasks of a job that were assigned under a former owner as running
-// until the takeover. When those that had ended ran last is not stored; they count as away
-// for maxIdleWait, so that their job does not wait anew for free capacity.
+// until the takeover. The time at which other tasks last ran is not stored; they count as
+// not running for maxIdleWait, so that their job does not wait anew for free capacity.
 func (j *job) noteAdopted(now time.Duration) {
 	for _, g := range j.groups {
 		for i, t := range g.tasks() {
