--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -19,6 +19,8 @@
 	takes    time.Duration // of each task
 	accepted time.Time     // zero until a 2xx was received
 	starts   []*startRecord
+	prefix   string // of the queue that it was handed in to
+	advised  bool   // that queue needs tickets
 
 	cancelled time.Time // when its cancel was acknowledged
 	final     string
@@ -53,7 +55,12 @@
 
 // submit sends a job until it is accepted, at one VM after the other.
 func (e *env) submit(takes time.Duration, steps ...step) (*job, error) {
-	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), steps: steps, takes: takes}
+	return e.submitTo(route{prefix: prefix}, takes, steps...)
+}
+
+// submitTo sends a job to a queue.
+func (e *env) submitTo(r route, takes time.Duration, steps ...step) (*job, error) {
+	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), steps: steps, takes: takes, prefix: r.prefix, advised: r.advised}
 	e.mu.Lock()
 	e.jobs[j.id] = j
 	e.mu.Unlock()
@@ -64,7 +71,7 @@
 	e.note("client: job %s: %s", j.id, body)
 	for try := range 5 {
 		v := e.vms[(try+int(j.id[0]))%len(e.vms)]
-		status, _ := e.call(v, http.MethodPost, prefix+j.id, body)
+		status, _ := e.call(v, http.MethodPost, j.prefix+j.id, body)
 		if status/100 == 2 {
 			j.accepted = time.Now()
 			return j, nil
@@ -76,7 +83,7 @@
 
 // state returns the state of a job as a VM shows it; empty without an answer.
 func (e *env) state(v *vm, j *job) string {
-	status, data := e.call(v, http.MethodGet, prefix+j.id, nil)
+	status, data := e.call(v, http.MethodGet, j.prefix+j.id, nil)
 	var body struct {
 		State string `json:"state"`
 	}
--- a/review/standin/env.go
+++ b/review/standin/env.go
@@ -31,6 +31,7 @@
 	workerPort   = 8080
 	storePort    = 8524
 	cloudPort    = 8525
+	advicePort   = 8524
 )
 
 // storeAnswerTime is the usual time of an answer of the platform's store.
@@ -55,6 +56,11 @@
 	gangs    map[string]*gang
 	stopBeat chan struct{}
 
+	adviceMu sync.Mutex
+	advising map[string]*sync.Mutex // by calling machine: one call at a time
+	advised  []*worker              // the workers that the policy of the advised queue allows
+	tickets  map[string]ticket
+
 	waveMu     sync.Mutex
 	waves      map[int64][]string // machines, by wave
 	inUpkeep   map[string]int64   // wave, by machine
@@ -100,6 +106,9 @@
 	if _, err := e.listen(e.address(201, cloudPort), http.HandlerFunc(e.serveCloud)); err != nil {
 		return err
 	}
+	if _, err := e.listen(e.address(202, advicePort), http.HandlerFunc(e.serveAdvice)); err != nil {
+		return err
+	}
 	e.config = c
 	if err := e.putConfig(); err != nil {
 		return err
@@ -178,6 +187,13 @@
 	maxTries int
 	priority int
 	guards   bool
+	routes   []route // by default one route
+}
+
+// route is a queue of the configuration.
+type route struct {
+	name, prefix string
+	advised      bool // its starts need tickets
 }
 
 const (
@@ -187,15 +203,28 @@
 	apiKey  = "key-of-the-tenant-1"
 )
 
+// putConfig writes the next version of the configuration and returns once the store has
+// acknowledged it.
 func (e *env) putConfig() error {
 	e.config.version++
 	c := e.config
+	if c.routes == nil {
+		c.routes = []route{{name: "r-1", prefix: prefix}}
+	}
+	var routes []any
+	for _, r := range c.routes {
+		row := map[string]any{
+			"name": r.name, "host": host, "prefix": r.prefix, "kind": "unsafe", "timeout_ms": 3000, "target_runtime_ms": 1000, "priority": c.priority,
+			"service": service, "max_attempts": c.maxTries, "slack_factor": 3.0, "public": false,
+		}
+		if r.advised {
+			row["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "period_ms": periodTime.Milliseconds(), "valid_ms": ticketTime.Milliseconds()}
+		}
+		routes = append(routes, row)
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": c.version,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": host, "prefix": prefix, "kind": "unsafe", "timeout_ms": 3000, "target_runtime_ms": 1000, "priority": c.priority,
-			"service": service, "max_attempts": c.maxTries, "slack_factor": 3.0, "public": false,
-		}},
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "enforce_capacity": c.guards, "standby": false,
 		}},
@@ -205,6 +234,7 @@
 	if err != nil {
 		return err
 	}
+	e.note("operator: configuration %s", value)
 	return e.put("op/config", value)
 }
 
@@ -285,6 +315,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","platform","advice","upkeep","sharing"]
 control_mode = "request"
+advice = %q
 [zones]
 zone-a = "region-a"
 [listen]
@@ -350,7 +381,7 @@
 rate_per_s = 60.0
 duties = []
 duties_per_s = 60.0
-`, v.name, v.ip, internalPort, internalPort+15, v.front, v.ip, readyPort, v.ip, controlPort, e.address(200, storePort), e.address(201, cloudPort))
+`, v.name, v.ip, internalPort, internalPort+15, e.address(202, advicePort), v.front, v.ip, readyPort, v.ip, controlPort, e.address(200, storePort), e.address(201, cloudPort))
 	return v, os.WriteFile(v.settings, []byte(text), 0o600)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,8 @@
 	"ends":    manyEnds,
 	"kind":    otherKind,
 	"waiting": waitingCount,
+	"dropped": droppedQueue,
+	"renamed": renamedQueue,
 	"soak":    soak,
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -253,6 +253,7 @@
 	Deadline   int64  `json:"deadline_ms"`
 	Token      int64  `json:"fencing_token"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 	AckedUpto  int64  `json:"acked_upto"`
 	WaitMS     int64  `json:"wait_ms"`
 	Percent    int    `json:"percent"`
@@ -406,6 +407,10 @@
 	for _, r := range w.runs {
 		used = used.plus(r.demand)
 	}
+	if w.env.needsTicket(o.Task) && !w.env.validTicket(o, w) {
+		w.refuse(rw, o, "ticket")
+		return
+	}
 	if w.env.config.guards && !used.fits(w.capacity) {
 		w.refuse(rw, o, "room")
 		return
