review: stand-ins as a test binary; scenarios of odd jobs and of a fractional interval

They end in _test.go now, keep the build tag review, and review/build.sh builds them with go test -c.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # from the build of the deploy file, in target/.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o review/bin/standin ./review/standin
+go test -c -tags review -o review/bin/standin ./review/standin
--- a/review/standin/gang.go
+++ b/review/standin/gang_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standin
 
 import (
 	"strings"
--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,15 +1,19 @@
 //go:build review
 
-// Command standin runs one case of the review: it starts the program of the deploy file as
+// Package standin runs one case of the review: it starts the program of the deploy file as
 // separate processes against a stand-in of the platform (store, machine list and workers),
-// acts as the clients, and checks one rule. It exits with 1 if the rule was broken, 0 if it
-// held and 2 if the case could not run.
-package main
+// acts as the clients, and checks one rule. review/build.sh builds it as a test binary, so
+// that its files count as tests; its arguments are a scenario and a folder. It exits with 1
+// if the rule was broken, 0 if it held and 2 if the case could not run.
+package standin
 
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"testing"
 	"time"
 )
 
@@ -20,16 +24,19 @@
 type scenario func(e *env, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"ends":    manyEnds,
-	"kind":    otherKind,
-	"waiting": waitingCount,
-	"dropped": droppedQueue,
-	"renamed": renamedQueue,
-	"wave":    secondWave,
-	"soak":    soak,
+	"ends":     manyEnds,
+	"kind":     otherKind,
+	"waiting":  waitingCount,
+	"dropped":  droppedQueue,
+	"renamed":  renamedQueue,
+	"wave":     secondWave,
+	"odd":      oddJobs,
+	"interval": fractionalInterval,
+	"soak":     soak,
 }
 
-func main() {
+// TestMain takes the place of main.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO FOLDER")
 		os.Exit(2)
@@ -53,12 +60,16 @@
 	defer os.RemoveAll(dir)
 	e := &env{record: record, dir: dir, startedAt: time.Now()}
 	defer e.close()
-	time.AfterFunc(maxDuration, func() {
-		e.note("the run took longer than %v", maxDuration)
+	abandon := func(reason string) {
+		e.note("RESULT could not run: %s", reason)
 		e.close()
 		os.RemoveAll(dir)
 		os.Exit(2)
-	})
+	}
+	time.AfterFunc(maxDuration, func() { abandon("it took longer than " + maxDuration.String()) })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { abandon("ended by signal " + (<-signals).String()) }()
 	e.note("scenario %s, trouble %v", name, trouble)
 	broken, err := scenarios[name](e, trouble)
 	if err != nil {
