--- a/review/standin/cases_test.go
+++ b/review/standin/cases_test.go
@@ -127,11 +127,6 @@
 	if trouble {
 		w := workers[0]
 		w.mu.Lock()
-		for time.Since(w.lastBeat) > 200*time.Millisecond { // shortly after a heartbeat
-			w.mu.Unlock()
-			time.Sleep(20 * time.Millisecond)
-			w.mu.Lock()
-		}
 		w.cutOff = true
 		w.mu.Unlock()
 		e.note("TROUBLE: %s is cut off from the store and crashes", w.id)
--- a/review/standin/env_test.go
+++ b/review/standin/env_test.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/platform/memory"
-	"github.com/carawayusher/carawayusher/platform/platformtest"
 )
 
 const (
@@ -34,6 +33,9 @@
 	advicePort   = 8524
 )
 
+// trafficStart is when traffic starts, after the machines do.
+const trafficStart = 10 * time.Second
+
 // storeAnswerTime is the usual time of an answer of the platform's store.
 const storeAnswerTime = 4 * time.Millisecond
 
@@ -44,7 +46,7 @@
 	startedAt time.Time
 
 	network string // first three numbers of its loopback addresses
-	store   *memory.Store
+	store   *kvStore
 	config  config
 
 	mu       sync.Mutex
@@ -98,9 +100,9 @@
 		}
 	}
 	e.jobs, e.stopBeat = map[string]*job{}, make(chan struct{})
-	e.store = memory.NewStore(memory.Options{WritesPerSecond: 400, ReadsPerSecond: 2000, History: 200_000})
+	e.store = newStore()
 	e.store.SetFaults(memory.Faults{Delay: storeAnswerTime})
-	if _, err := e.listen(e.address(200, storePort), platformtest.StoreHandler(e.store)); err != nil {
+	if _, err := e.listen(e.address(200, storePort), e.store); err != nil {
 		return err
 	}
 	if _, err := e.listen(e.address(201, cloudPort), http.HandlerFunc(e.serveCloud)); err != nil {
@@ -148,7 +150,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	time.Sleep(2 * time.Second) // the owner has read the workers
+	time.Sleep(time.Until(e.startedAt.Add(trafficStart)))
 	e.note("the deployment is up; owner %s", e.owner().name)
 	return nil
 }
@@ -391,6 +393,11 @@
 func (v *vm) start() error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.cmd != nil { // the system as a whole has started before
+		if text, err := os.ReadFile(v.settings); err == nil {
+			_ = os.WriteFile(v.settings, bytes.Replace(text, []byte("bootstrap = true"), []byte("bootstrap = false"), 1), 0o600)
+		}
+	}
 	words := strings.Fields(deployCommand)
 	cmd := exec.Command(words[0], words[1:]...)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + v.env.dir, "LANG=C", "CARAWAYUSHER_CONFIG=" + v.settings}
--- a/review/standin/worker_test.go
+++ b/review/standin/worker_test.go
@@ -155,10 +155,14 @@
 	if w.draining {
 		state = "draining"
 	}
-	value, _ := json.Marshal(map[string]any{ // plain data
-		"service": service, "address": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "remaining_ms": 2000, "cold_left_ms": 0,
+	entry := map[string]any{
+		"service": service, "address": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
 		"capacity": w.capacity, "labels": []string{w.kind, w.rack}, "machine": w.machine, "clock_ms": w.clockMS(), "sequence": w.sequence, "born": w.born,
-	})
+	}
+	if w.draining {
+		entry["remaining_ms"] = 2000
+	}
+	value, _ := json.Marshal(entry) // plain data
 	if w.env.put("servers/"+w.id, value) == nil {
 		w.lastBeat = time.Now()
 		if w.entryAt.IsZero() {
