--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -28,6 +28,11 @@
 	if request.AckedThrough == w.ackThrough {
 		w.ackDue = false
 	}
+	cutBefore := w.endsCut()
+	if w.recordEndsListed(reply, sentAt); w.endsCut() && !cutBefore {
+		o.opts.Metrics.Event("ends_cut")
+		o.opts.Log.Info("worker lists only a part of the ends of its runs", "worker", w.ID, "listed", len(reply.Ended), "ackedThrough", request.AckedThrough, "runs", len(w.runs))
+	}
 	o.reconcileRuns(w, reply, sentAt)
 	o.queueAwaitingOrders(w)
 	o.throttleFillers(w)
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -604,6 +604,7 @@
 	if _, present := w.runs[r]; !present || r.phase != phaseUncertain || r.lastListedAt >= polledAt {
 		return
 	}
-	o.opts.Log.Info("run was not started", "task", r.group.taskID(r.index).String(), "run", r.number, "worker", w.ID)
+	o.opts.Log.Info("run was not started", "task", r.group.taskID(r.index).String(), "run", r.number, "worker", w.ID,
+		"endsCut", w.endsCut(), "endsSeenThrough", w.lastEndSeq, "listAgeMS", (o.opts.Clock() - polledAt).Milliseconds())
 	o.abandonRun(r)
 }
--- a/pkg/fleet/ports.go
+++ b/pkg/fleet/ports.go
@@ -73,6 +73,9 @@
 	Incarnation int64
 	Running     []RunState
 	Ended       []RunEnd
+	// MoreEnds means that Ended may lack the newest unacknowledged ends, as a worker
+	// lists only so many at a time.
+	MoreEnds bool
 }
 
 // StartOrder tells a worker to start a run.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -181,6 +181,9 @@
 	lastAnswerAt       time.Duration
 	incarnationSince   time.Duration // when this incarnation became known
 
+	wholeListSentAt time.Duration // when the newest poll was sent whose reply listed all unacknowledged ends
+	cutListSentAt   time.Duration // when the newest poll was sent whose reply may lack some of them
+
 	lastEndSeq  int64
 	ackThrough  int64
 	unackedEnds []unackedEnd
@@ -203,6 +206,19 @@
 	removed        bool          // from the owner's workers; its loops end
 }
 
+// recordEndsListed records whether the reply to a poll sent at sentAt listed all
+// unacknowledged ends; the lock is held.
+func (w *worker) recordEndsListed(reply RenewLeaseReply, sentAt time.Duration) {
+	if reply.MoreEnds {
+		w.cutListSentAt = max(w.cutListSentAt, sentAt)
+	} else {
+		w.wholeListSentAt = max(w.wholeListSentAt, sentAt)
+	}
+}
+
+// endsCut reports whether the worker's newest reply may lack ends; the lock is held.
+func (w *worker) endsCut() bool { return w.cutListSentAt > w.wholeListSentAt }
+
 // usage returns the resources of all runs on the worker, and of those that are being
 // stopped or may not have been started.
 func (w *worker) usage() (all, beingStopped workload.Resources) {
