fleet: do not take a run for never started while its worker's list of ends is cut

Cause: a worker lists 500 unacknowledged ends at a time. A run that is neither running nor among them counted as never started once its stop was accepted (abandonIfNeverStarted), and as missing after two polls (reconcileRuns), although its end is among those that the list lacks. The task went back to the queue, was started again, and the end was then acknowledged unread.

The same without a kill: with the store away for 1 s the ends cannot be acknowledged, each poll lists the same ones, and two polls that miss a run suffice.

Change: only a reply to a poll sent after the stop that lists all ends shows that a run was never started, and a cut list counts no run as missing. Orders to resolve a run wait until the lease loop, which acknowledges what it stores, gets a list that is not cut; runs of a former owner are not stopped meanwhile. A reply of a former incarnation, which is not applied, proves nothing either.

Why it works: ends stay listed until they are acknowledged, and only stored ends are acknowledged, so a list that is not cut holds the end of each run that has ended and is not stored.

The emulator now also finds a start after a successful end that is acknowledged later.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -34,7 +34,9 @@
 		o.opts.Log.Info("worker lists only a part of the ends of its runs", "worker", w.ID, "listed", len(reply.Ended), "ackedThrough", request.AckedThrough, "runs", len(w.runs))
 	}
 	o.reconcileRuns(w, reply, sentAt)
-	o.queueAwaitingOrders(w)
+	if !w.endsCut() {
+		o.queueAwaitingOrders(w)
+	}
 	o.throttleFillers(w)
 	slices.SortFunc(reply.Ended, func(a, b RunEnd) int { return int(a.Sequence - b.Sequence) })
 	for _, end := range reply.Ended {
@@ -68,6 +70,9 @@
 		if (r.phase != phaseRunning && r.phase != phaseStopping) || r.startedAt >= sentAt || ended[id] == r.number {
 			continue
 		}
+		if reply.MoreEnds {
+			continue // its end may be one that the reply lacks
+		}
 		if r.missedPolls++; r.missedPolls >= maxMissedPolls {
 			o.opts.Log.Info("run is missing on its worker", "task", id.String(), "run", r.number, "worker", w.ID)
 			o.queueResolve(r)
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -40,6 +40,8 @@
 	starts             map[workload.TaskID]int
 	running            map[workload.TaskID]int
 	doneAcked          map[workload.TaskID]bool
+	repeated           map[taskRun]string // start of a task after this run had ended successfully but before that was acknowledged
+	listedEnds         int
 	failed             map[workload.TaskID][]*failedEnd
 	excessStarts       []excessStart
 	tickets            map[string]time.Time               // expiry of a ticket by "step@worker"; nil if starts need no tickets
@@ -63,7 +65,7 @@
 	f := &Fleet{
 		store: store, encode: encoder, delay: callDelay, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
 		outcomeFor: func(workload.TaskID, int64) Outcome { return Outcome{Duration: time.Second} },
-		starts:     map[workload.TaskID]int{}, running: map[workload.TaskID]int{}, doneAcked: map[workload.TaskID]bool{}, failed: map[workload.TaskID][]*failedEnd{},
+		starts:     map[workload.TaskID]int{}, running: map[workload.TaskID]int{}, doneAcked: map[workload.TaskID]bool{}, repeated: map[taskRun]string{}, listedEnds: defaultListedEnds, failed: map[workload.TaskID][]*failedEnd{},
 		gangs: map[gangRun]map[*activeRun]*Worker{}, ledger: newLedger(),
 	}
 	for i := range n {
@@ -131,6 +133,13 @@
 	f.delay = d
 }
 
+// SetListedEnds sets how many unacknowledged ends a worker lists at a time.
+func (f *Fleet) SetListedEnds(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listedEnds = n
+}
+
 // UpdateFaults changes the faults of the worker with an index. change runs under the
 // lock.
 func (f *Fleet) UpdateFaults(i int, change func(*Faults)) {
@@ -358,11 +367,36 @@
 	if f.doneAcked[r.task] {
 		f.recordViolationLocked("%s started again on %s after its successful end was acknowledged", r.task, w.entry.ID)
 	}
+	if before, ok := f.unackedSuccess(r.task); ok {
+		f.repeated[before] = fmt.Sprintf("%s started again on %s after its run %d had ended successfully", r.task, w.entry.ID, before.number)
+	}
 	if attempts := max(1, f.jobs[r.task.Job].Class.MaxAttempts); len(f.failed[r.task]) >= attempts {
 		f.excessStarts = append(f.excessStarts, excessStart{r.task, w.entry.ID, attempts, slices.Clone(f.failed[r.task])})
 	}
 }
 
+// taskRun identifies a run of a task.
+type taskRun struct {
+	task   workload.TaskID
+	number int64
+}
+
+// unackedSuccess returns a run of a task that has ended successfully, which the owner has
+// not acknowledged; false if there is none.
+func (f *Fleet) unackedSuccess(task workload.TaskID) (taskRun, bool) {
+	if step, ok := f.stepOf(task); !ok || step.LongRunning {
+		return taskRun{}, false
+	}
+	for _, w := range f.workers {
+		for _, e := range w.ended {
+			if e.Task == task && e.Reason == fleet.EndDone {
+				return taskRun{task, e.Run}, true
+			}
+		}
+	}
+	return taskRun{}, false
+}
+
 // otherRuns describes the current runs of a task except r.
 func (f *Fleet) otherRuns(r *activeRun) string {
 	text := ""
@@ -396,6 +430,9 @@
 		failed.acked = true
 	}
 	if step, ok := f.stepOf(e.Task); ok && e.Reason == fleet.EndDone && !step.LongRunning {
+		if violation := f.repeated[taskRun{e.Task, e.Run}]; violation != "" {
+			f.recordViolationLocked("%s, and that end was acknowledged", violation)
+		}
 		if !f.doneAcked[e.Task] {
 			f.ledger.acked[stepOfTask(e.Task)]++
 		}
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -22,6 +22,8 @@
 	// drainStartBound is how long tasks may still be started on a worker after it
 	// reported that it drains.
 	drainStartBound = 2 * time.Second
+	// defaultListedEnds is how many unacknowledged ends a worker lists at a time.
+	defaultListedEnds = 500
 )
 
 // Outcome is how long a run takes and whether it fails.
@@ -244,7 +246,10 @@
 }
 
 func (w *Worker) leaseReply() fleet.RenewLeaseReply {
-	reply := fleet.RenewLeaseReply{ClockMS: w.clockMS(), Incarnation: w.entry.Incarnation, Ended: append([]fleet.RunEnd(nil), w.ended...)}
+	listed := min(len(w.ended), w.fleet.listedEnds)
+	reply := fleet.RenewLeaseReply{
+		ClockMS: w.clockMS(), Incarnation: w.entry.Incarnation, Ended: append([]fleet.RunEnd(nil), w.ended[:listed]...), MoreEnds: listed == w.fleet.listedEnds,
+	}
 	for _, r := range w.runs {
 		percent := 0
 		if !r.workingSince.IsZero() && !w.hang {
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -10,8 +10,8 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// maxQueuedOrders is the capacity of a worker's order queue. It is larger than the
-// number of runs that fit on a worker.
+// maxQueuedOrders is the capacity of a worker's order queue. With more runs on a worker,
+// orders for the others are queued again after a pause.
 const maxQueuedOrders = 256
 
 // orderKind selects the action of a worker's order loop.
@@ -39,8 +39,8 @@
 	o.enqueueOrder(r.worker, order{kind: orderResolve, run: r})
 }
 
-// enqueueOrder queues an order for a worker; the lock is held. The queue has room
-// for all runs of a worker; if it is full nevertheless, the owner must not block.
+// enqueueOrder queues an order for a worker; the lock is held. If the queue is full, the
+// owner must not block.
 func (o *Owner) enqueueOrder(w *worker, ord order) {
 	if w.removed {
 		return
@@ -48,7 +48,9 @@
 	select {
 	case w.orders <- ord:
 	default:
-		o.opts.Log.Info("order queue of the worker is full", "worker", w.ID)
+		if o.fullQueueLines.allow(o.opts.Clock()) {
+			o.opts.Log.Info("order queue of the worker is full", "worker", w.ID, "runs", len(w.runs))
+		}
 		if ord.run != nil {
 			o.retryOrderLater(w, ord)
 		}
@@ -530,8 +532,8 @@
 		return
 	}
 	if v == Accepted {
-		if polledAt := o.opts.Clock(); o.pollWorker(w, 0, false) {
-			o.abandonIfNeverStarted(w, r, polledAt)
+		polledAt := o.opts.Clock()
+		if o.pollWorker(w, 0, false) && o.abandonIfNeverStarted(w, r, polledAt) {
 			return
 		}
 	}
@@ -549,9 +551,10 @@
 	})
 }
 
-// repeatOrder queues an order again: once its worker answers, or else after a pause.
+// repeatOrder queues an order again: once its worker answers with all ends of its runs, or
+// else after a pause.
 func (o *Owner) repeatOrder(w *worker, ord order) {
-	if !o.awaitAnswer(w, ord) {
+	if !o.awaitAnswer(w, ord) && !o.awaitAllEnds(w, ord) {
 		o.retryOrderLater(w, ord)
 	}
 }
@@ -561,13 +564,24 @@
 func (o *Owner) awaitAnswer(w *worker, ord order) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if w.unansweredCalls == 0 {
-		return false
-	}
-	if !slices.Contains(w.awaitingAnswer, ord) {
+	return w.putAside(ord, w.unansweredCalls > 0)
+}
+
+// awaitAllEnds puts an order aside if its worker listed only a part of the ends of its
+// runs, until it lists all of them: the lease loop acknowledges those that it listed. It
+// reports whether it did.
+func (o *Owner) awaitAllEnds(w *worker, ord order) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return w.putAside(ord, w.endsCut())
+}
+
+// putAside puts an order aside under a condition, which it returns; the lock is held.
+func (w *worker) putAside(ord order, condition bool) bool {
+	if condition && !slices.Contains(w.awaitingAnswer, ord) {
 		w.awaitingAnswer = append(w.awaitingAnswer, ord)
 	}
-	return true
+	return condition
 }
 
 // queueAwaitingOrders queues the orders that were put aside until the worker answers; the
@@ -592,19 +606,26 @@
 		o.repeatOrder(w, order{kind: orderAdopt, run: r})
 		return
 	}
+	if o.awaitAllEnds(w, order{kind: orderAdopt, run: r}) {
+		return
+	}
 	o.executeResolve(w, r)
 }
 
 // abandonIfNeverStarted applies the result of a poll that followed the stop of a
-// run: if the worker listed the run neither as running nor as ended, it was never
-// started.
-func (o *Owner) abandonIfNeverStarted(w *worker, r *run, polledAt time.Duration) {
+// run: if the worker listed the run neither as running nor as ended, and listed all
+// ends, it was never started. It returns false if the run has to be resolved again.
+func (o *Owner) abandonIfNeverStarted(w *worker, r *run, polledAt time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, present := w.runs[r]; !present || r.phase != phaseUncertain || r.lastListedAt >= polledAt {
-		return
+		return true
+	}
+	if w.wholeListSentAt < polledAt {
+		return false
 	}
 	o.opts.Log.Info("run was not started", "task", r.group.taskID(r.index).String(), "run", r.number, "worker", w.ID,
 		"endsCut", w.endsCut(), "endsSeenThrough", w.lastEndSeq, "listAgeMS", (o.opts.Clock() - polledAt).Milliseconds())
 	o.abandonRun(r)
+	return true
 }
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -52,6 +52,7 @@
 	placedSinceStart bool                        // this owner has placed a group
 	lateJobLines     lineBudget
 	conflictLines    lineBudget
+	fullQueueLines   lineBudget
 	cycleRequestedAt atomic.Int64 // oldest request for a cycle that has not begun; 0 if none
 
 	// Used only by machineOpsLoop.
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -108,6 +108,7 @@
 	o.opts.Log.Info("worker has started anew", "worker", w.ID, "source", source, "runs", len(w.runs))
 	w.incarnationSince = o.opts.Clock()
 	w.contacted, w.lastEndSeq, w.ackThrough, w.unackedEnds, w.ackDue = false, 0, 0, nil, false
+	w.wholeListSentAt, w.cutListSentAt = 0, 0
 	w.maxDeadlineMS, w.maxStartDeadlineMS, w.priorExpiry = 0, 0, o.opts.Clock()+maxOrderDelay
 	w.resetEjection()
 	o.stopGivenUpRuns(w)
