fleet, gateway: know a job by the address of its queue, whatever the queue's name

Cause: a job records the name of its queue only, and State, Cancel, QueueLength and a repeated Accept took a job for unknown, or for another one, if that name was not the one of the queue that now serves the address. Callers know a job by its address and ID, not by the name of a queue.

Evidence: a 410 was not logged, so that a job that is not stored, that the owner lacks, or that belongs to another queue could not be told apart. Related paths that failed in the new tests: waiting was 0, a POST that came again was answered 409.

Change: the job record holds the address of its queue (host and prefix), and a job is one of a queue if it was handed in to a queue of that name or at that address (workload.QueueRef). A queue that is moved to another address keeps its jobs as before. Records and queries of earlier builds carry no address and are compared by name.

Why it works: a configuration changes the name at an address, not the address that a caller uses.

Measured: TestJobOfARenamedQueueIsFoundAtItsAddress and TestOwnerFindsJobsByNameOrAddressOfTheirQueue fail with the comparison by name and pass.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -21,6 +21,11 @@
 	Advice *AdvicePolicy
 }
 
+// Ref returns what identifies the queue to callers and in the records of its jobs.
+func (q *Queue) Ref() workload.QueueRef {
+	return workload.QueueRef{Name: q.Name, Address: strings.ToLower(q.Host) + q.Prefix}
+}
+
 // AdvicePolicy bounds the calls to the advice service for a queue and the lifetime
 // of the tickets that it issues; a queue with a nil policy needs no tickets.
 type AdvicePolicy struct {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -194,7 +194,7 @@
 func (b *testbed) state(j *workload.Job) workload.State {
 	for _, v := range b.vms {
 		if _, owner := v.elector.Owner(); owner != nil {
-			s, _ := owner.State(j.ID, j.Queue)
+			s, _ := owner.State(j.ID, j.QueueRef())
 			return s
 		}
 	}
@@ -219,6 +219,38 @@
 	}
 }
 
+// Guards against an owner that denies a job, or does not count it as waiting, once the
+// queue at its address has another name, and against mixing up queues.
+func TestOwnerFindsJobsByNameOrAddressOfTheirQueue(t *testing.T) {
+	tests := map[string]struct {
+		queue workload.QueueRef
+		want  bool
+	}{
+		"same queue":              {workload.QueueRef{Name: "q", Address: "h/q/"}, true},
+		"another name":            {workload.QueueRef{Name: "renamed", Address: "h/q/"}, true},
+		"another address":         {workload.QueueRef{Name: "q", Address: "h/moved/"}, true},
+		"from an earlier version": {workload.QueueRef{Name: "q"}, true},
+		"another queue":           {workload.QueueRef{Name: "other", Address: "h/other/"}, false},
+		"no address":              {workload.QueueRef{Name: "other"}, false},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 1)
+		j := b.buildJob(gangStep(2, 8)) // needs two workers, so it waits
+		j.QueueAddress = "h/q/"
+		b.storeJob(j)
+		b.sleep(time.Second)
+		_, owner := b.vms[0].elector.Owner()
+		for name, tc := range tests {
+			if _, known := owner.State(j.ID, tc.queue); known != tc.want {
+				t.Errorf("%s: the job is known: %v", name, known)
+			}
+			if n, _ := owner.QueueLength(tc.queue); (n == 1) != tc.want {
+				t.Errorf("%s: %d jobs wait", name, n)
+			}
+		}
+	})
+}
+
 // Guards against lost jobs and repeated runs without any faults.
 func TestJobsRunOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -260,11 +260,11 @@
 
 // State returns the state of a job as clients see it: a final state only once it
 // is stored. A job of another queue is reported as unknown.
-func (o *Owner) State(id, queue string) (state workload.State, known bool) {
+func (o *Owner) State(id string, queue workload.QueueRef) (state workload.State, known bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	j, ok := o.jobs[id]
-	if !ok || j.Queue != queue {
+	if !ok || !j.In(queue) {
 		return "", false
 	}
 	if j.storedState.Final() {
@@ -299,11 +299,11 @@
 
 // QueueLength returns the number of jobs in a queue of which no task has started;
 // known is false while the jobs are not loaded.
-func (o *Owner) QueueLength(queue string) (n int, known bool) {
+func (o *Owner) QueueLength(queue workload.QueueRef) (n int, known bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, j := range o.live {
-		if j.Queue == queue && !j.storedState.Final() && !j.progress.Started() {
+		if j.In(queue) && !j.storedState.Final() && !j.progress.Started() {
 			n++
 		}
 	}
--- a/pkg/fleet/standstill_test.go
+++ b/pkg/fleet/standstill_test.go
@@ -735,7 +735,7 @@
 				unfinished := 0
 				for _, j := range s.jobs {
 					if owner := s.currentOwner(); owner != nil {
-						if st, _ := owner.State(j.ID, j.Queue); !st.Final() {
+						if st, _ := owner.State(j.ID, j.QueueRef()); !st.Final() {
 							unfinished++
 						}
 					}
--- a/pkg/fleetdemo/demo.go
+++ b/pkg/fleetdemo/demo.go
@@ -174,7 +174,7 @@
 			submitted := *j
 			err = s.gateway.Accept(callCtx, &submitted)
 			accepted = err == nil
-		} else if r.state, err = s.gateway.State(callCtx, j.ID, j.Queue); err != nil {
+		} else if r.state, err = s.gateway.State(callCtx, j.ID, j.QueueRef()); err != nil {
 			s.log.V(1).Info("job state is not available", "job", j.ID, "reason", err.Error())
 		}
 		cancel()
--- a/pkg/fleetdemo/system.go
+++ b/pkg/fleetdemo/system.go
@@ -131,7 +131,7 @@
 var errNoOwner = errkind.New(errkind.Unavailable, "no VM owns the fleet")
 
 // State implements gateway.Owner.
-func (s *system) State(_ context.Context, id, queue string) (workload.State, error) {
+func (s *system) State(_ context.Context, id string, queue workload.QueueRef) (workload.State, error) {
 	if o := s.owner(); o != nil {
 		if state, known := o.State(id, queue); known {
 			return state, nil
@@ -141,7 +141,7 @@
 }
 
 // QueueLength implements gateway.Owner.
-func (s *system) QueueLength(_ context.Context, queue string) (int, error) {
+func (s *system) QueueLength(_ context.Context, queue workload.QueueRef) (int, error) {
 	if o := s.owner(); o != nil {
 		if n, known := o.QueueLength(queue); known {
 			return n, nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -44,9 +44,9 @@
 type Owner interface {
 	// State returns a job's state; kind not_found is an unknown job, and kind
 	// unavailable an owner that cannot answer.
-	State(ctx context.Context, id, queue string) (workload.State, error)
+	State(ctx context.Context, id string, queue workload.QueueRef) (workload.State, error)
 	// QueueLength returns the number of a queue's jobs that have not started.
-	QueueLength(ctx context.Context, queue string) (int, error)
+	QueueLength(ctx context.Context, queue workload.QueueRef) (int, error)
 	// MaximalCapacities returns the worker capacities of a service that no other
 	// worker of the service exceeds; none if they are not known.
 	MaximalCapacities(service string) []workload.Resources
@@ -152,7 +152,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if stored.Queue != j.Queue || stored.Workspace != j.Workspace {
+		if !stored.In(j.QueueRef()) || stored.Workspace != j.Workspace {
 			return nil, errkind.New(errkind.Conflict, "the ID belongs to another job")
 		}
 		return stored, nil
@@ -186,7 +186,7 @@
 }
 
 // Cancel marks a job as cancelled; an unknown job has kind not_found.
-func (g *Gateway) Cancel(ctx context.Context, id, queue string) error {
+func (g *Gateway) Cancel(ctx context.Context, id string, queue workload.QueueRef) error {
 	return g.withRelay(ctx, func(ctx context.Context) error {
 		return g.cancel(ctx, id, queue)
 	}, func(ctx context.Context) error {
@@ -194,7 +194,7 @@
 	})
 }
 
-func (g *Gateway) cancel(ctx context.Context, id, queue string) error {
+func (g *Gateway) cancel(ctx context.Context, id string, queue workload.QueueRef) error {
 	entries, err := g.list(ctx, fleet.JobKey(id))
 	if err != nil {
 		return err
@@ -203,8 +203,8 @@
 	if err != nil {
 		return err
 	}
-	if stored == nil || stored.Queue != queue {
-		return errkind.New(errkind.NotFound, "no such job")
+	if err := checkQueue(stored, queue); err != nil {
+		return err
 	}
 	if !cancelled {
 		_, err = g.commit(ctx, platform.Txn{
@@ -221,6 +221,17 @@
 	return nil
 }
 
+// checkQueue returns not_found if a job does not exist or is not one of a queue.
+func checkQueue(stored *workload.Job, queue workload.QueueRef) error {
+	switch {
+	case stored == nil:
+		return errkind.New(errkind.NotFound, "it is not stored")
+	case !stored.In(queue):
+		return errkind.New(errkind.NotFound, "it was handed in to queue %q at %q, not to %q at %q", stored.Queue, stored.QueueAddress, queue.Name, queue.Address)
+	}
+	return nil
+}
+
 func (g *Gateway) findJob(entries []platform.Entry, id string) (stored *workload.Job, cancelled bool, err error) {
 	for _, e := range entries {
 		switch e.Key {
@@ -236,7 +247,7 @@
 }
 
 // State returns the state of a job; an unknown job has kind not_found.
-func (g *Gateway) State(ctx context.Context, id, queue string) (workload.State, error) {
+func (g *Gateway) State(ctx context.Context, id string, queue workload.QueueRef) (workload.State, error) {
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	state, err := g.opts.Owner.State(ownerCtx, id, queue)
 	cancel()
@@ -246,7 +257,7 @@
 	return g.stateFromStore(ctx, id, queue)
 }
 
-func (g *Gateway) stateFromStore(ctx context.Context, id, queue string) (workload.State, error) {
+func (g *Gateway) stateFromStore(ctx context.Context, id string, queue workload.QueueRef) (workload.State, error) {
 	entries, err := g.list(ctx, fleet.JobKey(id))
 	if err != nil {
 		return "", err
@@ -255,8 +266,8 @@
 	if err != nil {
 		return "", err
 	}
-	if stored == nil || stored.Queue != queue {
-		return "", errkind.New(errkind.NotFound, "no such job")
+	if err := checkQueue(stored, queue); err != nil {
+		return "", err
 	}
 	progress, err := g.list(ctx, fleet.ProgressKey(id))
 	if err != nil {
@@ -285,7 +296,7 @@
 }
 
 // QueueLength returns the number of a queue's jobs that have not started.
-func (g *Gateway) QueueLength(ctx context.Context, queue string) (int, error) {
+func (g *Gateway) QueueLength(ctx context.Context, queue workload.QueueRef) (int, error) {
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	n, err := g.opts.Owner.QueueLength(ownerCtx, queue)
 	cancel()
@@ -303,7 +314,7 @@
 	return g.countQueued(queue, jobs, progress)
 }
 
-func (g *Gateway) countQueued(queue string, jobs, progress []platform.Entry) (int, error) {
+func (g *Gateway) countQueued(queue workload.QueueRef, jobs, progress []platform.Entry) (int, error) {
 	progressByKey := map[string]platform.Entry{}
 	for _, e := range progress {
 		progressByKey[e.Key] = e
@@ -317,7 +328,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if j.Queue != queue {
+		if !j.In(queue) {
 			continue
 		}
 		var jobProgress []platform.Entry
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -19,11 +19,11 @@
 // noOwner is an Owner while the fleet has none.
 type noOwner struct{}
 
-func (noOwner) State(context.Context, string, string) (workload.State, error) {
+func (noOwner) State(context.Context, string, workload.QueueRef) (workload.State, error) {
 	return "", errkind.New(errkind.Unavailable, "no owner")
 }
 
-func (noOwner) QueueLength(context.Context, string) (int, error) {
+func (noOwner) QueueLength(context.Context, workload.QueueRef) (int, error) {
 	return 0, errkind.New(errkind.Unavailable, "no owner")
 }
 func (noOwner) MaximalCapacities(string) []workload.Resources { return nil }
@@ -41,7 +41,7 @@
 }
 
 func newJob() *workload.Job {
-	return &workload.Job{ID: "0123456789abcdef", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}
+	return &workload.Job{ID: "0123456789abcdef", Queue: "q", QueueAddress: "h/q/", Steps: []workload.Step{{Tasks: 1}}}
 }
 
 // Guards against refusing a job as not run when it may be stored, and against
@@ -122,18 +122,19 @@
 			t.Fatal(err)
 		}
 	}
+	q := newJob().QueueRef()
 	other := newJob()
-	other.Queue = "other"
+	other.Queue, other.QueueAddress = "other", "h/other/"
 	if err := g.Accept(ctx, other); !errkind.Is(err, errkind.Conflict) {
 		t.Errorf("another job under the ID: %v", err)
 	}
-	if s, err := g.State(ctx, newJob().ID, "q"); err != nil || s != workload.Queued {
+	if s, err := g.State(ctx, newJob().ID, q); err != nil || s != workload.Queued {
 		t.Errorf("state %q, %v", s, err)
 	}
-	if n, err := g.QueueLength(ctx, "q"); err != nil || n != 1 {
+	if n, err := g.QueueLength(ctx, q); err != nil || n != 1 {
 		t.Errorf("waiting %d, %v", n, err)
 	}
-	for id, queue := range map[string]string{"ffffffffffffffff": "q", newJob().ID: "other"} {
+	for id, queue := range map[string]workload.QueueRef{"ffffffffffffffff": q, newJob().ID: {Name: "other", Address: "h/other/"}} {
 		if _, err := g.State(ctx, id, queue); !errkind.Is(err, errkind.NotFound) {
 			t.Errorf("state of %s in %s: %v", id, queue, err)
 		}
@@ -142,7 +143,7 @@
 		}
 	}
 	for range 2 { // Cancel is idempotent
-		if err := g.Cancel(ctx, newJob().ID, "q"); err != nil {
+		if err := g.Cancel(ctx, newJob().ID, q); err != nil {
 			t.Error(err)
 		}
 	}
@@ -155,11 +156,40 @@
 	if _, err := store.Put(ctx, fleet.ProgressKey(newJob().ID), data, 0, 0); err != nil {
 		t.Fatal(err)
 	}
-	if s, err := g.State(ctx, newJob().ID, "q"); err != nil || s != workload.Completed {
+	if s, err := g.State(ctx, newJob().ID, q); err != nil || s != workload.Completed {
 		t.Errorf("state %q, %v", s, err)
 	}
 }
 
+// Guards against answering that a job does not exist, or belongs to another, once a new
+// version of the configuration has given the queue at its address another name.
+func TestJobOfARenamedQueueIsFoundAtItsAddress(t *testing.T) {
+	store := memory.NewStore(memory.Options{})
+	g := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()})
+	ctx := t.Context()
+	if err := g.Accept(ctx, newJob()); err != nil {
+		t.Fatal(err)
+	}
+	renamed := newJob()
+	renamed.Queue = "renamed"
+	q := renamed.QueueRef()
+	if err := g.Accept(ctx, renamed); err != nil {
+		t.Errorf("the job is handed in again: %v", err)
+	}
+	if s, err := g.State(ctx, renamed.ID, q); err != nil || s != workload.Queued {
+		t.Errorf("state %q, %v", s, err)
+	}
+	if n, err := g.QueueLength(ctx, q); err != nil || n != 1 {
+		t.Errorf("waiting %d, %v", n, err)
+	}
+	if err := g.Cancel(ctx, renamed.ID, q); err != nil {
+		t.Errorf("cancel: %v", err)
+	}
+	if _, err := store.Get(ctx, fleet.CancelKey(renamed.ID)); err != nil {
+		t.Errorf("the cancellation is not stored: %v", err)
+	}
+}
+
 // Guards against delaying a caller until the call timeout when the answer of the store
 // was lost although the job is stored.
 func TestLostAnswerDoesNotHoldTheCaller(t *testing.T) {
--- a/pkg/gateway/notify_test.go
+++ b/pkg/gateway/notify_test.go
@@ -54,7 +54,7 @@
 		if err := g.Accept(t.Context(), j); err != nil {
 			t.Fatal(err)
 		}
-		if err := g.Cancel(t.Context(), j.ID, j.Queue); err != nil {
+		if err := g.Cancel(t.Context(), j.ID, j.QueueRef()); err != nil {
 			t.Fatal(err)
 		}
 		if owner.submitted.Load() == 0 || owner.cancelled.Load() == 0 {
@@ -96,7 +96,7 @@
 		if _, err := g.opts.Store.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: fleet.CancelKey(j.ID)}}}); !errkind.Is(err, errkind.StoreUnavailable) {
 			t.Fatal(err)
 		}
-		if err := g.Cancel(t.Context(), j.ID, j.Queue); err != nil {
+		if err := g.Cancel(t.Context(), j.ID, j.QueueRef()); err != nil {
 			t.Fatal(err)
 		}
 		if owner.cancelled.Load() == 0 {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -13,7 +13,7 @@
 // nothing was stored, timeout that something may have been.
 type Relay interface {
 	Accept(ctx context.Context, j *workload.Job) error
-	Cancel(ctx context.Context, id, queue string) error
+	Cancel(ctx context.Context, id string, queue workload.QueueRef) error
 }
 
 // minRelayDelay is the minimum time of the local attempt before the relay starts. It
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -30,7 +30,7 @@
 	return r.answer(r.gateway.Accept(ctx, j))
 }
 
-func (r *fakeRelay) Cancel(ctx context.Context, id, queue string) error {
+func (r *fakeRelay) Cancel(ctx context.Context, id string, queue workload.QueueRef) error {
 	r.calls.Add(1)
 	return r.answer(r.gateway.Cancel(ctx, id, queue))
 }
@@ -116,10 +116,10 @@
 		if err := g.Accept(t.Context(), newJob()); err != nil {
 			t.Fatal(err)
 		}
-		if err := g.Cancel(t.Context(), newJob().ID, newJob().Queue); err != nil {
+		if err := g.Cancel(t.Context(), newJob().ID, newJob().QueueRef()); err != nil {
 			t.Fatal(err)
 		}
-		if err := g.Cancel(t.Context(), "ffffffffffffffff", newJob().Queue); !errkind.Is(err, errkind.NotFound) {
+		if err := g.Cancel(t.Context(), "ffffffffffffffff", newJob().QueueRef()); !errkind.Is(err, errkind.NotFound) {
 			t.Errorf("cancel of an unknown job: %v", err)
 		}
 		if took := time.Since(startedAt); took > 0 {
--- a/pkg/workload/job.go
+++ b/pkg/workload/job.go
@@ -99,6 +99,25 @@
 	Schedule       Schedule `cbor:"6,keyasint"`
 	AcceptedUnixMS int64    `cbor:"7,keyasint"` // clock of the VM that accepted it
 	Class          Class    `cbor:"8,keyasint"` // as configured at acceptance
+	// QueueAddress is the address at which the job was handed in; empty in records of
+	// earlier versions.
+	QueueAddress string `cbor:"9,keyasint,omitempty"`
+}
+
+// QueueRef identifies a queue: by its name, which a new version of the configuration may
+// change, and by the address that callers use, which it may give to another queue.
+type QueueRef struct {
+	Name    string
+	Address string // host and path prefix; empty if unknown
+}
+
+// QueueRef returns the queue to which the job was handed in.
+func (j *Job) QueueRef() QueueRef { return QueueRef{Name: j.Queue, Address: j.QueueAddress} }
+
+// In reports whether a job is one of a queue: it was handed in to a queue of that name or
+// at that address.
+func (j *Job) In(q QueueRef) bool {
+	return j.Queue == q.Name || (j.QueueAddress != "" && j.QueueAddress == q.Address)
 }
 
 // Occurrences returns how many times the steps run.
