fleet: keep the advice policy with the job, and ask for tickets when a worker wants them

Change: the job record holds the policy of its queue at acceptance, as it holds the class, and it applies when the queue no longer exists. A start that is refused for want of a ticket makes the group ask for tickets, whatever the policy says, which covers records of earlier builds. Without an advice service such a worker is avoided for a second instead of being asked at once.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -18,7 +18,7 @@
 	Prefix string
 	Public bool // callers need no key
 	Class  workload.Class
-	Advice *AdvicePolicy
+	Advice *workload.AdvicePolicy // nil: its starts need no tickets
 }
 
 // Ref returns what identifies the queue to callers and in the records of its jobs.
@@ -26,14 +26,6 @@
 	return workload.QueueRef{Name: q.Name, Address: strings.ToLower(q.Host) + q.Prefix}
 }
 
-// AdvicePolicy bounds the calls to the advice service for a queue and the lifetime
-// of the tickets that it issues; a queue with a nil policy needs no tickets.
-type AdvicePolicy struct {
-	BaseTimeout      time.Duration // fixed part of the timeout of a call
-	TimeoutPerWorker time.Duration // added for each worker in the call
-	TicketTTL        time.Duration // how long a ticket is valid
-}
-
 // Service is a pool of targets.
 type Service struct {
 	Name            string
--- a/pkg/fleet/advice.go
+++ b/pkg/fleet/advice.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/carawayusher/carawayusher/internal/wait"
-	"github.com/carawayusher/carawayusher/pkg/catalog"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -47,15 +46,23 @@
 	inFlight       bool // a request is queued or being answered
 }
 
-// adviceOf returns the advice policy of a job's queue; nil if there is none or no
-// advice service.
-func (o *Owner) adviceOf(j *job) *catalog.AdvicePolicy {
-	if cat := o.opts.Catalog(); cat != nil && o.opts.Advice != nil {
+// adviceOf returns the advice policy of a job: the one of its queue in the current
+// configuration, or the one at its acceptance if the queue no longer exists; nil if there is
+// none.
+func (o *Owner) adviceOf(j *job) *workload.AdvicePolicy {
+	if cat := o.opts.Catalog(); cat != nil {
 		if q := cat.Queue(j.Queue); q != nil {
 			return q.Advice
 		}
 	}
-	return nil
+	return j.Advice
+}
+
+// needsTickets reports whether the starts of a group need tickets: by its policy, or because
+// a worker has refused one without a ticket, as the policy may have changed since the job was
+// accepted. Without an advice service there are none.
+func (o *Owner) needsTickets(g *taskGroup) bool {
+	return o.opts.Advice != nil && (g.ticketRefused || o.adviceOf(g.job) != nil)
 }
 
 // ticketHolders returns the IDs of the workers with a valid ticket for a group; the lock
@@ -174,7 +181,7 @@
 	g := c.group
 	step := workload.TaskID{Job: g.job.ID, Occurrence: g.occurrence, Step: g.step}.StepName()
 	timeout := adviceTimeoutMargin
-	if a := o.adviceOf(g.job); a != nil {
+	if a := cmp.Or(o.adviceOf(g.job), g.job.Advice); a != nil {
 		timeout += a.BaseTimeout + time.Duration(len(c.workers))*a.TimeoutPerWorker
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, timeout)
--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -75,7 +75,7 @@
 		cloud := fleettest.NewCloud(b.workers, time.Second)
 		cloud.AllowedWorkers = []string{"w06", "w07"}
 		b.adjustOptions = func(o *fleet.Options) { o.Advice = cloud }
-		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &catalog.AdvicePolicy{TicketTTL: 5 * time.Second}}}}
+		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &workload.AdvicePolicy{TicketTTL: 5 * time.Second}}}}
 		b.startVM()
 		b.sleep(time.Second)
 		jobs := []*workload.Job{b.submit(smallStep(1)), b.submit(gangStep(2, 8)), b.submit(smallStep(12))}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -426,10 +426,14 @@
 	case TooLate:
 		w.contacted = false // the estimate of its clock is wrong
 	case NoTicket:
+		r.group.ticketRefused = true
 		if a := r.group.advice; a != nil {
 			delete(a.tickets, w.ID)
 			delete(a.checkedWorkers, incarnationKey(w))
 		}
+		if o.opts.Advice == nil {
+			r.group.exclude(w, now) // no service issues tickets; the worker may stop asking for them
+		}
 	case StaleRun, Accepted, Withdrawn:
 	case Unhealthy, BadOrder:
 		w.backoffUntil, w.backoffReason = now+unhealthyBackoff, v
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -369,7 +369,7 @@
 		r.MaxStopCost = o.maxStopCost(c)
 		r.MayPreempt = r.MaxStopCost > 0
 	}
-	if o.adviceOf(g.job) != nil {
+	if o.needsTickets(g) {
 		r.EligibleWorkers = o.ticketHolders(g, now)
 	}
 	return r
--- a/pkg/fleet/preferences_test.go
+++ b/pkg/fleet/preferences_test.go
@@ -34,7 +34,7 @@
 		cloud := fleettest.NewCloud(b.workers, time.Second)
 		cloud.AllowedWorkers = []string{"w02"}
 		b.adjustOptions = func(o *fleet.Options) { o.Advice = cloud }
-		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &catalog.AdvicePolicy{TicketTTL: 5 * time.Second}}}}
+		b.catalog = &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Class: workload.Class{Service: "service"}, Advice: &workload.AdvicePolicy{TicketTTL: 5 * time.Second}}}}
 		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
 			return fleettest.Outcome{Duration: 300 * time.Millisecond, Fails: run == 1}
 		})
--- a/pkg/workload/job.go
+++ b/pkg/workload/job.go
@@ -102,6 +102,16 @@
 	// QueueAddress is the address at which the job was handed in; empty in records of
 	// earlier versions.
 	QueueAddress string `cbor:"9,keyasint,omitempty"`
+	// Advice is the policy of its queue at acceptance; nil if its starts need no tickets.
+	Advice *AdvicePolicy `cbor:"10,keyasint,omitempty"`
+}
+
+// AdvicePolicy bounds the calls to the advice service for a queue and the lifetime of the
+// tickets that it issues.
+type AdvicePolicy struct {
+	BaseTimeout      time.Duration `cbor:"1,keyasint,omitempty"` // fixed part of the timeout of a call
+	TimeoutPerWorker time.Duration `cbor:"2,keyasint,omitempty"` // added for each worker in the call
+	TicketTTL        time.Duration `cbor:"3,keyasint,omitempty"` // how long a ticket is valid
 }
 
 // QueueRef identifies a queue: by its name, which a new version of the configuration may
