--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -66,7 +66,7 @@
 	ready           bool
 	multiRack       bool // placed on several racks although it prefers one
 	advice          *adviceState
-	ticketRefused   bool // a worker has refused a start for want of a ticket
+	ticketRefused   bool           // a worker has refused a start for want of a ticket
 	victimPos       victimPosition // of a gang as a whole
 	planned         planResult
 	refusal         Verdict               // of the latest start that was not accepted
