--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -115,6 +115,27 @@
 	})
 }
 
+// Guards against a wave that is said to be completed although the operator has added a machine
+// to it meanwhile, whose maintenance has not begun.
+func TestWaveThatIsChangedIsNotCompletedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 4)
+		cloud := fleettest.NewCloud(b.workers, 2*time.Second)
+		b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves, o.MaintenanceDuration = cloud, cloud, 2*time.Second }
+		b.startVM()
+		b.sleep(time.Second)
+		wave := fleet.Wave{Number: 1, Machines: []string{"m-w00", "m-w01"}, TimeLimit: 30 * time.Second, MaxDown: 1}
+		cloud.AddWave(wave)
+		b.sleep(3 * time.Second)
+		wave.Machines = []string{"m-w00", "m-w01", "m-w02"}
+		cloud.AddWave(wave)
+		b.sleep(20 * time.Second)
+		if !cloud.Completed(1) || !cloud.MaintenanceStarted(1, "m-w02") {
+			t.Errorf("completed: %v; maintenance of the added machine begun: %v", cloud.Completed(1), cloud.MaintenanceStarted(1, "m-w02"))
+		}
+	})
+}
+
 // omittingMachineList omits a machine from one list, the first with the machine in a state.
 type omittingMachineList struct {
 	fleet.MachineClient
--- a/pkg/fleet/fleettest/machines.go
+++ b/pkg/fleet/fleettest/machines.go
@@ -50,10 +50,11 @@
 	return c
 }
 
-// AddWave adds a maintenance wave.
+// AddWave adds a maintenance wave, or changes the one with its number.
 func (c *Cloud) AddWave(w fleet.Wave) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waves = slices.DeleteFunc(c.waves, func(other fleet.Wave) bool { return other.Number == w.Number })
 	c.waves = append(c.waves, w)
 }
 
@@ -64,6 +65,15 @@
 	return c.completed[wave]
 }
 
+// MaintenanceStarted reports whether the maintenance of a machine for a wave has begun.
+func (c *Cloud) MaintenanceStarted(wave int64, machine string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.maintenanceStarted[maintenanceKey(wave, machine)]
+}
+
+func maintenanceKey(wave int64, machine string) string { return fmt.Sprintf("%d/%s", wave, machine) }
+
 // Machines implements fleet.MachineClient.
 func (c *Cloud) Machines(context.Context) ([]fleet.Machine, error) {
 	c.mu.Lock()
@@ -96,7 +106,7 @@
 		return fleet.MachineOpFenced, nil
 	}
 	c.tokens[machine] = token
-	key := fmt.Sprintf("%d/%s", wave, machine)
+	key := maintenanceKey(wave, machine)
 	if !c.maintenanceStarted[key] {
 		if m.State != fleet.MachineUp {
 			return fleet.MachineOpBusy, nil
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -90,7 +90,11 @@
 		return len(o.waves) > 0
 	}
 	for _, w := range waves {
-		if completed[w.Number] || o.waves[w.Number] != nil {
+		if completed[w.Number] {
+			continue
+		}
+		if known := o.waves[w.Number]; known != nil {
+			known.Wave = w // the operator may have changed it
 			continue
 		}
 		o.opts.Log.Info("maintenance wave added", "wave", w.Number, "machines", len(w.Machines), "withinMS", w.TimeLimit.Milliseconds(), "maxDown", w.MaxDown)
