fleet: believe what a worker reports of itself before an entry under its key

An entry that another writer left under the key of a worker took it out of use for good, stopped its work, and could make tasks run twice.

Cause: an entry in the store was taken for the worker's. One with a later 'born' than the worker's own made the owner resolve, that is stop, all of its runs, and afterwards every entry and every reply of the worker itself counted as one of a former process. One with the address of another worker got the answer 'another process' (421) there, which the owner took for the end of the process that had the runs. The other way round, a worker whose reply names a later start than its entry kept the labels, capacity and service of its former life.

Change: an entry that names another start than before is a claim until a reply confirms it, and what is known of the process before is kept until then. Runs are looked for at the worker before they are stopped. A reply to a call sent after the claim decides: it confirms the claim or takes it back. Until then a 421, or the state of another machine, ends no run; the lease does. An entry that is older than the reported start, or that gives the same process another address, service or machine, is ignored and logged. Tasks are placed only on a worker whose entry is that of the process which answers. An entry that cannot be used takes the worker out of use until it writes its own again, in a list as in a watch. Assignments hold the address of their worker, so that a successor notices an entry that leads elsewhere.

Why it works: a reply to a call that was sent later than the claim comes from the process that is running; a worker's own start is what its own replies say.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -12,17 +12,14 @@
 // connections may overtake each other.
 const maxMissedPolls = 2
 
-// applyLeaseReply applies a worker's reply to a RenewLeaseRequest sent at sentAt.
-func (o *Owner) applyLeaseReply(w *worker, request RenewLeaseRequest, reply RenewLeaseReply, sentAt time.Duration) {
+// applyLeaseReply applies a worker's reply to a RenewLeaseRequest sent at sentAt, and reports
+// whether it did: a late reply of a former incarnation says nothing of the present one.
+func (o *Owner) applyLeaseReply(w *worker, request RenewLeaseRequest, reply RenewLeaseReply, sentAt time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.opts.Clock()
-	if reply.Incarnation != w.Incarnation {
-		if reply.Incarnation < w.Incarnation {
-			return // late reply of a former incarnation
-		}
-		w.Incarnation = reply.Incarnation
-		o.beginIncarnation(w, "its own reply")
+	if !o.confirmIncarnation(w, reply.Incarnation, sentAt) {
+		return false
 	}
 	w.contacted, w.clockMS, w.clockReadAt, w.lastAnswerAt, w.unansweredCalls = true, reply.ClockMS, now, now, 0
 	if request.AckedThrough == w.ackThrough {
@@ -46,6 +43,7 @@
 	}
 	o.advanceAck(w)
 	o.triggerCycle()
+	return true
 }
 
 // reconcileRuns compares the runs that a worker lists with those assigned to it;
--- /dev/null
+++ b/pkg/fleet/entry_test.go
@@ -0,0 +1,117 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/fleet"
+	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
+	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/workload"
+)
+
+// heartbeatInterval is the time after which a worker writes its entry again.
+const heartbeatInterval = 1500 * time.Millisecond
+
+// putEntry writes a value among the entries of the workers.
+func (b *testbed) putEntry(id string, value []byte) {
+	b.t.Helper()
+	if _, err := b.store.Commit(b.t.Context(), platform.Txn{Writes: []platform.Write{{Key: fleettest.WorkerPrefix + id, Value: value}}}); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// oddEntry returns the entry of a worker as another writer has changed it.
+func (b *testbed) oddEntry(i int, change func(e *fleet.WorkerEntry)) []byte {
+	e := b.workers.Entry(i)
+	change(&e)
+	value, err := json.Marshal(e)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return value
+}
+
+// Guards against losing or repeating the work of a worker, or not using it any more, after
+// another writer has left an entry under its key. The worker writes its own entry again within
+// a heartbeat interval.
+func TestOddEntryUnderTheKeyOfAWorkerHarmsNothing(t *testing.T) {
+	change := func(f func(e *fleet.WorkerEntry)) func(b *testbed, i int) []byte {
+		return func(b *testbed, i int) []byte { return b.oddEntry(i, f) }
+	}
+	tests := map[string]func(b *testbed, i int) []byte{
+		"unreadable":  func(*testbed, int) []byte { return []byte("\xff\x00") },
+		"later start": change(func(e *fleet.WorkerEntry) { e.Incarnation = math.MaxInt64 }),
+		"later start, address of another worker": func(b *testbed, i int) []byte {
+			return b.oddEntry(i, func(e *fleet.WorkerEntry) { e.Incarnation, e.Address = math.MaxInt64, b.workers.Entry(1-i).Address })
+		},
+		"later start, address and machine of none": change(func(e *fleet.WorkerEntry) { e.Incarnation, e.Address, e.Machine = math.MaxInt64, "none:1", "m-none" }),
+		"same start, address of another worker": func(b *testbed, i int) []byte {
+			return b.oddEntry(i, func(e *fleet.WorkerEntry) { e.Address = b.workers.Entry(1 - i).Address })
+		},
+		"same start, address and machine of none": change(func(e *fleet.WorkerEntry) { e.Address, e.Machine = "none:1", "m-none" }),
+		"earlier start": change(func(e *fleet.WorkerEntry) { e.Incarnation, e.Address = -5, "none:1" }),
+	}
+	steps := map[string]workload.Step{"gang": gangStep(4, 4), "separate tasks": separate(gangStep(4, 4))}
+	for name, odd := range tests {
+		for kind, step := range steps {
+			for _, takeover := range []bool{false, true} {
+				t.Run(name+", "+kind+map[bool]string{true: ", takeover"}[takeover], func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						b := newMachineTestbed(t, 2, 2)
+						b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 12 * time.Second} })
+						j := b.submit(step)
+						b.sleep(2 * time.Second)
+						b.putEntry(b.workers.Entry(0).ID, odd(b, 0))
+						b.sleep(500 * time.Millisecond)
+						if takeover {
+							b.killVM(b.ownerIndex())
+						}
+						b.sleep(heartbeatInterval - 500*time.Millisecond)
+						b.workers.Heartbeat(0)
+						b.sleep(15 * time.Second)
+						b.wantOneStartPerTask(j)
+						b.wantState(j, workload.Completed)
+						after := b.submit(gangStep(4, 4)) // needs both workers
+						b.sleep(20 * time.Second)
+						b.wantState(after, workload.Completed)
+					})
+				})
+			}
+		}
+	}
+}
+
+// separate returns the step with tasks that run independently.
+func separate(step workload.Step) workload.Step {
+	step.Gang = false
+	return step
+}
+
+// Guards against a worker whose entry describes another process than the one that answers,
+// and that gets tasks which only that other process may run: its labels, capacity and service
+// are not known until it writes its own entry.
+func TestWorkerThatStartedAnewGetsNoTasksBeforeItsEntryIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 1)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 3 * time.Second} })
+		step := smallStep(2)
+		step.RequiredLabel = "a"
+		j := b.submit(step)
+		b.sleep(time.Second)
+		b.workers.RestartCutOff(0, "b")
+		b.sleep(6 * time.Second)
+		for i := range step.Tasks {
+			if n := b.workers.Starts(workload.TaskID{Job: j.ID, Index: i}); n != 1 {
+				t.Errorf("task %d was started %d times, the second time on a worker without its label", i, n)
+			}
+		}
+		b.workers.RestartCutOff(0, "a")
+		b.workers.Heartbeat(0)
+		b.sleep(20 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -208,6 +208,18 @@
 	}
 }
 
+// RestartCutOff makes a worker crash and start again at once with the same ID and another
+// kind, which is its first label. It does not reach the store.
+func (f *Fleet) RestartCutOff(i int, kind string) {
+	id := fmt.Sprintf("w%02d", i)
+	f.crash(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id+":1"]
+	w.entry.Labels = append([]string{kind}, w.entry.Labels[1:]...)
+	w.dead, w.processStart = false, time.Now()
+}
+
 // Crash makes a worker crash and, after down, start again with the same ID.
 func (f *Fleet) Crash(i int, down time.Duration) {
 	id := fmt.Sprintf("w%02d", i)
@@ -251,6 +263,24 @@
 // staleEntryTTL is how long the entry of a crashed worker remains in the store.
 const staleEntryTTL = 4500 * time.Millisecond
 
+// Entry returns the entry of a worker.
+func (f *Fleet) Entry(i int) fleet.WorkerEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[fmt.Sprintf("w%02d:1", i)].entry
+}
+
+// Heartbeat makes a worker write its entry again.
+func (f *Fleet) Heartbeat(i int) {
+	f.mu.Lock()
+	w := f.workers[fmt.Sprintf("w%02d:1", i)]
+	gone := w.dead || w.removed
+	f.mu.Unlock()
+	if !gone {
+		f.publish(w)
+	}
+}
+
 // Drain makes a worker report that it drains and stays for at least the given time.
 func (f *Fleet) Drain(i int, minRemaining time.Duration) {
 	f.mu.Lock()
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -165,6 +165,7 @@
 				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Incarnation: t.Assigned.Incarnation, Machine: t.Assigned.Machine})
 				o.requestMachineList() // without an address, no failed call requests it
 			}
+			w.compareWithAssignment(t.Assigned)
 			r := &run{
 				group: g, index: i, number: t.Run, worker: w, phase: phaseUncertain, demand: g.spec().Demand(), throttlePercent: unknownThrottlePercent,
 				phaseSince: o.tookOverAt, startUnanswered: !t.Assigned.StartSettled, adopted: true,
@@ -351,8 +352,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range entries {
-			seen[e.Key] = true
-			o.applyWorker(e.Key, e.Value)
+			seen[e.Key] = o.applyWorker(e.Key, e.Value)
 		}
 		for id := range o.workers {
 			if key := o.opts.WorkerPrefix + id; !seen[key] {
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -125,7 +125,7 @@
 }
 
 // pollWorker makes one RenewLease call and applies the reply; extend sets whether it
-// renews the lease. It reports whether the worker accepted the call.
+// renews the lease. It reports whether the worker accepted the call and its reply was applied.
 func (o *Owner) pollWorker(w *worker, delay time.Duration, extend bool) bool {
 	o.mu.Lock()
 	now := o.opts.Clock()
@@ -146,8 +146,7 @@
 	defer cancel()
 	reply, verdict, err := o.opts.Workers.RenewLease(ctx, address, id, request)
 	if verdict == Accepted {
-		o.applyLeaseReply(w, request, reply, now)
-		return true
+		return o.applyLeaseReply(w, request, reply, now)
 	}
 	if verdict == Fenced {
 		o.endOwnership("worker " + id + " has seen a higher token")
--- a/pkg/fleet/look_test.go
+++ b/pkg/fleet/look_test.go
@@ -36,7 +36,7 @@
 	)
 	for name, before := range map[string]int64{"no deadline before": 0, "an earlier deadline": startDeadline - 700} {
 		t.Run(name, func(t *testing.T) {
-			w := &worker{WorkerEntry: WorkerEntry{ID: "w", Address: "w"}, contacted: true, clockReadAt: now, wake: make(chan struct{}, 1)}
+			w := &worker{WorkerEntry: WorkerEntry{ID: "w", Address: "w"}, incarnationState: incarnationState{contacted: true, clockReadAt: now}, wake: make(chan struct{}, 1)}
 			w.recordStartDeadline(before)
 			var o *Owner
 			client := refusingClient{verdict: NotSent, beforeRefusal: func() {
@@ -61,7 +61,7 @@
 		now            = time.Minute
 		formerDeadline = 3_600_000 // ms on the clock of the former process
 	)
-	w := &worker{WorkerEntry: WorkerEntry{ID: "w", Address: "w"}, contacted: true, unansweredCalls: 1, clockReadAt: now, wake: make(chan struct{}, 1)}
+	w := &worker{WorkerEntry: WorkerEntry{ID: "w", Address: "w"}, incarnationState: incarnationState{contacted: true, clockReadAt: now}, unansweredCalls: 1, wake: make(chan struct{}, 1)}
 	w.maxDeadlineMS = formerDeadline
 	o, clock, _ := newIdleOwner()
 	defer o.cancel()
@@ -89,7 +89,7 @@
 			o, _, _ := newIdleOwner()
 			defer o.cancel()
 			w := &worker{
-				WorkerEntry: WorkerEntry{ID: "w", Address: "former", Incarnation: 1}, listed: true, contacted: true,
+				WorkerEntry: WorkerEntry{ID: "w", Address: "former", Incarnation: 1}, listed: true, incarnationState: incarnationState{contacted: true},
 				runs: map[*run]struct{}{}, orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1),
 			}
 			job := &workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 2}}}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -21,7 +21,7 @@
 	orderStart orderKind = iota
 	orderStop
 	orderResolve        // stop the run and poll the worker to find out whether it started
-	orderAdopt          // contact the worker for a run that a former owner assigned; resolve it if it is not listed
+	orderAdopt          // contact the worker for a run of a former owner or incarnation; resolve it if it is not listed
 	orderThrottle       // set the speed of a filler run
 	orderStopUnassigned // stop a run that belongs to no assignment
 )
@@ -390,7 +390,7 @@
 func (o *Owner) acceptsNewRuns(w *worker) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.listed && !w.Draining && !w.cordoned
+	return w.listed && w.describesProcess() && !w.Draining && !w.cordoned
 }
 
 // handleStartFailure handles a start that was not accepted. Only an unanswered start
@@ -532,7 +532,11 @@
 	if v == OtherIncarnation {
 		o.mu.Lock()
 		o.endIncarnation(w, incarnation)
+		_, present = w.runs[r]
 		o.mu.Unlock()
+		if present {
+			o.repeatOrder(w, order{kind: orderResolve, run: r})
+		}
 		return
 	}
 	if v == Accepted {
@@ -600,8 +604,8 @@
 	}
 }
 
-// executeAdopt contacts the worker of a run that a former owner assigned. A run that
-// the worker lists continues; another is resolved.
+// executeAdopt contacts the worker of a run that a former owner or an order to a former
+// incarnation may have started. A run that the worker lists continues; another is resolved.
 func (o *Owner) executeAdopt(w *worker, r *run) {
 	if o.awaitAnswer(w, order{kind: orderAdopt, run: r}) {
 		return
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -53,6 +53,7 @@
 	lateJobLines     lineBudget
 	conflictLines    lineBudget
 	fullQueueLines   lineBudget
+	oddEntryLines    lineBudget
 	cycleRequestedAt atomic.Int64 // oldest request for a cycle that has not begun; 0 if none
 
 	// Used only by machineOpsLoop.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -468,7 +468,7 @@
 
 // schedulable reports whether new tasks may be placed on a worker; the lock is held.
 func (o *Owner) schedulable(w *worker, now time.Duration) bool {
-	return w.listed && !w.Draining && !w.cordoned && now >= w.backoffUntil && w.unansweredCalls == 0
+	return w.listed && w.describesProcess() && !w.Draining && !w.cordoned && now >= w.backoffUntil && w.unansweredCalls == 0
 }
 
 // runningPerWorker counts the runs of a group by worker; nil if the step has no limit per
@@ -502,7 +502,7 @@
 		if !g.spec().Gang {
 			number = t.Run + 1
 		}
-		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine}
+		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine, Address: w.Address}
 		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -164,6 +164,29 @@
 	changeSeq int64
 }
 
+// incarnationState is what the owner knows of one incarnation of a worker.
+type incarnationState struct {
+	contacted          bool          // it has answered a call with the current fencing token
+	clockMS            int64         // its clock, as last reported
+	clockReadAt        time.Duration // when clockMS was received, on the owner's clock
+	maxDeadlineMS      int64         // latest lease end or start deadline sent, on the worker's clock
+	maxStartDeadlineMS int64         // latest start deadline sent
+	priorExpiry        time.Duration // leases of a former owner and orders to a former incarnation have expired by then
+
+	wholeListSentAt time.Duration // when the newest poll was sent whose reply listed all unacknowledged ends
+	cutListSentAt   time.Duration // when the newest poll was sent whose reply may lack some of them
+	lastEndSeq      int64
+	ackThrough      int64
+	unackedEnds     []unackedEnd
+	ackDue          bool // ackThrough has not been sent to the worker yet
+}
+
+// replacedIncarnation is the incarnation of a worker before one that an entry claims.
+type replacedIncarnation struct {
+	incarnation int64
+	state       incarnationState
+}
+
 // worker is the owner's view of one worker.
 type worker struct {
 	WorkerEntry
@@ -173,23 +196,18 @@
 	drainingSince time.Duration
 	runs          map[*run]struct{}
 
-	contacted          bool          // this incarnation has answered a call with the current fencing token
-	clockMS            int64         // the worker's clock, as last reported
-	clockReadAt        time.Duration // when clockMS was received, on the owner's clock
-	maxDeadlineMS      int64         // latest lease end or start deadline sent, on the worker's clock
-	maxStartDeadlineMS int64         // latest start deadline sent
-	priorExpiry        time.Duration // leases of a former owner and orders to a former incarnation have expired by then
-	lastAnswerAt       time.Duration
-	incarnationSince   time.Duration // when this incarnation became known
-
-	wholeListSentAt time.Duration // when the newest poll was sent whose reply listed all unacknowledged ends
-	cutListSentAt   time.Duration // when the newest poll was sent whose reply may lack some of them
-
-	lastEndSeq  int64
-	ackThrough  int64
-	unackedEnds []unackedEnd
-	ackDue      bool          // ackThrough has not been sent to the worker yet
-	ackAdvanced chan struct{} // closed and replaced when ackThrough rises
+	incarnationState
+	incarnationSince    time.Duration // when this incarnation became known
+	entryIncarnation    int64         // incarnation that its entry describes
+	reportedIncarnation int64         // incarnation of its latest reply; 0 if there is none
+	// claimed means that an entry names another incarnation than the one known before, and
+	// that no reply has confirmed it: another writer may have left the entry.
+	claimed       bool
+	machineUnsure bool                 // the claim names another machine as well
+	replaced      *replacedIncarnation // the incarnation before the claim; nil if it is not known
+
+	lastAnswerAt time.Duration
+	ackAdvanced  chan struct{} // closed and replaced when ackThrough rises
 
 	unansweredCalls int                      // consecutive calls without an answer
 	unansweredSince time.Duration            // when the first of these calls was counted
--- a/pkg/fleet/vanished.go
+++ b/pkg/fleet/vanished.go
@@ -124,7 +124,7 @@
 		outdated := w.lastAnswerAt >= requestedAt || w.incarnationSince+maxMachineListAge > requestedAt
 		// Lists may omit a machine that is up, so the machine of a worker that answers is
 		// not missing.
-		if w.Machine == "" || len(w.runs) == 0 || outdated || (!exists && !w.unreachable()) {
+		if w.Machine == "" || w.machineUnsure || len(w.runs) == 0 || outdated || (!exists && !w.unreachable()) {
 			delete(missedLists, w.ID)
 			continue
 		}
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
 // maxOrderDelay is how long an unanswered order to a former incarnation may still
@@ -14,9 +16,9 @@
 	w := &worker{
 		WorkerEntry: entry, runs: map[*run]struct{}{}, failedAt: map[string]time.Duration{},
 		orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{}), contacting: make(chan struct{}, 1),
-		incarnationSince: o.opts.Clock(),
+		incarnationSince: o.opts.Clock(), entryIncarnation: entry.Incarnation,
 		// A former owner may have renewed the lease just before it lost ownership.
-		priorExpiry: o.tookOverAt + LeaseTTL + o.maxFormerLeaseTTL(),
+		incarnationState: incarnationState{priorExpiry: o.tookOverAt + LeaseTTL + o.maxFormerLeaseTTL()},
 	}
 	o.workers[entry.ID] = w
 	o.workersByID = nil
@@ -26,26 +28,35 @@
 	return w
 }
 
-// applyWorker applies a worker's entry in the store; the lock is held.
-func (o *Owner) applyWorker(key string, value []byte) {
+// applyWorker applies a worker's entry in the store and reports whether it names a worker. One
+// of another writer does not, and takes the place of the worker's own entry; the lock is held.
+func (o *Owner) applyWorker(key string, value []byte) (usable bool) {
 	entry, ok := o.opts.DecodeWorker(key, value)
 	if !ok {
-		o.opts.Log.V(1).Info("unusable worker entry ignored", "key", key)
-		return
+		if o.oddEntryLines.allow(o.opts.Clock()) {
+			o.opts.Log.Info("unusable worker entry ignored", "key", key, "bytes", len(value))
+		}
+		o.unlistWorker(key)
+		return false
 	}
 	w := o.workers[entry.ID]
 	if w == nil {
 		w = o.addWorker(entry)
 		w.listed, w.drainingSince = true, o.opts.Clock()
 		o.stopGivenUpRuns(w) // it was removed when its entry was, and may have started anew
-		return
+		return true
 	}
-	before := w.WorkerEntry
 	w.listed = true
-	if before.Address != "" && entry.Incarnation < before.Incarnation {
-		return // older than the incarnation that the worker itself reported
+	if w.contradicts(entry) {
+		if o.oddEntryLines.allow(o.opts.Clock()) {
+			o.opts.Log.Info("worker entry ignored, as the worker has answered as another", "worker", w.ID, "address", entry.Address, "service", entry.Service,
+				"machine", entry.Machine, "born", entry.Incarnation, "reportedBorn", w.reportedIncarnation)
+		}
+		return true
 	}
-	w.WorkerEntry = entry
+	before := w.WorkerEntry
+	w.WorkerEntry, w.entryIncarnation = entry, entry.Incarnation
+	w.Incarnation = before.Incarnation
 	if entry.Draining && !before.Draining {
 		w.drainingSince, o.lastScanAt = o.opts.Clock(), 0 // the next cycle scans its runs
 		o.opts.Log.Info("worker drains", "worker", w.ID, "leavesInMS", entry.MinRemaining.Milliseconds(), "runs", len(w.runs))
@@ -54,8 +65,81 @@
 		o.wakeLeaseLoop(w)
 	}
 	if before.Incarnation != entry.Incarnation {
-		o.beginIncarnation(w, "entry in the store")
+		o.claimIncarnation(w, entry.Incarnation, entry.Machine != before.Machine)
+	}
+	return true
+}
+
+// contradicts reports whether an entry cannot be that of the worker: it is older than the
+// incarnation that the worker itself has reported, or says of that incarnation what cannot
+// change while it lives.
+func (w *worker) contradicts(entry WorkerEntry) bool {
+	switch {
+	case w.Address == "" || w.reportedIncarnation == 0:
+		return false
+	case entry.Incarnation == w.reportedIncarnation && w.entryIncarnation == w.reportedIncarnation:
+		return entry.Address != w.Address || entry.Service != w.Service || entry.Machine != w.Machine
+	}
+	return entry.Incarnation < w.reportedIncarnation
+}
+
+// compareWithAssignment takes the entry of a worker for a claim if a former owner assigned a run
+// to another incarnation or address of it; the lock is held.
+func (w *worker) compareWithAssignment(a workload.Assignment) {
+	if a.Incarnation != w.Incarnation || (a.Address != "" && w.Address != "" && a.Address != w.Address) {
+		w.claimed = true
+		w.machineUnsure = w.machineUnsure || (a.Machine != "" && a.Machine != w.Machine)
+	}
+}
+
+// describesProcess reports whether the worker's entry is that of the incarnation which is
+// running, so that its labels and capacity hold; the lock is held.
+func (w *worker) describesProcess() bool { return w.entryIncarnation == w.Incarnation }
+
+// claimIncarnation begins the incarnation that an entry names. The one before is kept until
+// a reply shows which of them is running; the lock is held.
+func (o *Owner) claimIncarnation(w *worker, incarnation int64, otherMachine bool) {
+	if o.resumeIncarnation(w, incarnation, "entry in the store") {
+		return
+	}
+	if !w.claimed && w.reportedIncarnation == w.Incarnation {
+		w.replaced = &replacedIncarnation{w.Incarnation, w.incarnationState}
+	}
+	w.claimed, w.machineUnsure = true, w.machineUnsure || otherMachine
+	w.Incarnation = incarnation
+	o.beginIncarnation(w, "entry in the store")
+}
+
+// resumeIncarnation takes back a claim if it is the incarnation before it that is running,
+// and reports whether it is; the lock is held.
+func (o *Owner) resumeIncarnation(w *worker, incarnation int64, source string) bool {
+	if w.replaced == nil || w.replaced.incarnation != incarnation {
+		return false
+	}
+	o.opts.Log.Info("worker has not started anew", "worker", w.ID, "source", source, "claimedBorn", w.Incarnation, "born", incarnation, "runs", len(w.runs))
+	w.Incarnation, w.incarnationState = incarnation, w.replaced.state
+	w.incarnationSince = o.opts.Clock()
+	w.claimed, w.machineUnsure, w.replaced = false, false, nil
+	o.wakeLeaseLoop(w)
+	return true
+}
+
+// confirmIncarnation applies the incarnation that a reply to a call sent at sentAt names. It
+// returns false if the reply is a late one of a former incarnation. The lock is held.
+func (o *Owner) confirmIncarnation(w *worker, incarnation int64, sentAt time.Duration) bool {
+	if incarnation != w.Incarnation {
+		// A reply to a call that was sent after a later incarnation had become known shows
+		// that the entry which names it is not the worker's.
+		if incarnation < w.Incarnation && sentAt < w.incarnationSince {
+			return false
+		}
+		if !o.resumeIncarnation(w, incarnation, "its own reply") {
+			w.Incarnation = incarnation
+			o.beginIncarnation(w, "its own reply")
+		}
 	}
+	w.reportedIncarnation, w.claimed, w.machineUnsure, w.replaced = incarnation, false, false, nil
+	return true
 }
 
 // unlistWorker marks a worker as unlisted after its entry was deleted from the store.
@@ -86,9 +170,11 @@
 
 // endIncarnation abandons the runs of a worker whose address now belongs to another
 // worker or incarnation: the process that had the runs has ended. If a later incarnation
-// has become known since the call, the runs are resolved or running there. The lock is held.
+// has become known since the call, the runs are resolved or running there. If the address is
+// that of an unconfirmed entry, the process may run on at another one, and its lease decides.
+// The lock is held.
 func (o *Owner) endIncarnation(w *worker, incarnation int64) {
-	if w.Incarnation != incarnation {
+	if w.Incarnation != incarnation || w.claimed {
 		return
 	}
 	if len(w.runs) > 0 {
@@ -101,20 +187,21 @@
 	}
 }
 
-// beginIncarnation resets the state of a restarted worker, on which no former run is
-// running. Orders sent before may still reach the new incarnation, so each run is
-// resolved there and each one given up before is stopped; the lock is held.
+// beginIncarnation resets the state of a worker that has probably started anew, so that no
+// former run is running on it. Orders sent before may still reach the new incarnation, so each
+// run is looked for and resolved there and each one given up before is stopped; the lock is
+// held.
 func (o *Owner) beginIncarnation(w *worker, source string) {
-	o.opts.Log.Info("worker has started anew", "worker", w.ID, "source", source, "runs", len(w.runs))
+	o.opts.Log.Info("worker has started anew", "worker", w.ID, "source", source, "born", w.Incarnation, "runs", len(w.runs))
 	w.incarnationSince = o.opts.Clock()
-	w.contacted, w.lastEndSeq, w.ackThrough, w.unackedEnds, w.ackDue = false, 0, 0, nil, false
-	w.wholeListSentAt, w.cutListSentAt = 0, 0
-	w.maxDeadlineMS, w.maxStartDeadlineMS, w.priorExpiry = 0, 0, o.opts.Clock()+maxOrderDelay
+	w.incarnationState = incarnationState{priorExpiry: o.opts.Clock() + maxOrderDelay}
 	w.resetEjection()
 	o.stopGivenUpRuns(w)
 	for r := range w.runs {
 		if r.phase != phasePlanned {
-			o.queueResolve(r)
+			r.progressPercent = 0
+			o.setPhase(r, phaseUncertain)
+			o.enqueueOrder(w, order{kind: orderAdopt, run: r})
 		}
 	}
 	o.triggerCycle()
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -43,6 +43,8 @@
 	// StartAgeS is the minimum time in seconds since the start of an unsettled run was
 	// first sent, as measured by successive owners.
 	StartAgeS int64 `cbor:"5,keyasint,omitempty"`
+	// Address is the address of the worker; empty in records of earlier versions.
+	Address string `cbor:"6,keyasint,omitempty"`
 }
 
 // Task is the stored progress of a task. Run and Failures never decrease.
