fleet: keep new tasks off a machine that is due for maintenance, whichever worker it has

Cause: a cordon was a mark on the worker that a machine had at that moment. A machine that is down for one wave counted as cordoned for the other one without such a mark, the end of a maintenance took the mark away for all waves, and the worker that joins after it has another ID and none. Tasks were placed there, and stopped again to drain it.

Change: the owner computes the set of machines whose workers get no new tasks from the waves and the returns to pools, and placement asks for the machine of a worker. The reason 'entry_outdated' names a worker whose entry is that of a former process.

--- a/pkg/fleet/describe_test.go
+++ b/pkg/fleet/describe_test.go
@@ -67,7 +67,7 @@
 			n["unlisted"]++
 		case w.Draining:
 			n["draining"]++
-		case w.cordoned:
+		case o.cordoned[w.Machine]:
 			n["cordoned"]++
 		case w.unansweredCalls > 0:
 			n["silent"]++
--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -136,6 +136,40 @@
 	})
 }
 
+// Guards against tasks that are started and stopped without end, and against a maintenance that
+// never begins, because a second wave is due on a machine while it is down for the first one.
+func TestTwoWavesOnOneMachineBothEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 2)
+		const down = 4 * time.Second
+		cloud := fleettest.NewCloud(b.workers, down)
+		cloud.NewWorkerIDs = true
+		b.adjustOptions = func(o *fleet.Options) { o.Machines, o.Waves, o.MaintenanceDuration = cloud, cloud, down }
+		b.startVM()
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 12 * time.Second} })
+		cloud.AddWave(fleet.Wave{Number: 1, Machines: []string{"m-w00", "m-w01"}, TimeLimit: 30 * time.Second, MaxDown: 1})
+		for !cloud.MaintenanceStarted(1, "m-w00") {
+			b.sleep(100 * time.Millisecond)
+		}
+		b.sleep(1500 * time.Millisecond) // until the list of machines shows it as down
+		cloud.AddWave(fleet.Wave{Number: 2, Machines: []string{"m-w00"}, TimeLimit: 10 * time.Second, MaxDown: 1})
+		j := b.submit(smallStep(16)) // fills both workers
+		b.sleep(time.Minute)
+		for n := range int64(2) {
+			if !cloud.Completed(n + 1) {
+				t.Errorf("wave %d is not completed", n+1)
+			}
+		}
+		b.wantState(j, workload.Completed)
+		for i := range j.Steps[0].Tasks {
+			if n := b.workers.Starts(workload.TaskID{Job: j.ID, Index: i}); n > 3 {
+				t.Errorf("task %d was started %d times", i, n)
+			}
+		}
+	})
+}
+
 // omittingMachineList omits a machine from one list, the first with the machine in a state.
 type omittingMachineList struct {
 	fleet.MachineClient
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -260,6 +260,18 @@
 	})
 }
 
+// rejoin starts a crashed worker again under another ID, and deletes its former entry.
+func (f *Fleet) rejoin(id string) {
+	f.mu.Lock()
+	w := f.workers[id+":1"]
+	old, _ := f.encode(w.entry)
+	w.entry.ID += "n"
+	w.dead, w.processStart = false, time.Now()
+	f.mu.Unlock()
+	_, _ = f.store.Commit(context.Background(), platform.Txn{Deletes: []string{old}}) // a stale entry that remains is harmless
+	f.publish(w)
+}
+
 // staleEntryTTL is how long the entry of a crashed worker remains in the store.
 const staleEntryTTL = 4500 * time.Millisecond
 
--- a/pkg/fleet/fleettest/machines.go
+++ b/pkg/fleet/fleettest/machines.go
@@ -27,6 +27,8 @@
 	// LoseAnswers is the number of next maintenance calls that are carried out but not
 	// answered.
 	LoseAnswers int
+	// NewWorkerIDs makes the worker of a machine return from maintenance under another ID.
+	NewWorkerIDs bool
 	// AllowedWorkers are the workers for which Advise issues tickets; nil allows none.
 	AllowedWorkers []string
 	TicketTTL      time.Duration
@@ -140,7 +142,11 @@
 	m.State = fleet.MachineMaintenance
 	c.fleet.crash(m.Worker)
 	time.AfterFunc(c.maintenanceDuration, func() {
-		c.fleet.restartCrashed(m.Worker)
+		if c.NewWorkerIDs {
+			c.fleet.rejoin(m.Worker)
+		} else {
+			c.fleet.restartCrashed(m.Worker)
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		m.State = fleet.MachineUp
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -390,7 +390,7 @@
 func (o *Owner) acceptsNewRuns(w *worker) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.listed && w.describesProcess() && !w.Draining && !w.cordoned
+	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine]
 }
 
 // handleStartFailure handles a start that was not accepted. Only an unanswered start
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -468,7 +468,7 @@
 
 // schedulable reports whether new tasks may be placed on a worker; the lock is held.
 func (o *Owner) schedulable(w *worker, now time.Duration) bool {
-	return w.listed && w.describesProcess() && !w.Draining && !w.cordoned && now >= w.backoffUntil && w.unansweredCalls == 0
+	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine] && now >= w.backoffUntil && w.unansweredCalls == 0
 }
 
 // runningPerWorker counts the runs of a group by worker; nil if the step has no limit per
--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -73,16 +73,8 @@
 // endReturn lets the worker of a machine that was to be returned get tasks again, unless
 // the machine is due for maintenance.
 func (o *Owner) endReturn(id string) {
-	if !o.returning[id] {
-		return
-	}
 	delete(o.returning, id)
-	for _, w := range o.waves {
-		if w.cordonedAt[id] != 0 && w.maintenanceStartedAt[id] == 0 && !w.skipped[id] {
-			return
-		}
-	}
-	o.cordon(id, false)
+	o.updateCordons()
 }
 
 // backloggedServices returns the services with groups that have waited longer than
@@ -124,7 +116,7 @@
 		}
 		if since, idle := o.workerIdleSince(id, now); idle && now-since >= idleReturnDelay {
 			o.returning[id] = true
-			o.cordon(id, true)
+			o.updateCordons()
 			if !o.drainMachine(id, false) || !o.moveMachine(m, home) {
 				o.endReturn(id)
 			}
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -363,13 +363,13 @@
 		return cmp.Or(cmp.Compare(x.since, y.since), cmp.Compare(x.group.job.ID, y.group.job.ID))
 	})
 	for _, w := range o.workers {
-		a.service(w.Service).addWorker(w, a.now)
+		a.service(w.Service).addWorker(w, o.workerState(w, a.now), a.now)
 	}
 	return a
 }
 
-func (s *serviceState) addWorker(w *worker, now time.Duration) {
-	s.states[w.state(now)]++
+func (s *serviceState) addWorker(w *worker, state string, now time.Duration) {
+	s.states[state]++
 	s.queuedOrders += w.queuedOrders()
 	if !w.listed {
 		return
@@ -385,14 +385,16 @@
 	}
 }
 
-// state names why a worker gets no new tasks, or "schedulable".
-func (w *worker) state(now time.Duration) string {
+// workerState names why a worker gets no new tasks, or "schedulable"; the lock is held.
+func (o *Owner) workerState(w *worker, now time.Duration) string {
 	switch {
 	case !w.listed:
 		return "unlisted"
 	case w.Draining:
 		return "draining"
-	case w.cordoned:
+	case !w.describesProcess():
+		return "entry_outdated"
+	case o.cordoned[w.Machine]:
 		return "cordoned"
 	case w.unansweredCalls > 0:
 		return "unanswered"
@@ -475,7 +477,7 @@
 	}
 	if r := s.run; r != nil {
 		w := r.worker
-		fields = append(fields, "worker", w.ID, "workerState", w.state(now), "phase", r.phase.String(), "phaseMS", (now - r.phaseSince).Milliseconds(),
+		fields = append(fields, "worker", w.ID, "workerState", o.workerState(w, now), "phase", r.phase.String(), "phaseMS", (now - r.phaseSince).Milliseconds(),
 			"stopOrdered", r.stopOrdered, "contacted", w.contacted, "silentMS", (now - max(w.lastAnswerAt, o.tookOverAt)).Milliseconds(),
 			"leaseEndsInMS", (w.leaseExpiredBy() - now).Milliseconds(), "workerOrders", w.queuedOrders())
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -191,7 +191,6 @@
 type worker struct {
 	WorkerEntry
 	listed        bool          // its entry is in the store
-	cordoned      bool          // no new tasks: its machine is due for maintenance or a move
 	idleSince     time.Duration // since when it has had no runs; 0 if not observed yet
 	drainingSince time.Duration
 	runs          map[*run]struct{}
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -145,12 +146,15 @@
 	o.noteMissingMachines(w)
 	now := o.opts.Clock()
 	unavailable := o.countUnavailable(w)
+	o.updateCordons()
 	for _, id := range w.Machines {
 		if w.skipped[id] || w.maintenanceStartedAt[id] != 0 {
 			continue
 		}
 		if _, missing := w.missingSince[id]; missing {
-			w.skipped[id] = o.machineGone(w, id)
+			if w.skipped[id] = o.machineGone(w, id); w.skipped[id] {
+				o.updateCordons()
+			}
 			continue
 		}
 		if w.cordonedAt[id] == 0 {
@@ -159,7 +163,7 @@
 			}
 			unavailable++
 			w.cordonedAt[id] = now
-			o.cordon(id, true)
+			o.updateCordons()
 		}
 		if o.drainMachine(id, now-w.cordonedAt[id] > o.drainTimeLimit(w)) {
 			o.startMaintenance(w, id)
@@ -168,6 +172,7 @@
 	if o.waveDone(w) && o.markWave(w.Number, true) {
 		o.opts.Log.Info("maintenance wave completed", "wave", w.Number)
 		delete(o.waves, w.Number)
+		o.updateCordons()
 	}
 }
 
@@ -252,12 +257,12 @@
 	switch verdict {
 	case MachineOpDone:
 		w.maintenanceStartedAt[id] = o.opts.Clock()
-		o.cordon(id, false)
+		o.updateCordons()
 	case MachineOpFenced:
 		o.endOwnership("the platform has seen a higher token for machine " + id)
 	case MachineOpNotInWave, MachineOpRefused:
 		w.skipped[id] = true
-		o.cordon(id, false)
+		o.updateCordons()
 	case MachineOpBusy, MachineOpNotDone, MachineOpUnknown: // requested again in the next step
 	}
 }
@@ -270,16 +275,23 @@
 	return err.Error()
 }
 
-// cordon marks the worker of a machine as unschedulable, or as schedulable again.
-func (o *Owner) cordon(machine string, on bool) {
+// updateCordons determines the machines whose workers, present and future, get no new tasks:
+// those that are due for the maintenance of any wave or for their return to a pool.
+func (o *Owner) updateCordons() {
+	cordoned := maps.Clone(o.returning)
+	for _, w := range o.waves {
+		for _, id := range w.Machines {
+			if w.cordonedAt[id] != 0 && w.maintenanceStartedAt[id] == 0 && !w.skipped[id] {
+				cordoned[id] = true
+			}
+		}
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, w := range o.workers {
-		if w.Machine == machine {
-			w.cordoned = on
-		}
+	if !maps.Equal(cordoned, o.cordoned) {
+		o.cordoned = cordoned
+		o.triggerCycle()
 	}
-	o.triggerCycle()
 }
 
 // drainMachine reports whether a machine has no runs. It stops its service tasks, and
