fleet: use a fetched machine whose pool is no longer on standby

A machine that was fetched from a standby pool and is to be returned stays cordoned until it is moved. If the pool is no longer on standby by then, nobody moves it any more and nobody lifts the cordon.

Measured: TestMachineOfAFormerStandbyPoolIsUsed fails without the change (the job is queued for good) and passes.

--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// keepMachinesOfFormerPools ends the returns of fetched machines to pools that are no longer
+// on standby.
+func (o *Owner) keepMachinesOfFormerPools(standby []string) {
+	for id, home := range o.homePools {
+		if !slices.Contains(standby, home) {
+			o.opts.Log.Info("fetched machine is kept, as its pool is no longer on standby", "machine", id, "pool", home)
+			o.endReturn(id)
+			delete(o.homePools, id)
+		}
+	}
+}
+
 // endReturn lets the worker of a machine that was to be returned get tasks again, unless
 // the machine is due for maintenance.
 func (o *Owner) endReturn(id string) {
--- a/pkg/fleet/pools_test.go
+++ b/pkg/fleet/pools_test.go
@@ -55,6 +55,33 @@
 	}
 }
 
+// Guards against a fetched machine that gets no tasks any more, because it was to be returned to
+// a pool that is no longer on standby.
+func TestMachineOfAFormerStandbyPoolIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 2)
+		cloud := fleettest.NewCloud(b.workers, time.Second)
+		if _, err := cloud.Move(t.Context(), "m-w00", standbyPool, 0); err != nil {
+			t.Fatal(err)
+		}
+		b.adjustOptions = func(o *fleet.Options) {
+			o.Machines, o.Waves = refusingCloud{cloud, fleet.MachineOpUnknown}, cloud
+		}
+		queues := []catalog.Queue{{Name: "q", Class: workload.Class{Priority: 1, Service: "service"}}}
+		b.catalog = &catalog.Catalog{Services: []catalog.Service{{Name: standbyPool, Standby: true}, {Name: "service"}}, Queues: queues}
+		b.startVM()
+		b.sleep(time.Second)
+		b.cancel(b.submitAndWait(gangStep(3, 8), 5*time.Second))
+		b.sleep(20 * time.Second) // its return has been requested
+		next := &catalog.Catalog{Services: []catalog.Service{{Name: "service"}}, Queues: queues}
+		next.Index()
+		b.catalog = next
+		b.sleep(5 * time.Second)
+		j := b.submitAndWait(gangStep(2, 8), 8*time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
+
 // submitAndWait stores a job of one step and waits.
 func (b *testbed) submitAndWait(step workload.Step, d time.Duration) *workload.Job {
 	j := b.submit(step)
--- a/pkg/fleet/upkeep.go
+++ b/pkg/fleet/upkeep.go
@@ -68,6 +68,7 @@
 	}
 	active := o.readWaves()
 	pools := o.standbyPools()
+	o.keepMachinesOfFormerPools(pools)
 	if !active && len(pools) == 0 {
 		return false
 	}
