fleet, gateway: a job waits until a worker has started one of its tasks

Cause: an assignment counted as a start. The number of the run stays when the start is refused and the task goes back to the queue, also in the stored record that a VM without an owner reads.

Change: the progress record says whether a worker has started a task (Begun): a run was confirmed, or an end was listed. It is written with the next change of the job, or as what is known of its starts is. Records of earlier builds count as begun by what only a start can have left: a task done or failed, a checkpoint, a settled start.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -156,6 +156,7 @@
 		return
 	}
 	t := &g.tasks()[end.Task.Index]
+	o.noteBegun(j)
 	switch {
 	case t.Run != end.Run:
 	case t.Phase == workload.Assigned:
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -251,6 +251,41 @@
 	})
 }
 
+// Guards against a job that is shown as running, and is missing in the count of waiting jobs,
+// although its starts are refused; and against one that counts as waiting again after it has
+// begun, on a successor or once its run was lost.
+func TestJobWaitsUntilOneOfItsTasksHasStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 2, 1)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.RefuseOrders = 1000 })
+		j := b.submit(gangStep(1, 8))
+		want := func(when string, state workload.State, waiting int) {
+			t.Helper()
+			_, owner := b.vms[b.ownerIndex()].elector.Owner()
+			if n, known := owner.QueueLength(j.QueueRef()); b.state(j) != state || n != waiting || !known {
+				t.Errorf("%s: the job is %q and %d jobs wait, want %q and %d", when, b.state(j), n, state, waiting)
+			}
+		}
+		b.sleep(6 * time.Second)
+		want("while its starts are refused", workload.Queued, 1)
+		b.killVM(b.ownerIndex())
+		b.sleep(6 * time.Second)
+		want("on a successor", workload.Queued, 1)
+		b.startVM()
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.RefuseOrders = 0 })
+		b.sleep(6 * time.Second)
+		want("once it runs", workload.Running, 0)
+		b.workers.UpdateFaults(0, func(f *fleettest.Faults) { f.RefuseOrders = 1000 })
+		b.workers.Restart(0)
+		b.sleep(6 * time.Second)
+		want("once its run was lost", workload.Running, 0)
+		b.killVM(b.ownerIndex())
+		b.sleep(6 * time.Second)
+		want("lost, on a successor", workload.Running, 0)
+	})
+}
+
 // Guards against lost jobs and repeated runs without any faults.
 func TestJobsRunOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -314,8 +314,15 @@
 	o.markUnsaved(r.group.job)
 }
 
-// markUnsaved makes a later cycle write what is known of the starts of a job; the lock is
-// held.
+// noteBegun records that a worker has started a task of a job; the lock is held.
+func (o *Owner) noteBegun(j *job) {
+	if !j.progress.Begun {
+		j.progress.Begun = true
+		o.markUnsaved(j)
+	}
+}
+
+// markUnsaved makes a later cycle write what is known of the starts of a job; the lock is held.
 func (o *Owner) markUnsaved(j *job) {
 	if j.unsavedSince == 0 {
 		j.unsavedSince = o.opts.Clock()
@@ -358,6 +365,7 @@
 // confirmRunning records that a worker has confirmed a run; the lock is held.
 func (o *Owner) confirmRunning(r *run) {
 	now := o.opts.Clock()
+	o.noteBegun(r.group.job)
 	o.setPhase(r, phaseRunning)
 	r.startedAt, r.progressAt, r.missedPolls = now, now, 0
 	if r.adopted {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -190,6 +190,35 @@
 	}
 }
 
+// Guards, without an owner, against taking the assignment of a task for its start.
+func TestAssignedJobWaitsUntilItHasBegun(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		store := memory.NewStore(memory.Options{})
+		g := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()})
+		if err := g.Accept(t.Context(), newJob()); err != nil {
+			t.Fatal(err)
+		}
+		p := workload.NewProgress(newJob())
+		*p.Task(0, 0, 0) = workload.Task{Phase: workload.Assigned, Run: 3, Assigned: workload.Assignment{Worker: "w", Incarnation: 7}}
+		p.Begun = begun
+		data, err := p.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Put(t.Context(), fleet.ProgressKey(newJob().ID), data, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		state, err := g.State(t.Context(), newJob().ID, newJob().QueueRef())
+		if want := map[bool]workload.State{true: workload.Running, false: workload.Queued}[begun]; err != nil || state != want {
+			t.Errorf("begun %v: state %q, want %q (%v)", begun, state, want, err)
+		}
+		n, err := g.QueueLength(t.Context(), newJob().QueueRef())
+		if want := map[bool]int{true: 0, false: 1}[begun]; err != nil || n != want {
+			t.Errorf("begun %v: %d waiting, want %d (%v)", begun, n, want, err)
+		}
+	}
+}
+
 // Guards against delaying a caller until the call timeout when the answer of the store
 // was lost although the job is stored.
 func TestLostAnswerDoesNotHoldTheCaller(t *testing.T) {
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -60,6 +60,7 @@
 type Progress struct {
 	State              State
 	FinishedUnixMS     int64
+	Begun              bool // a worker has started a task
 	occurrences        int
 	stepTaskCounts     []int // number of tasks by step
 	stepOffsets        []int // index of the first task of each step within an occurrence
@@ -113,10 +114,16 @@
 	return true
 }
 
-// Started reports whether any task has been assigned to a worker.
+// Started reports whether a worker has started any task. An assignment does not show it, as
+// the worker may refuse the start; the other conditions are those of records of earlier versions,
+// which do not say whether the job has begun.
 func (p *Progress) Started() bool {
+	if p.Begun {
+		return true
+	}
 	for i := range p.tasks {
-		if p.tasks[i].Run > 0 {
+		t := &p.tasks[i]
+		if t.Phase == Done || t.Failures > 0 || t.Checkpoint != "" || t.Assigned.StartSettled {
 			return true
 		}
 	}
@@ -130,6 +137,7 @@
 	FinishedUnixMS int64        `cbor:"2,keyasint,omitempty"`
 	Workers        []Assignment `cbor:"3,keyasint,omitempty"`
 	Tasks          []taskRecord `cbor:"4,keyasint,omitempty"`
+	Begun          bool         `cbor:"5,keyasint,omitempty"`
 }
 
 // taskRecord is one task. Worker is an index into progressRecord.Workers, or -1.
@@ -145,7 +153,7 @@
 
 // Encode returns the stored form of the progress.
 func (p *Progress) Encode() ([]byte, error) {
-	r := progressRecord{State: p.State, FinishedUnixMS: p.FinishedUnixMS}
+	r := progressRecord{State: p.State, FinishedUnixMS: p.FinishedUnixMS, Begun: p.Begun}
 	index := map[Assignment]int{}
 	for i := range p.tasks {
 		t := &p.tasks[i]
@@ -181,7 +189,7 @@
 		return nil, errkind.Wrap(err, errkind.Internal, "progress record of job %s", j.ID)
 	}
 	p := NewProgress(j)
-	p.State, p.FinishedUnixMS = r.State, r.FinishedUnixMS
+	p.State, p.FinishedUnixMS, p.Begun = r.State, r.FinishedUnixMS, r.Begun
 	for _, row := range r.Tasks {
 		if row.Position < 0 || row.Position >= len(p.tasks) || row.Worker >= len(r.Workers) {
 			return nil, errkind.New(errkind.Internal, "progress record of job %s: task %d of worker %d is out of range", j.ID, row.Position, row.Worker)
