workload, platform: due times keep the fraction of the interval, and times stay in range

Cause: the interval was cut to whole milliseconds before it was multiplied; with 100.9 ms occurrence 272 was due 244 ms early. Looked for on related paths: times of a job that are too large were converted to a duration out of range, which differs between processors (refused on one, taken for 292 years on the other), overflowed when added up, and a due time that overflows was due at once.

Change: the product is cut, not the interval.

--- a/pkg/workload/job.go
+++ b/pkg/workload/job.go
@@ -14,10 +14,12 @@
 
 // Limits of a job; a job that exceeds one is rejected as invalid.
 const (
-	MaxPayloadBytes    = 4000    // limit of the platform
-	MaxSteps           = 64      // the longest known job has 4 steps
-	MaxTasks           = 10_000  // of all steps and occurrences; keeps a progress record within the store's value size limit
-	maxResourceRequest = 1 << 30 // per task and resource, far above the capacity of any worker
+	MaxPayloadBytes    = 4000                       // limit of the platform
+	MaxSteps           = 64                         // the longest known job has 4 steps
+	MaxTasks           = 10_000                     // of all steps and occurrences; keeps a progress record within the store's value size limit
+	MaxUnixMS          = 253_402_300_799_999        // of the first occurrence: the end of the year 9999
+	maxScheduleTime    = 100 * 365 * 24 * time.Hour // from the first occurrence to the last
+	maxResourceRequest = 1 << 30                    // per task and resource, far above the capacity of any worker
 )
 
 // Resources is an amount of each resource, for example the request of a task or the
@@ -142,7 +144,7 @@
 	if !j.HasDueTimes() {
 		return 0
 	}
-	return j.Schedule.FirstUnixMS + int64(occurrence)*j.Schedule.Interval.Milliseconds()
+	return j.Schedule.FirstUnixMS + (time.Duration(occurrence) * j.Schedule.Interval).Milliseconds()
 }
 
 // Validate returns the first error found in a submitted job, as invalid_request.
@@ -153,7 +155,8 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return errkind.New(errkind.InvalidRequest, "a job has 1 to %d steps, not %d", MaxSteps, len(j.Steps))
 	}
-	if j.Schedule.Count < 0 || j.Schedule.Count > MaxTasks || j.Schedule.Interval < 0 || j.Schedule.FirstUnixMS < 0 {
+	if s := j.Schedule; s.Count < 0 || s.Count > MaxTasks || s.Interval < 0 || s.Interval > maxScheduleTime/time.Duration(max(1, s.Count)) ||
+		s.FirstUnixMS < 0 || s.FirstUnixMS > MaxUnixMS {
 		return errkind.New(errkind.InvalidRequest, "the schedule has a value out of range")
 	}
 	total := 0
