fleet: a job within its guarantee takes back what urgent work of others borrows

Cause: such a job may stop work of lesser priority only. When urgent work of other tenants, beyond their guarantees, fills the service, nothing could be stopped for it.

Change: a group that has waited for 1 s within its guarantee may stop urgent work that is beyond the guarantee of its tenant, the newest first, and only where stopping lesser work does not suffice. It is placed before the urgent work that was stopped for it; without that order the stopped job took its worker again, in a test every 100 ms.

Measured: TestGuaranteeIsMetByUrgentWorkThatBorrows fails without the change and passes.

--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -367,6 +367,13 @@
 	return f.starts[task]
 }
 
+// Runs reports whether a task is running.
+func (f *Fleet) Runs(task workload.TaskID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[task] > 0
+}
+
 // IncompleteGangEnds returns the number of runs that ended because other members of
 // their gang did not start in time, which only faults may cause.
 func (f *Fleet) IncompleteGangEnds() int {
--- a/pkg/fleet/guarantee_test.go
+++ b/pkg/fleet/guarantee_test.go
@@ -92,3 +92,55 @@
 		b.sleep(3 * time.Minute)
 	})
 }
+
+// Guards against a guarantee that is not met because urgent work of other workspaces, beyond
+// their own guarantees, fills the service; and against stopping more of it than was borrowed.
+func TestGuaranteeIsMetByUrgentWorkThatBorrows(t *testing.T) {
+	tests := map[string]struct {
+		urgent, lesser int // jobs of the other workspace and jobs of priority 1, one worker each
+		stopped        int // of the urgent jobs
+	}{
+		"service full of borrowed capacity": {urgent: 4, stopped: 1},
+		"lesser work is stopped first":      {urgent: 3, lesser: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 4)
+				b.catalog = &catalog.Catalog{
+					Queues:     []catalog.Queue{{Name: "q", Class: workload.Class{Priority: 1, Service: "service"}}},
+					Workspaces: []catalog.Workspace{{Name: "owed", Guaranteed: workload.Resources{Accelerators: 8}}, {Name: "borrower", Guaranteed: workload.Resources{Accelerators: 8}}},
+				}
+				b.startVM()
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 20 * time.Second} })
+				step := gangStep(1, 8)
+				step.Estimate = 20 * time.Second
+				var borrowed []*workload.Job
+				for range tc.urgent {
+					borrowed = append(borrowed, b.storeUrgent(step, "borrower"))
+				}
+				for range tc.lesser {
+					b.submit(step)
+				}
+				b.sleep(5 * time.Second)
+				j := b.storeUrgent(step, "owed")
+				b.sleep(2700 * time.Millisecond)
+				if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 1 {
+					t.Errorf("the job within its guarantee was started %d times after 2.7 s", n)
+				}
+				b.sleep(10 * time.Second)
+				stopped := 0
+				for _, other := range borrowed {
+					if !b.workers.Runs(workload.TaskID{Job: other.ID}) {
+						stopped++
+					}
+				}
+				if stopped != tc.stopped {
+					t.Errorf("%d urgent jobs of the other workspace were stopped, want %d", stopped, tc.stopped)
+				}
+				b.sleep(3 * time.Minute)
+			})
+		})
+	}
+}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -36,6 +36,7 @@
 	workersByID     []*worker                  // workers by ID; nil after a change of the set
 	planners        map[string]*servicePlanner // by service name
 	cycles          int64                      // placement cycles so far
+	borrowed        map[*taskGroup]bool        // urgent work beyond a guarantee, in this cycle; nil if none has to give way
 	cordoned        map[string]bool            // machines whose workers get no new tasks
 	lastScanAt      time.Duration              // last scan of all runs and worker leases; 0 forces a scan
 	dirty           map[*job]struct{}          // jobs whose progress has to be written
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -48,6 +48,7 @@
 	slack           time.Duration // time left until targetEnd, less criticalPath
 	lateness        int           // 0: can end in time, 1: late, 2: too late to be of value
 	withinGuarantee bool          // urgent, and its workspace's urgent jobs fit into the guarantee
+	reclaims        bool          // within its guarantee, and takes back what urgent work of others borrows
 }
 
 // placePending places the pending groups in rank order and reports whether any work
@@ -58,7 +59,8 @@
 	if len(waiting) == 0 {
 		return awaitingDue
 	}
-	o.markWithinGuarantee(waiting)
+	o.markWithinGuarantee(waiting, now)
+	o.markBorrowed(waiting)
 	o.ejectWorst(now)
 	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
@@ -80,7 +82,8 @@
 	return true
 }
 
-// placementRank returns the order of placement: by priority, then lateness, then slack.
+// placementRank returns the order of placement: by priority, then those that reclaim their
+// guarantee, then by lateness and slack.
 func (o *Owner) placementRank() func(a, b pendingGroup) int {
 	urgency := func(a, b pendingGroup) int {
 		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.slack, b.slack))
@@ -89,11 +92,23 @@
 		urgency = func(a, b pendingGroup) int { return cmp.Compare(a.group.job.acceptedAt, b.group.job.acceptedAt) }
 	}
 	return func(a, b pendingGroup) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), urgency(a, b),
+		return cmp.Or(cmp.Compare(a.priority, b.priority), reclaimingFirst(a, b), urgency(a, b),
 			cmp.Compare(a.group.job.ID, b.group.job.ID), cmp.Compare(a.group.occurrence, b.group.occurrence), cmp.Compare(a.group.step, b.group.step))
 	}
 }
 
+// reclaimingFirst orders groups that reclaim their guarantee before those that might take the
+// capacity again which was stopped for them.
+func reclaimingFirst(a, b pendingGroup) int {
+	switch {
+	case a.reclaims == b.reclaims:
+		return 0
+	case a.reclaims:
+		return -1
+	}
+	return 1
+}
+
 // collectPending returns the groups that are due and whose dependencies are done;
 // awaitingDue reports whether others wait for their due time.
 func (o *Owner) collectPending(now time.Duration) (waiting []pendingGroup, awaitingDue bool) {
@@ -176,8 +191,8 @@
 }
 
 // markWithinGuarantee marks the urgent groups of workspaces whose urgent jobs all fit
-// into the workspace's guarantee.
-func (o *Owner) markWithinGuarantee(waiting []pendingGroup) {
+// into the workspace's guarantee, and those of them that have waited for guaranteeDelay.
+func (o *Owner) markWithinGuarantee(waiting []pendingGroup, now time.Duration) {
 	need := map[string]int64{}
 	for _, j := range o.live {
 		if j.Class.Priority == 0 {
@@ -195,7 +210,57 @@
 		for i := range waiting {
 			if waiting[i].priority == 0 && waiting[i].group.job.Workspace == ws.Name {
 				waiting[i].withinGuarantee = true
+				waiting[i].reclaims = now-waiting[i].group.readySince >= guaranteeDelay
+			}
+		}
+	}
+}
+
+// markBorrowed determines the groups of urgent work that use more than the guarantee of their
+// workspace, while a group within a guarantee waits for longer than guaranteeDelay. Of the runs of
+// a workspace the newest count as borrowed, as least of their work is lost.
+func (o *Owner) markBorrowed(waiting []pendingGroup) {
+	o.borrowed = nil
+	cat := o.opts.Catalog()
+	if cat == nil || !slices.ContainsFunc(waiting, func(c pendingGroup) bool { return c.reclaims }) {
+		return
+	}
+	guaranteed := map[string]int64{}
+	for _, ws := range cat.Workspaces {
+		guaranteed[ws.Name] = ws.Guaranteed.Accelerators
+	}
+	type urgentUse struct {
+		group        *taskGroup
+		accelerators int64
+		startedAt    time.Duration // of its newest run
+	}
+	uses, beyond := map[string][]urgentUse{}, map[string]int64{}
+	for _, j := range o.live {
+		for _, g := range j.groups {
+			if j.Class.Priority != 0 || len(g.runs) == 0 {
+				continue
+			}
+			use := urgentUse{group: g}
+			for _, r := range g.runs {
+				use.accelerators += r.demand.Accelerators
+				use.startedAt = max(use.startedAt, r.startedAt)
+			}
+			uses[j.Workspace] = append(uses[j.Workspace], use)
+			beyond[j.Workspace] += use.accelerators
+		}
+	}
+	o.borrowed = map[*taskGroup]bool{}
+	for workspace, all := range uses {
+		slices.SortFunc(all, func(a, b urgentUse) int {
+			return cmp.Or(cmp.Compare(b.startedAt, a.startedAt), cmp.Compare(a.group.job.ID, b.group.job.ID), cmp.Compare(a.group.step, b.group.step))
+		})
+		left := beyond[workspace] - guaranteed[workspace]
+		for _, use := range all {
+			if left <= 0 {
+				break
 			}
+			o.borrowed[use.group] = true
+			left -= use.accelerators
 		}
 	}
 }
@@ -330,7 +395,9 @@
 	if mark.cycle != p.cycle {
 		*mark = victimPosition{cycle: p.cycle, index: len(p.victims)}
 		p.victims = append(p.victims, v)
-		p.snapshot.Groups = append(p.snapshot.Groups, placement.Group{Priority: r.group.job.Class.Priority, NonPreemptible: r.group.spec().MaxUnavailable > 0})
+		p.snapshot.Groups = append(p.snapshot.Groups, placement.Group{
+			Priority: r.group.job.Class.Priority, NonPreemptible: r.group.spec().MaxUnavailable > 0, Borrowed: o.borrowed[r.group],
+		})
 	}
 	g := &p.snapshot.Groups[mark.index]
 	g.StopCost += o.runStopCost(r, now)
@@ -351,7 +418,7 @@
 func (o *Owner) request(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) placement.Request {
 	g, spec := c.group, c.group.spec()
 	waited := now - g.readySince
-	freeCapacityFirst := o.freeCapacityFirst(p, c, now) || (c.withinGuarantee && waited >= guaranteeDelay)
+	freeCapacityFirst := o.freeCapacityFirst(p, c, now) || c.reclaims
 	r := placement.Request{
 		Demand: spec.Demand(), Count: len(c.pending), Gang: spec.Gang, SameRack: spec.SameRack,
 		RequiredLabel: spec.RequiredLabel, AffinityRack: spec.AffinityRack,
@@ -368,6 +435,7 @@
 	if !o.automationHeld() {
 		r.MaxStopCost = o.maxStopCost(c)
 		r.MayPreempt = r.MaxStopCost > 0
+		r.MayStopBorrowed = c.reclaims && o.ruleEnabled(RuleGuarantee)
 	}
 	if o.needsTickets(g) {
 		r.EligibleWorkers = o.ticketHolders(g, now)
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -43,6 +43,7 @@
 	Priority       int
 	StopCost       float64 // value of the work lost when the group is stopped
 	NonPreemptible bool    // never chosen as a victim
+	Borrowed       bool    // urgent work on capacity beyond the guarantee of its workspace
 }
 
 // Worker is the state of a worker at the time of the snapshot.
@@ -97,8 +98,11 @@
 	MayUseEjected     bool          // ejected workers may be used if the request is blocked otherwise
 	MayPreempt        bool
 	// MaxStopCost bounds the total StopCost of the victims.
-	MaxStopCost    float64
-	MayUseReserved bool // capacity that is reserved for gangs may be used
+	MaxStopCost float64
+	// MayStopBorrowed allows victims of the same priority that use borrowed capacity, if
+	// those of lesser priority do not suffice.
+	MayStopBorrowed bool
+	MayUseReserved  bool // capacity that is reserved for gangs may be used
 	// Reserve makes a reservation for a blocked gang, so that smaller work behind it
 	// cannot delay it indefinitely.
 	Reserve bool
@@ -190,7 +194,13 @@
 		scopes = append(slices.Clone(p.racks), p.allWorkers)
 	}
 	if r.MayPreempt {
-		if victims := p.preempt(r, scopes); victims != nil {
+		lesser := r
+		lesser.MayStopBorrowed = false
+		victims := p.preempt(lesser, scopes)
+		if victims == nil && r.MayStopBorrowed {
+			victims = p.preempt(r, scopes)
+		}
+		if victims != nil {
 			return Outcome{Code: Preempting, Victims: victims}
 		}
 	}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -31,6 +31,11 @@
 	return best.victims
 }
 
+// mayStop reports whether the request goes before a group.
+func (r *Request) mayStop(g *Group) bool {
+	return g.Priority > r.Priority || (r.MayStopBorrowed && g.Borrowed && g.Priority == r.Priority)
+}
+
 // workersOfGroup returns the workers of a group, one entry for each run.
 func (p *Planner) workersOfGroup(group int) []int {
 	if p.groupWorkers == nil {
@@ -239,7 +244,7 @@
 	}
 	for _, s := range e.usagesOn(worker) {
 		g := &e.p.groups[s.group]
-		if g.Priority <= e.r.Priority || e.p.preempted[s.group] || slices.Contains(e.victims, s.group) {
+		if !e.r.mayStop(g) || e.p.preempted[s.group] || slices.Contains(e.victims, s.group) {
 			continue
 		}
 		victims = append(victims, s)
