fleet: put off the write of settled starts while a run of the job is about to end

Cause: the next write of a job waits for the open one. The write of what is known of its starts, which only a successor needs, began when the idle cycle came, about 1 s after the start, and so just before the end.

Change: it is put off while a run of the job is expected to end within two late answers of the store, for four late answers at most. The write of the end holds the same news. With a store that answers in some milliseconds nothing changes.

Tried and dropped: a bound of 3 s whatever the store does. TestWorkLostBeforeTakeoverRunsElsewhereAtOnce and TestProgressIsWrittenOnlyWhenItChanges fail then, as runs that last longer than expected keep the news of their starts back.

--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -113,8 +113,15 @@
 	return b
 }
 
-// settledWriteDelay lets the settled starts of a job, and their ages, share one write.
-const settledWriteDelay = 300 * time.Millisecond
+const (
+	// settledWriteDelay lets the settled starts of a job, and their ages, share one write.
+	settledWriteDelay = 300 * time.Millisecond
+	// minRunAfterSettle is how long a run of the job must still last for that write, in
+	// multiples of a late answer of the store. The write is put off meanwhile, for at most
+	// maxSettleDeferral in the same unit.
+	minRunAfterSettle = 2
+	maxSettleDeferral = 4
+)
 
 // jobToSettle returns the job whose news of starts has waited longest for its write, if
 // no such write is open; the lock is held. One job at a time leaves the other writes to
@@ -126,10 +133,14 @@
 		}
 	}
 	var oldest *job
+	now, lateAnswer := o.opts.Clock(), o.adaptiveWriteTimeout.HedgeAfter()
 	for _, j := range o.live {
-		if j.unsavedSince == 0 || j.writeInFlight || o.opts.Clock()-j.unsavedSince < settledWriteDelay {
+		if j.unsavedSince == 0 || j.writeInFlight || now-j.unsavedSince < settledWriteDelay {
 			continue
 		}
+		if now-j.unsavedSince < settledWriteDelay+maxSettleDeferral*lateAnswer && o.endsWithin(j, minRunAfterSettle*lateAnswer, now) {
+			continue // the write of the end holds this news too, and would have to wait
+		}
 		if oldest == nil || j.unsavedSince < oldest.unsavedSince {
 			oldest = j
 		}
@@ -137,6 +148,18 @@
 	return oldest
 }
 
+// endsWithin reports whether a run of a job is expected to end within a time; the lock is held.
+func (o *Owner) endsWithin(j *job, within, now time.Duration) bool {
+	for _, g := range j.groups {
+		for _, r := range g.runs {
+			if r.phase == phaseRunning && o.remainingRunTime(r, now) < within {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // addToBatch adds the progress of a job to a batch; the lock is held.
 func (o *Owner) addToBatch(b *progressBatch, j *job) {
 	data, err := j.progress.Encode()
