placement: stop no runs for a request that a reservation keeps off their capacity

Cause: the choice of victims looked at what runs use only. Capacity that is reserved for a gang placed before was counted as free once they had stopped, and then withheld by the reservation.

Change: a worker is considered only if a task fits there beside the reservations once all lesser runs have stopped, and the chosen stops are checked in the same way before they are ordered.

Measured: the test fails without the change and passes; go test ./pkg/placement ./pkg/fleet passes.

--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -20,7 +20,7 @@
 			best = found
 		}
 	}
-	if len(best.victims) == 0 {
+	if len(best.victims) == 0 || !p.fitsBesideReservations(r, best) {
 		return nil // there is no fit, or what is missing is reserved rather than in use
 	}
 	for _, g := range best.victims {
@@ -31,6 +31,38 @@
 	return best.victims
 }
 
+// fitsBesideReservations reports whether the request may use its capacity once the victims
+// have stopped. Otherwise they would be stopped in vain.
+func (p *Planner) fitsBesideReservations(r Request, e eviction) bool {
+	tasks := map[int]int{}
+	for _, i := range e.workers {
+		tasks[i]++
+	}
+	for i, n := range tasks {
+		if len(p.workers[i].reservations) == 0 {
+			continue
+		}
+		w := p.workers[i].without(func(run Run) bool { return slices.Contains(e.victims, run.Group) })
+		if copies(r.Demand, p.availableBeforeReservations(r, &w, w.FreeAfterStops)) < n {
+			return false
+		}
+	}
+	return true
+}
+
+// without returns the worker once some of its runs have stopped.
+func (w *Worker) without(stopped func(Run) bool) Worker {
+	after := Worker{FreeAfterStops: w.FreeAfterStops, reservations: w.reservations}
+	for _, run := range w.Runs {
+		if stopped(run) {
+			after.FreeAfterStops = after.FreeAfterStops.Add(run.Demand)
+		} else {
+			after.Runs = append(after.Runs, run)
+		}
+	}
+	return after
+}
+
 // mayStop reports whether the request goes before a group.
 func (r *Request) mayStop(g *Group) bool {
 	return g.Priority > r.Priority || (r.MayStopBorrowed && g.Borrowed && g.Priority == r.Priority)
@@ -111,12 +143,22 @@
 	for i := range p.workers {
 		w := &p.workers[i]
 		e.baseCosts[i] = math.Inf(1)
-		if p.usable(r, w) && perWorkerLimit(r, w) > 0 {
+		if p.usable(r, w) && perWorkerLimit(r, w) > 0 && e.mayUseUnreserved(w) {
 			e.baseCosts[i], _ = e.victimsOn(i, w.FreeAfterStops)
 		}
 	}
 }
 
+// mayUseUnreserved reports whether a task would fit beside the reservations on a worker if all
+// runs were stopped that the request goes before.
+func (e *evictor) mayUseUnreserved(w *Worker) bool {
+	if len(w.reservations) == 0 {
+		return true
+	}
+	emptied := w.without(func(run Run) bool { return run.Group >= 0 && e.r.mayStop(&e.p.groups[run.Group]) })
+	return copies(e.r.Demand, e.p.availableBeforeReservations(e.r, &emptied, emptied.FreeAfterStops)) > 0
+}
+
 // chooseVictims places the tasks one by one on the worker with the lowest stop cost;
 // of separate tasks it places only one. Once a gang is a victim, its capacity on all of
 // its workers is free to use. It fails if the total cost exceeds the limit.
