fleet: guard against an entry of no worker that keeps jobs from the others

A check that holds without a change: an entry under a key of its own, with the address of nobody or of another worker and more capacity than all workers, delays no job and no longer counts once it is removed.

--- a/pkg/fleet/entry_test.go
+++ b/pkg/fleet/entry_test.go
@@ -115,3 +115,49 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// Guards against an entry of no worker, under a key of its own, that keeps jobs from the
+// workers while it is listed, or still counts after its removal.
+func TestEntryOfNoWorkerKeepsNoJobFromTheOthers(t *testing.T) {
+	const capacity = 1000 // accelerators; more than all workers have
+	for _, address := range []string{"none:1", "w00:1"} {
+		t.Run(address, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 2, 4)
+				b.catalog = nil
+				b.putEntry("odd", b.oddEntry(0, func(e *fleet.WorkerEntry) {
+					e.ID, e.Address, e.Capacity.Accelerators, e.Capacity.MilliCPU = "odd", address, capacity, 8000*capacity
+				}))
+				b.sleep(time.Second)
+				jobs := []*workload.Job{b.submit(smallStep(8)), b.submit(gangStep(2, 8)), b.submit(gangStep(1, 2*8)), b.submit(smallStep(4))}
+				d := b.workers.NewStandstillDetector(fleettest.StandstillThreshold)
+				for _, i := range []int{0, 1, 3} {
+					b.workers.Accepted(jobs[i].ID)
+				}
+				b.observe(d, 8*time.Second)
+				for _, s := range d.Standstills() {
+					t.Error(s)
+				}
+				for _, i := range []int{0, 1, 3} {
+					b.wantState(jobs[i], workload.Completed)
+				}
+				b.killVM(b.ownerIndex())
+				b.sleep(3 * time.Second)
+				b.wantState(jobs[2], workload.Queued) // no worker holds it
+				if _, err := b.store.Commit(t.Context(), platform.Txn{Deletes: []string{fleettest.WorkerPrefix + "odd"}}); err != nil {
+					t.Fatal(err)
+				}
+				b.sleep(20 * time.Second)
+				_, owner := b.vms[b.ownerIndex()].elector.Owner()
+				for _, c := range owner.MaximalCapacities()["service"] {
+					if c.Accelerators == capacity {
+						t.Error("the removed entry still counts")
+					}
+				}
+				b.cancel(jobs[2])
+				b.sleep(time.Second)
+				b.wantState(jobs[2], workload.Cancelled)
+			})
+		})
+	}
+}
