memory store: a transaction has one revision

Cause: the emulated store gave each write of a transaction a revision of its own, unlike the platform's, and answered with the last one.

Found while tracing TestBatchWithLostAnswersIsNotWrittenForever: in its failing plays the conflicts used up writes whose answers are lost.

--- a/pkg/platform/memory/store.go
+++ b/pkg/platform/memory/store.go
@@ -51,6 +51,7 @@
 
 	mu       sync.Mutex
 	revision int64
+	inTxn    bool // a transaction is being applied, under one revision
 	entries  *btree.BTreeG[*platform.Entry]
 	history  history
 	changed  chan struct{} // closed and replaced at each change, to wake watches
@@ -153,7 +154,7 @@
 		}
 	}
 	s.unbindLease(key)
-	s.revision++
+	s.advanceRevision()
 	e := &platform.Entry{Key: key, Value: bytes.Clone(value), Version: s.revision, Lease: id}
 	s.entries.ReplaceOrInsert(e)
 	if id != 0 {
@@ -179,10 +180,17 @@
 	return err
 }
 
+// advanceRevision begins the next revision, which the changes of a transaction share.
+func (s *Store) advanceRevision() {
+	if !s.inTxn {
+		s.revision++
+	}
+}
+
 // remove deletes an existing key and records the change.
 func (s *Store) remove(key string) {
 	s.unbindLease(key)
-	s.revision++
+	s.advanceRevision()
 	s.entries.Delete(&platform.Entry{Key: key})
 	s.record(platform.Event{Entry: platform.Entry{Key: key}, Deleted: true, Revision: s.revision})
 }
--- a/pkg/platform/memory/txn.go
+++ b/pkg/platform/memory/txn.go
@@ -13,8 +13,8 @@
 
 var _ platform.Transactor = (*Store)(nil)
 
-// Commit applies a transaction, see platform.Transactor. All its changes get
-// consecutive revisions.
+// Commit applies a transaction, see platform.Transactor. All its changes get the same
+// revision.
 func (s *Store) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	if n := len(txn.Conditions) + len(txn.Writes) + len(txn.Deletes); n > platform.MaxTxnEntries {
 		return platform.TxnResult{}, errkind.New(errkind.InvalidRequest, "a transaction of %d entries exceeds %d", n, platform.MaxTxnEntries)
@@ -52,6 +52,9 @@
 			return res, err
 		}
 	}
+	s.revision++
+	s.inTxn = true
+	defer func() { s.inTxn = false }()
 	for _, w := range txn.Writes {
 		if _, err := s.put(w.Key, w.Value, platform.AnyVersion, w.Lease); err != nil {
 			return res, err
--- a/pkg/platform/memory/watch.go
+++ b/pkg/platform/memory/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -33,18 +35,14 @@
 func (h *history) since(prefix string, after int64) []platform.Event {
 	var out []platform.Event
 	size := 0
-	// Revisions are consecutive, so the index follows from the first revision.
-	start := 0
-	if len(h.events) > 0 {
-		start = max(0, int(after-h.events[0].Revision)+1)
-	}
-	for i := start; i < len(h.events); i++ {
-		e := h.events[i]
+	start, _ := slices.BinarySearchFunc(h.events, after+1, func(e platform.Event, revision int64) int { return cmp.Compare(e.Revision, revision) })
+	for _, e := range h.events[start:] {
 		if !strings.HasPrefix(e.Entry.Key, prefix) {
 			continue
 		}
 		size += len(e.Entry.Value)
-		if len(out) == maxWatchEvents || (size > maxAnswerBytes && len(out) > 0) {
+		// The caller continues after a revision, so all changes of one belong to an answer.
+		if (len(out) >= maxWatchEvents || size > maxAnswerBytes) && len(out) > 0 && e.Revision != out[len(out)-1].Revision {
 			break
 		}
 		e.Entry.Value = bytes.Clone(e.Entry.Value)
