--- a/pkg/fleet/advice_test.go
+++ b/pkg/fleet/advice_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,18 +18,22 @@
 func TestAdvisedJobRunsOnAfterItsQueueHasChanged(t *testing.T) {
 	policy := &workload.AdvicePolicy{TicketTTL: 5 * time.Second}
 	queue := func(name string, advice *workload.AdvicePolicy) *catalog.Catalog {
-		return &catalog.Catalog{Queues: []catalog.Queue{{Name: name, Class: workload.Class{Service: "service"}, Advice: advice}}}
+		c := &catalog.Catalog{Queues: []catalog.Queue{{Name: name, Class: workload.Class{Service: "service"}, Advice: advice}}}
+		c.Index()
+		return c
 	}
+	none := &catalog.Catalog{}
+	none.Index()
 	tests := map[string]struct {
 		recorded *workload.AdvicePolicy // with the job
 		after    *catalog.Catalog
 		takeover bool
 		rejected int // starts
 	}{
-		"queue removed":                        {recorded: policy, after: &catalog.Catalog{}},
+		"queue removed":                        {recorded: policy, after: none},
 		"queue renamed":                        {recorded: policy, after: queue("renamed", policy)},
-		"queue removed, then a takeover":       {recorded: policy, after: &catalog.Catalog{}, takeover: true},
-		"queue removed, record without advice": {after: &catalog.Catalog{}, rejected: 2},
+		"queue removed, then a takeover":       {recorded: policy, after: none, takeover: true},
+		"queue removed, record without advice": {after: none, rejected: 2},
 		"policy removed":                       {recorded: policy, after: queue("q", nil), rejected: 2},
 	}
 	for name, tc := range tests {
@@ -37,8 +42,9 @@
 				b := newTestbed(t, 0, 8)
 				cloud := fleettest.NewCloud(b.workers, time.Second)
 				cloud.AllowedWorkers = []string{"w06", "w07"}
-				b.adjustOptions = func(o *fleet.Options) { o.Advice = cloud }
-				b.catalog = queue("q", policy)
+				var current atomic.Pointer[catalog.Catalog]
+				current.Store(queue("q", policy))
+				b.adjustOptions = func(o *fleet.Options) { o.Advice, o.Catalog = cloud, current.Load }
 				b.startVM()
 				b.startVM()
 				b.sleep(time.Second)
@@ -50,8 +56,7 @@
 				j.Advice = tc.recorded
 				b.storeJob(j)
 				b.sleep(time.Second)
-				tc.after.Index()
-				b.catalog = tc.after
+				current.Store(tc.after)
 				if tc.takeover {
 					b.killVM(b.ownerIndex())
 				}
--- a/pkg/fleet/entry_test.go
+++ b/pkg/fleet/entry_test.go
@@ -124,7 +124,6 @@
 		t.Run(address, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newTestbed(t, 2, 4)
-				b.catalog = nil
 				b.putEntry("odd", b.oddEntry(0, func(e *fleet.WorkerEntry) {
 					e.ID, e.Address, e.Capacity.Accelerators, e.Capacity.MilliCPU = "odd", address, capacity, 8000*capacity
 				}))
--- a/pkg/fleet/pools_test.go
+++ b/pkg/fleet/pools_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,18 +65,22 @@
 		if _, err := cloud.Move(t.Context(), "m-w00", standbyPool, 0); err != nil {
 			t.Fatal(err)
 		}
+		queues := []catalog.Queue{{Name: "q", Class: workload.Class{Priority: 1, Service: "service"}}}
+		var current atomic.Pointer[catalog.Catalog]
+		setServices := func(services ...catalog.Service) {
+			c := &catalog.Catalog{Services: services, Queues: queues}
+			c.Index()
+			current.Store(c)
+		}
+		setServices(catalog.Service{Name: standbyPool, Standby: true}, catalog.Service{Name: "service"})
 		b.adjustOptions = func(o *fleet.Options) {
-			o.Machines, o.Waves = refusingCloud{cloud, fleet.MachineOpUnknown}, cloud
+			o.Machines, o.Waves, o.Catalog = refusingCloud{cloud, fleet.MachineOpUnknown}, cloud, current.Load
 		}
-		queues := []catalog.Queue{{Name: "q", Class: workload.Class{Priority: 1, Service: "service"}}}
-		b.catalog = &catalog.Catalog{Services: []catalog.Service{{Name: standbyPool, Standby: true}, {Name: "service"}}, Queues: queues}
 		b.startVM()
 		b.sleep(time.Second)
 		b.cancel(b.submitAndWait(gangStep(3, 8), 5*time.Second))
 		b.sleep(20 * time.Second) // its return has been requested
-		next := &catalog.Catalog{Services: []catalog.Service{{Name: "service"}}, Queues: queues}
-		next.Index()
-		b.catalog = next
+		setServices(catalog.Service{Name: "service"})
 		b.sleep(5 * time.Second)
 		j := b.submitAndWait(gangStep(2, 8), 8*time.Second)
 		b.wantState(j, workload.Completed)
