fleet, platform: guarantees and worker entries in files of their own

No change of behaviour: what decides on guarantees leaves the placement of groups, and the entries of workers leave the client that calls them.

--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -21,9 +21,6 @@
 	// maxReservations bounds the number of blocked gangs with a reservation at a
 	// time; more would leave the fleet idle.
 	maxReservations = 3
-	// guaranteeDelay is how long a group within its guarantee waits before free capacity
-	// goes before any preference: the platform requires a start within 2.7 s.
-	guaranteeDelay = time.Second
 	// maxStopCostRatio bounds the work that an urgent job outside its guarantee may
 	// destroy by preemption, in multiples of its own work. A higher bound brings
 	// callers no further gain; docs/measurements.md compares the bounds.
@@ -97,18 +94,6 @@
 	}
 }
 
-// reclaimingFirst orders groups that reclaim their guarantee before those that might take the
-// capacity again which was stopped for them.
-func reclaimingFirst(a, b pendingGroup) int {
-	switch {
-	case a.reclaims == b.reclaims:
-		return 0
-	case a.reclaims:
-		return -1
-	}
-	return 1
-}
-
 // collectPending returns the groups that are due and whose dependencies are done;
 // awaitingDue reports whether others wait for their due time.
 func (o *Owner) collectPending(now time.Duration) (waiting []pendingGroup, awaitingDue bool) {
@@ -190,91 +175,6 @@
 	return time.Duration(j.Class.SlackFactor*float64(o.criticalPath(j.Job))) + j.Class.TargetRuntime
 }
 
-// markWithinGuarantee marks the urgent groups of workspaces whose urgent jobs all fit
-// into the workspace's guarantee, and those of them that have waited for guaranteeDelay.
-func (o *Owner) markWithinGuarantee(waiting []pendingGroup, now time.Duration) {
-	need := map[string]int64{}
-	for _, j := range o.live {
-		if j.Class.Priority == 0 {
-			need[j.Workspace] += maxStepAccelerators(j.Job)
-		}
-	}
-	cat := o.opts.Catalog()
-	if cat == nil {
-		return
-	}
-	for _, ws := range cat.Workspaces {
-		if ws.Guaranteed.Accelerators == 0 || need[ws.Name] > ws.Guaranteed.Accelerators {
-			continue
-		}
-		for i := range waiting {
-			if waiting[i].priority == 0 && waiting[i].group.job.Workspace == ws.Name {
-				waiting[i].withinGuarantee = true
-				waiting[i].reclaims = now-waiting[i].group.readySince >= guaranteeDelay
-			}
-		}
-	}
-}
-
-// markBorrowed determines the groups of urgent work that use more than the guarantee of their
-// workspace, while a group within a guarantee waits for longer than guaranteeDelay. Of the runs of
-// a workspace the newest count as borrowed, as least of their work is lost.
-func (o *Owner) markBorrowed(waiting []pendingGroup) {
-	o.borrowed = nil
-	cat := o.opts.Catalog()
-	if cat == nil || !slices.ContainsFunc(waiting, func(c pendingGroup) bool { return c.reclaims }) {
-		return
-	}
-	guaranteed := map[string]int64{}
-	for _, ws := range cat.Workspaces {
-		guaranteed[ws.Name] = ws.Guaranteed.Accelerators
-	}
-	type urgentUse struct {
-		group        *taskGroup
-		accelerators int64
-		startedAt    time.Duration // of its newest run
-	}
-	uses, beyond := map[string][]urgentUse{}, map[string]int64{}
-	for _, j := range o.live {
-		for _, g := range j.groups {
-			if j.Class.Priority != 0 || len(g.runs) == 0 {
-				continue
-			}
-			use := urgentUse{group: g}
-			for _, r := range g.runs {
-				use.accelerators += r.demand.Accelerators
-				use.startedAt = max(use.startedAt, r.startedAt)
-			}
-			uses[j.Workspace] = append(uses[j.Workspace], use)
-			beyond[j.Workspace] += use.accelerators
-		}
-	}
-	o.borrowed = map[*taskGroup]bool{}
-	for workspace, all := range uses {
-		slices.SortFunc(all, func(a, b urgentUse) int {
-			return cmp.Or(cmp.Compare(b.startedAt, a.startedAt), cmp.Compare(a.group.job.ID, b.group.job.ID), cmp.Compare(a.group.step, b.group.step))
-		})
-		left := beyond[workspace] - guaranteed[workspace]
-		for _, use := range all {
-			if left <= 0 {
-				break
-			}
-			o.borrowed[use.group] = true
-			left -= use.accelerators
-		}
-	}
-}
-
-// maxStepAccelerators returns the largest number of accelerators that a step of a job
-// uses at once.
-func maxStepAccelerators(j *workload.Job) int64 {
-	var n int64
-	for i := range j.Steps {
-		n = max(n, int64(j.Steps[i].Tasks)*j.Steps[i].Request.Accelerators)
-	}
-	return n
-}
-
 // serviceOf returns the service that runs a job: the one of its queue in the current
 // configuration, or the one at its acceptance if the queue no longer exists.
 func (o *Owner) serviceOf(j *job) string {
