observability: the connection of a call without an answer, standstills, the version of each answer

The lines of an incident could not tell whether calls to the store got no answer over pooled connections only, whether a process had stood still, and from which version a request was answered.

- An error of a call names its connection (new, reused, idle for how long); carawayusher_unanswered_calls_total{server,connection}.
- 'process stood still' with its duration, found by a tick of 100 ms or by whoever asks first (internal/standstill); event 'standstill'.
- 'call refused' and 'queue length' name the version and the age of the configuration; carawayusher_config_age_seconds{answer}.
- 'configuration not read' for each further failed read.

--- /dev/null
+++ b/internal/standstill/standstill_test.go
@@ -0,0 +1,30 @@
+package standstill
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a standstill that nobody notices before the first request after it is
+// handled, and against reporting a process that merely had nothing to do.
+func TestStandstillIsKnownToTheFirstWhoAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		var suspended time.Duration
+		var reported []time.Duration
+		d := New(func() time.Duration { return time.Since(started) + suspended }, func(d time.Duration) { reported = append(reported, d) })
+		go d.Run(t.Context())
+		time.Sleep(10 * time.Second)
+		if at := d.ResumedAt(); at != 0 || len(reported) > 0 {
+			t.Errorf("a process that ran stood still until %v, reported %v", at, reported)
+		}
+		suspended = 800 * time.Millisecond
+		if at, want := d.ResumedAt(), time.Since(started)+suspended; at != want {
+			t.Errorf("resumed at %v, want %v", at, want)
+		}
+		if len(reported) != 1 || reported[0] < suspended {
+			t.Errorf("reported %v, want one standstill of at least %v", reported, suspended)
+		}
+	})
+}
--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -215,7 +215,9 @@
 	if s.storeReached {
 		s.storeReached = false
 		s.opts.Log.Info("store lost", "reason", err.Error())
+		return
 	}
+	s.opts.Log.Info("configuration not read", "reason", err.Error(), "ageMS", (s.opts.Clock() - s.currentAsOf).Milliseconds())
 }
 
 // Copy returns the configuration for another VM, or an error of kind unavailable
@@ -244,7 +246,7 @@
 	defer cancel()
 	other, err := s.opts.Ask(ctx)
 	if err != nil {
-		s.opts.Log.V(1).Info("no copy of the configuration from another VM", "reason", err.Error())
+		s.opts.Log.Info("no copy of the configuration from another VM", "reason", err.Error())
 		return
 	}
 	s.mu.Lock()
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -23,6 +23,8 @@
 	callDuration      *prometheus.HistogramVec
 	storeCalls        *prometheus.CounterVec
 	storeCallDuration *prometheus.HistogramVec
+	unansweredCalls   *prometheus.CounterVec
+	configAge         *prometheus.HistogramVec
 	workerCalls       *prometheus.CounterVec
 	runsEnded         *prometheus.CounterVec
 	jobsEnded         *prometheus.CounterVec
@@ -64,13 +66,15 @@
 		callDuration:      histogram("call_seconds", "Time to answer a call.", "method"),
 		storeCalls:        counter("store_calls_total", "Calls to the platform's store by operation and outcome.", "operation", "outcome"),
 		storeCallDuration: histogram("store_call_seconds", "Time of a call to the platform's store, watches left out.", "operation"),
+		unansweredCalls:   counter("unanswered_calls_total", "Calls without an answer by kind of server and by how the call got its connection.", "server", "connection"),
+		configAge:         histogram("config_age_seconds", "Time since the copy of the configuration was known to be current, for each call of a caller.", "answer"),
 		workerCalls:       counter("worker_calls_total", "Calls to workers by kind and verdict.", "kind", "verdict"),
 		runsEnded:         counter("runs_ended_total", "Ends of runs by reason.", "reason"),
 		jobsEnded:         counter("jobs_ended_total", "Jobs by final state.", "state"),
 		placementWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "carawayusher_placement_wait_seconds", Help: "Time from a step's turn to its placement.", Buckets: latencyBuckets,
 		}),
-		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs, ended and ejected workers, suspect jobs.", "event"),
+		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs, ended and ejected workers, suspect jobs, standstills of the process.", "event"),
 
 		jobsStanding:   gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
 		workers:        gauges("workers", "Workers known to the owner by state.", "service", "state"),
@@ -87,7 +91,7 @@
 	}
 	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
-	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
+	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.unansweredCalls, s.configAge, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
 			func() float64 { return float64(dropped()) }))
 	return s
@@ -115,6 +119,21 @@
 	}
 }
 
+// UnansweredCall counts a call that a server has not answered; connection says whether it
+// was sent over a new or a reused one.
+func (s *Set) UnansweredCall(server, connection string) {
+	if s != nil {
+		s.unansweredCalls.WithLabelValues(server, connection).Inc()
+	}
+}
+
+// ConfigAge observes the age of the configuration from which a call is answered.
+func (s *Set) ConfigAge(answer string, age time.Duration) {
+	if s != nil {
+		s.configAge.WithLabelValues(answer).Observe(age.Seconds())
+	}
+}
+
 // WorkerCall counts a call to a worker by kind and verdict.
 func (s *Set) WorkerCall(kind, verdict string) {
 	if s != nil {
