--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -7,23 +7,24 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 )
 
-// relay starts a TCP proxy to an address. After cut is set, it drops all data and
-// leaves the connections open.
-func relay(t *testing.T, to string) (address string, cut *atomic.Bool) {
+// relay starts a TCP proxy to an address. After silence, it drops all data of the
+// connections that are open, and leaves them open; new ones work.
+func relay(t *testing.T, to string) (address string, silence func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	cut = new(atomic.Bool)
+	var silences atomic.Int64
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var open []net.Conn
-	pipe := func(from, into net.Conn) {
+	pipe := func(from, into net.Conn, opened int64) {
 		buf := make([]byte, 4096)
 		for {
 			n, err := from.Read(buf)
@@ -31,7 +32,7 @@
 				_ = into.Close()
 				return
 			}
-			if !cut.Load() {
+			if silences.Load() == opened {
 				_, _ = into.Write(buf[:n])
 			}
 		}
@@ -50,8 +51,9 @@
 			mu.Lock()
 			open = append(open, in, out)
 			mu.Unlock()
-			wg.Go(func() { pipe(in, out) })
-			wg.Go(func() { pipe(out, in) })
+			opened := silences.Load()
+			wg.Go(func() { pipe(in, out, opened) })
+			wg.Go(func() { pipe(out, in, opened) })
 		}
 	})
 	t.Cleanup(func() {
@@ -63,22 +65,49 @@
 		mu.Unlock()
 		wg.Wait()
 	})
-	return l.Addr().String(), cut
+	return l.Addr().String(), func() { silences.Add(1) }
 }
 
 // TestSilentLink guards against calls that never return when the network drops
 // all packets of an open connection and the caller has set no deadline.
 func TestSilentLink(t *testing.T) {
 	_, address := start(t, Options{Token: token})
-	through, cut := relay(t, address)
+	through, silence := relay(t, address)
 	a := NewNode(Options{Token: token})
 	t.Cleanup(func() { _ = a.Close() })
 	if err := a.Call(limited(t), through, "echo", "x", nil); err != nil {
 		t.Fatal(err)
 	}
-	cut.Store(true)
+	silence()
 	err := a.Call(context.Background(), through, "echo", "x", nil)
 	if !errkind.Is(err, errkind.Unavailable) || !errors.Is(err, ErrAnswerLost) {
 		t.Fatalf("call over a cut link: %v", err)
 	}
 }
+
+// TestShortCallsDoNotKeepASilentConnection guards against calls that go on using a
+// connection that has gone silent, as none of them waits long enough for the silence to be
+// noticed, while a new connection would work.
+func TestShortCallsDoNotKeepASilentConnection(t *testing.T) {
+	_, address := start(t, Options{Token: token})
+	through, silence := relay(t, address)
+	a := NewNode(Options{Token: token})
+	t.Cleanup(func() { _ = a.Close() })
+	if err := a.Call(limited(t), through, "echo", "x", nil); err != nil {
+		t.Fatal(err)
+	}
+	silence()
+	const attempts = 5 // of shortCallTimeout each
+	for range attempts {
+		ctx, cancel := context.WithTimeout(context.Background(), shortCallTimeout)
+		err := a.Call(ctx, through, "echo", "x", nil)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	t.Errorf("%d calls of %v each were not answered over a connection that is silent", attempts, shortCallTimeout)
+}
+
+// shortCallTimeout is that of the calls of an entry VM to the owner of the fleet.
+const shortCallTimeout = 400 * time.Millisecond
