configsource: after a standstill, answer from a configuration read since

Cause: what the requests met depended on whether their handlers ran before or after the answer to the watch, which waited in a socket as well. The process could have known: its clock, which counts suspended time, showed 0.9 s without a tick of 0.1 s.

Change: a standstill of 0.25 s or more makes the copy unusable until it is known to be current at a later time; requests wait for one attempt to confirm it. Whoever asks first after a standstill detects it. An answer to the watch that may have waited meanwhile does not count as newer than its request.

Why 0.25 s is enough: requests that wait during a shorter standstill were sent within the time that the rule on regression allows.

--- a/internal/standstill/standstill_test.go
+++ b/internal/standstill/standstill_test.go
@@ -1,6 +1,7 @@
 package standstill
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,20 +12,21 @@
 func TestStandstillIsKnownToTheFirstWhoAsks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
-		var suspended time.Duration
+		var suspended atomic.Int64 // nanoseconds
 		var reported []time.Duration
-		d := New(func() time.Duration { return time.Since(started) + suspended }, func(d time.Duration) { reported = append(reported, d) })
+		d := New(func() time.Duration { return time.Since(started) + time.Duration(suspended.Load()) }, func(d time.Duration) { reported = append(reported, d) })
 		go d.Run(t.Context())
 		time.Sleep(10 * time.Second)
 		if at := d.ResumedAt(); at != 0 || len(reported) > 0 {
 			t.Errorf("a process that ran stood still until %v, reported %v", at, reported)
 		}
-		suspended = 800 * time.Millisecond
-		if at, want := d.ResumedAt(), time.Since(started)+suspended; at != want {
+		const standstill = 800 * time.Millisecond
+		suspended.Store(int64(standstill))
+		if at, want := d.ResumedAt(), time.Since(started)+standstill; at != want {
 			t.Errorf("resumed at %v, want %v", at, want)
 		}
-		if len(reported) != 1 || reported[0] < suspended {
-			t.Errorf("reported %v, want one standstill of at least %v", reported, suspended)
+		if len(reported) != 1 || reported[0] < standstill {
+			t.Errorf("reported %v, want one standstill of at least %v", reported, standstill)
 		}
 	})
 }
--- a/pkg/configsource/confirm.go
+++ b/pkg/configsource/confirm.go
@@ -28,12 +28,14 @@
 }
 
 // Acquire returns the configuration from which to handle a request that has just arrived.
-// If the copy may lack a version that has to be in force, the request waits for one attempt
-// to confirm it. If that fails, the copy is used as long as its keys are certain. The error
-// has kind unavailable.
+// If the copy may lack a version that has to be in force, or the process stood still since
+// it was known to be current, the request waits for one attempt to confirm it. If that fails,
+// the copy is used as long as its keys are certain. The error has kind unavailable.
 func (s *Source) Acquire(ctx context.Context) (View, error) {
+	resumedAt := s.opts.ResumedAt()
 	s.mu.Lock()
 	now := s.opts.Clock()
+	s.requiredAsOf = max(s.requiredAsOf, resumedAt)
 	need := max(s.requiredAsOf, now-s.maxAge())
 	known := s.current != nil
 	s.mu.Unlock()
--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/carawayusher/carawayusher/internal/standstill"
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/catalog"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -53,6 +54,9 @@
 	Clock    func() time.Duration // includes the time while the VM is suspended
 	ApplyIn  time.Duration        // time limit for a version to be in force; 0: defaultApplyIn
 	RevokeIn time.Duration        // time limit for refusing a revoked key
+	// ResumedAt returns when this process last ran again after a standstill; nil: the
+	// Source observes the process itself.
+	ResumedAt func() time.Duration
 	// Ask fetches the copy of another VM, which may reach the store when this one
 	// does not; nil disables this.
 	Ask func(ctx context.Context, r CopyRequest) (Copy, error)
@@ -61,7 +65,8 @@
 
 // Source holds the newest configuration.
 type Source struct {
-	opts Options
+	opts        Options
+	standstills *standstill.Detector // nil if Options.ResumedAt is set
 
 	mu            sync.Mutex
 	lifetime      context.Context // of Run; attempts are shared by calls and end with it
@@ -83,6 +88,10 @@
 		opts.ApplyIn = defaultApplyIn
 	}
 	s := &Source{opts: opts, lifetime: context.Background()}
+	if opts.ResumedAt == nil {
+		s.standstills = standstill.New(opts.Clock, func(time.Duration) {})
+		s.opts.ResumedAt = s.standstills.ResumedAt
+	}
 	s.reads = attempts{run: s.read, interval: s.readInterval}
 	s.confirmations = attempts{run: s.confirmOnce, interval: func() time.Duration { return 0 }}
 	return s
@@ -135,6 +144,9 @@
 	s.mu.Lock()
 	s.lifetime = ctx
 	s.mu.Unlock()
+	if s.standstills != nil {
+		go s.standstills.Run(ctx)
+	}
 	delay := minBackoff
 	for ctx.Err() == nil {
 		if s.following() {
@@ -209,7 +221,8 @@
 // pollCurrentAsOf returns the time for which the answer to a poll sent at sentAt tells what is
 // current. Without events the store has waited for d before it answered.
 func (s *Source) pollCurrentAsOf(sentAt, d time.Duration, events int) time.Duration {
-	if events > 0 || s.opts.Clock()-sentAt < d {
+	stoodStill := s.opts.ResumedAt() >= sentAt // the answer may have come earlier
+	if events > 0 || stoodStill || s.opts.Clock()-sentAt < d {
 		return sentAt
 	}
 	return sentAt + time.Duration(float64(d)*(1-maxClockDrift))
