peer: replace a connection that has gone silent, also when all calls are short

Queries of job states waited for their whole 0.4 s on such a connection and went to the store then.

Cause: a silent connection was noticed by a ping that is sent if calls are open at the tick of a timer and no frame came for 1 s. A call that ends at its own timeout is not open any more, and the next one restarts the second, so calls of less than a second never found out; the connection stayed for as long as they went on.

Change: a call that times out without a frame since it was sent makes its link dial a new connection, at most once a second. The old one stays in use until then and is closed when nothing uses it: the peer may only be slow.

--- a/pkg/peer/call.go
+++ b/pkg/peer/call.go
@@ -22,6 +22,7 @@
 	}
 	defer c.removePending(id)
 	f.ID = id
+	sentAt := time.Since(c.start)
 	data, err := c.encodeFrame(f)
 	if err != nil {
 		return nil, err
@@ -33,12 +34,13 @@
 	case <-ctx.Done():
 		return nil, contextError(ctx, c.peer)
 	}
-	return c.await(ctx, id, ch)
+	return c.await(ctx, id, ch, sentAt)
 }
 
 // await waits for the answer to a call, and cancels the call at the peer if ctx
-// ends first.
-func (c *conn) await(ctx context.Context, id uint64, ch chan frame) ([]byte, error) {
+// ends first. If nothing has arrived since the call was sent, the connection may have
+// gone silent, and later calls use a new one.
+func (c *conn) await(ctx context.Context, id uint64, ch chan frame, sentAt time.Duration) ([]byte, error) {
 	select {
 	case f, ok := <-ch:
 		if !ok {
@@ -50,6 +52,9 @@
 		return f.Body, nil
 	case <-ctx.Done():
 		c.sendCancel(id)
+		if c.peer != "" && errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Duration(c.lastFrame.Load()) < sentAt {
+			c.node.link(c.peer).replace(c)
+		}
 		return nil, contextError(ctx, c.peer)
 	}
 }
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -19,6 +19,7 @@
 	errIdle        = errors.New("connection idle")
 	errFlooding    = errors.New("peer far exceeds the accepted request rate")
 	errPingTimeout = errors.New("peer did not answer a ping in time")
+	errReplaced    = errors.New("connection replaced by a new one")
 )
 
 // conn is an open WebSocket connection. Both VMs send requests on it.
@@ -40,7 +41,9 @@
 	// if that is later, and to the last request in either direction.
 	lastRead    atomic.Int64
 	lastRequest atomic.Int64
+	lastFrame   atomic.Int64 // nanoseconds from start to the last frame or pong
 	start       time.Time
+	replaced    atomic.Bool // the link has another connection
 
 	mu             sync.Mutex
 	nextID         uint64
@@ -111,6 +114,7 @@
 		}
 		c.node.metrics.received.Add(float64(len(data)))
 		c.touch(&c.lastRead)
+		c.touch(&c.lastFrame)
 		var f frame
 		if err := cbor.Unmarshal(data, &f); err != nil {
 			c.close(err)
@@ -274,7 +278,7 @@
 	return time.Since(c.start) - time.Duration(at.Load())
 }
 
-// monitor closes an idle connection. While calls are pending and no frame
+// monitor closes an idle connection, and one that was replaced once nothing uses it. While calls are pending and no frame
 // arrives, it pings the peer, and closes the connection if no pong arrives.
 func (c *conn) monitor() {
 	ticker := time.NewTicker(readIdleTimeout)
@@ -288,9 +292,14 @@
 		c.mu.Lock()
 		open, serving := len(c.pending), len(c.handlerCancels)
 		c.mu.Unlock()
-		if open == 0 && serving == 0 && c.since(&c.lastRequest) > idleTimeout {
+		switch {
+		case open > 0 || serving > 0:
+		case c.since(&c.lastRequest) > idleTimeout:
 			c.close(errIdle)
 			return
+		case c.replaced.Load():
+			c.close(errReplaced)
+			return
 		}
 		if open > 0 && c.since(&c.lastRead) > readIdleTimeout && !c.ping() {
 			c.close(errPingTimeout)
@@ -307,5 +316,6 @@
 		return false
 	}
 	c.touch(&c.lastRead)
+	c.touch(&c.lastFrame)
 	return true
 }
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -24,6 +24,8 @@
 	lastErr  error
 	nextDial time.Time
 	backoff  *backoff.ExponentialBackOff
+
+	replacedAt time.Time // when the latest replacement began
 }
 
 // link returns the link to an address, and creates it if it is missing.
@@ -51,6 +53,9 @@
 }
 
 func (l *link) setConn(c *conn) {
+	if l.conn != nil {
+		l.conn.replaced.Store(true)
+	}
 	l.conn, l.lastErr = c, nil
 	l.nextDial = time.Time{}
 	l.backoff.Reset()
@@ -88,6 +93,18 @@
 	return l.conn, nil
 }
 
+// replace dials a new connection if c is the one in use, which stays in use until then: it
+// may only be slow.
+func (l *link) replace(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != c || l.dialDone != nil || time.Since(l.replacedAt) < minReplaceInterval {
+		return
+	}
+	l.replacedAt = time.Now()
+	l.startDial()
+}
+
 // startDial starts a dial that all concurrent callers wait for. It returns false
 // if the node is closed.
 func (l *link) startDial() bool {
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -29,6 +29,10 @@
 	readIdleTimeout = time.Second
 	pingTimeout     = 2 * time.Second
 
+	// minReplaceInterval is the minimum time between two replacements of a connection to a
+	// peer that does not answer.
+	minReplaceInterval = time.Second
+
 	minBackoff = 100 * time.Millisecond
 	// maxBackoff is short because a VM that restarts at its previous address must
 	// be reached again within the takeover time.
--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -111,3 +111,50 @@
 
 // shortCallTimeout is that of the calls of an entry VM to the owner of the fleet.
 const shortCallTimeout = 400 * time.Millisecond
+
+// TestReplacedConnectionEndsItsCalls guards against ending the calls over a connection that
+// is only slow when later calls use a new one.
+func TestReplacedConnectionEndsItsCalls(t *testing.T) {
+	release := make(chan struct{})
+	b, address := start(t, Options{Token: token})
+	b.Handle("slow", func(ctx context.Context, _ func(any) error) (any, error) {
+		select {
+		case <-release:
+			return "done", nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	a := NewNode(Options{Token: token})
+	t.Cleanup(func() { _ = a.Close() })
+	slow := make(chan error, 1)
+	go func() { slow <- a.Call(limited(t), address, "slow", "x", nil) }()
+	for a.openConns() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shortCallTimeout)
+	defer cancel()
+	if err := a.Call(ctx, address, "slow", "y", nil); !errkind.Is(err, errkind.Timeout) {
+		t.Fatalf("call that is not answered: %v", err)
+	}
+	for a.openConns() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := a.Call(limited(t), address, "echo", "x", nil); err != nil {
+		t.Errorf("call over the new connection: %v", err)
+	}
+	close(release)
+	if err := <-slow; err != nil {
+		t.Errorf("call over the replaced connection: %v", err)
+	}
+	for a.openConns() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// openConns returns the number of open connections.
+func (n *Node) openConns() int {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return len(n.conns)
+}
