gateway, fleet: an owner whose lease has run out does not have the last word on states

A VM that owned the fleet, lost the store or stood still beyond its lease answered queries of job states and queue lengths from its memory, as owner and as entry, and to other VMs that still took it for the owner: a job that its successor had shown as completed could be shown as running again.

Cause: whether this VM is the owner was asked of the elector, which learns of the loss from the store; the lease, which the owner's own clock knows, was looked at before orders only.

Change: an answer counts as up to date if the lease is valid after it was given (Owner.Current). A final state is stored and holds always. Capacities of workers, by which jobs are refused, are not known any more.

--- a/pkg/fleet/handover_test.go
+++ b/pkg/fleet/handover_test.go
@@ -254,3 +254,20 @@
 		}
 	})
 }
+
+// Guards against answers of an owner whose lease has run out, as another VM may own the fleet.
+func TestOwnerIsNotCurrentAfterItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stores := newPerVMStoreTestbed(t, 1, 2)
+		_, owner := b.vms[0].elector.Owner()
+		if !owner.Current() || len(owner.MaximalCapacities()) == 0 {
+			t.Error("the owner is not current, or knows no capacities")
+		}
+		(*stores)[0].unreachable.Store(true)
+		b.sleep(fleet.LeaseTTL)
+		if owner.Current() || len(owner.MaximalCapacities()) > 0 {
+			t.Error("the owner is current after its lease, or answers with capacities")
+		}
+		b.reconnectStores()
+	})
+}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -261,6 +261,10 @@
 	o.dirty[j] = struct{}{}
 }
 
+// Current reports whether no other VM can own the fleet now. What an owner has answered
+// before Current is true was not outdated; otherwise another owner may know better.
+func (o *Owner) Current() bool { return o.opts.Clock() < o.validUntil() }
+
 // State returns the state of a job as clients see it: a final state only once it
 // is stored. A job of another queue is reported as unknown.
 func (o *Owner) State(id string, queue workload.QueueRef) (state workload.State, known bool) {
@@ -314,11 +318,12 @@
 }
 
 // MaximalCapacities returns the worker capacities of each service that no other
-// worker of the service exceeds; nil while the workers are not loaded.
+// worker of the service exceeds; nil while the workers are not loaded, or another VM may own
+// the fleet.
 func (o *Owner) MaximalCapacities() map[string][]workload.Resources {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.loaded {
+	if !o.loaded || !o.Current() {
 		return nil
 	}
 	largest := map[string][]workload.Resources{}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -43,9 +43,11 @@
 // Owner queries and notifies the owner of the fleet.
 type Owner interface {
 	// State returns a job's state; kind not_found is an unknown job, and kind
-	// unavailable an owner that cannot answer.
+	// unavailable an owner that cannot answer. Kind stale_epoch comes with a state that
+	// may be outdated, since the lease of the owner has run out.
 	State(ctx context.Context, id string, queue workload.QueueRef) (workload.State, error)
-	// QueueLength returns the number of a queue's jobs that have not started.
+	// QueueLength returns the number of a queue's jobs that have not started, or kinds as
+	// State.
 	QueueLength(ctx context.Context, queue workload.QueueRef) (int, error)
 	// MaximalCapacities returns the worker capacities of a service that no other
 	// worker of the service exceeds; none if they are not known.
@@ -251,10 +253,26 @@
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	state, err := g.opts.Owner.State(ownerCtx, id, queue)
 	cancel()
-	if err == nil {
-		return state, nil
+	return current(ctx, state, err, func(ctx context.Context) (workload.State, error) { return g.stateFromStore(ctx, id, queue) })
+}
+
+// current returns the owner's answer if it is up to date, and otherwise that of the store. If
+// the store does not answer either, an answer of an owner whose lease has run out is the best
+// that is known.
+func current[T any](ctx context.Context, answer T, ownerErr error, fromStore func(context.Context) (T, error)) (T, error) {
+	if ownerErr == nil {
+		return answer, nil
+	}
+	if !errkind.Is(ownerErr, errkind.StaleEpoch) {
+		return fromStore(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	stored, err := fromStore(ctx)
+	if errkind.Is(err, errkind.Timeout) {
+		return answer, nil
 	}
-	return g.stateFromStore(ctx, id, queue)
+	return stored, err
 }
 
 func (g *Gateway) stateFromStore(ctx context.Context, id string, queue workload.QueueRef) (workload.State, error) {
@@ -300,9 +318,10 @@
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	n, err := g.opts.Owner.QueueLength(ownerCtx, queue)
 	cancel()
-	if err == nil {
-		return n, nil
-	}
+	return current(ctx, n, err, func(ctx context.Context) (int, error) { return g.queueLengthFromStore(ctx, queue) })
+}
+
+func (g *Gateway) queueLengthFromStore(ctx context.Context, queue workload.QueueRef) (int, error) {
 	jobs, err := g.list(ctx, fleet.JobPrefix)
 	if err != nil {
 		return 0, err
