gateway: ask the owner before a job is refused as impossible

A job with a task that fits on no worker is refused with 503 and a Retry-After of a minute, by capacities that the owner has told this VM up to 30 s before. A larger worker that has come meanwhile did not count; every VM refused alike. Found by reading.

Change: before the refusal, the owner is asked for the present capacities.

The cost is one call between VMs for each refusal.

--- a/pkg/fleetdemo/system.go
+++ b/pkg/fleetdemo/system.go
@@ -158,6 +158,11 @@
 	return nil
 }
 
+// CurrentCapacities implements gateway.Owner.
+func (s *system) CurrentCapacities(_ context.Context, service string) []workload.Resources {
+	return s.MaximalCapacities(service)
+}
+
 // NotifySubmitted implements gateway.Owner.
 func (s *system) NotifySubmitted(j *workload.Job) {
 	if o := s.owner(); o != nil {
--- a/pkg/gateway/former_owner_test.go
+++ b/pkg/gateway/former_owner_test.go
@@ -59,3 +59,24 @@
 		check(workload.Running, 7)
 	})
 }
+
+// smallerBefore is an owner that has learned of a larger worker since it told this VM.
+type smallerBefore struct{ noOwner }
+
+func (smallerBefore) MaximalCapacities(string) []workload.Resources {
+	return []workload.Resources{{Accelerators: 1}}
+}
+
+func (smallerBefore) CurrentCapacities(context.Context, string) []workload.Resources {
+	return []workload.Resources{{Accelerators: 8}}
+}
+
+// Guards against refusing a job as impossible by capacities that are no longer current.
+func TestJobThatFitsALargerWorkerOfNowIsAccepted(t *testing.T) {
+	j := newJob()
+	j.Steps[0].Request = workload.Resources{Accelerators: 4}
+	g := New(Options{Store: memory.NewStore(memory.Options{}), Owner: smallerBefore{}, Now: time.Now, Log: logr.Discard()})
+	if err := g.Accept(t.Context(), j); err != nil {
+		t.Error(err)
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -50,8 +50,10 @@
 	// State.
 	QueueLength(ctx context.Context, queue workload.QueueRef) (int, error)
 	// MaximalCapacities returns the worker capacities of a service that no other
-	// worker of the service exceeds; none if they are not known.
+	// worker of the service exceeds; none if they are not known. They may be up to 30 s
+	// old. CurrentCapacities asks the owner.
 	MaximalCapacities(service string) []workload.Resources
+	CurrentCapacities(ctx context.Context, service string) []workload.Resources
 	// NotifySubmitted and NotifyCancelRequested announce a record that was just
 	// stored. They do not block and may fail silently: the owner watches the store
 	// as well.
@@ -103,26 +105,35 @@
 // even when idle, since it would stay queued forever. A job that was accepted before,
 // when there were larger workers, stays accepted.
 func (g *Gateway) checkFeasible(ctx context.Context, j *workload.Job) error {
-	capacities := g.opts.Owner.MaximalCapacities(j.Class.Service)
-	if len(capacities) == 0 {
+	if stepBeyond(j, g.opts.Owner.MaximalCapacities(j.Class.Service)) < 0 {
 		return nil
 	}
-	for n := range j.Steps {
-		demand := j.Steps[n].Demand()
-		if slices.ContainsFunc(capacities, demand.Fits) {
-			continue
-		}
-		entries, err := g.list(ctx, fleet.JobKey(j.ID))
-		if err != nil {
-			return err
-		}
-		if stored, _, err := g.findJob(entries, j.ID); err != nil || stored != nil {
-			return err
-		}
-		return errkind.New(errkind.Impossible, "step %d: no worker holds a task with %d accelerators, %d thousandths of a core and %d MiB",
-			n, demand.Accelerators, demand.MilliCPU, demand.MemoryMiB).WithRetryAfter(impossibleRetryAfter)
+	// A larger worker may have come since.
+	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	n := stepBeyond(j, g.opts.Owner.CurrentCapacities(ownerCtx, j.Class.Service))
+	cancel()
+	if n < 0 {
+		return nil
 	}
-	return nil
+	entries, err := g.list(ctx, fleet.JobKey(j.ID))
+	if err != nil {
+		return err
+	}
+	if stored, _, err := g.findJob(entries, j.ID); err != nil || stored != nil {
+		return err
+	}
+	demand := j.Steps[n].Demand()
+	return errkind.New(errkind.Impossible, "step %d: no worker holds a task with %d accelerators, %d thousandths of a core and %d MiB",
+		n, demand.Accelerators, demand.MilliCPU, demand.MemoryMiB).WithRetryAfter(impossibleRetryAfter)
+}
+
+// stepBeyond returns the first step of a job with a task that exceeds all capacities, or -1 if
+// there is none or the capacities are not known.
+func stepBeyond(j *workload.Job, capacities []workload.Resources) int {
+	if len(capacities) == 0 {
+		return -1
+	}
+	return slices.IndexFunc(j.Steps, func(s workload.Step) bool { return !slices.ContainsFunc(capacities, s.Demand().Fits) })
 }
 
 // storeJob creates the record of a job unless it exists.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -27,8 +27,11 @@
 	return 0, errkind.New(errkind.Unavailable, "no owner")
 }
 func (noOwner) MaximalCapacities(string) []workload.Resources { return nil }
-func (noOwner) NotifySubmitted(*workload.Job)                 {}
-func (noOwner) NotifyCancelRequested(string)                  {}
+func (noOwner) CurrentCapacities(context.Context, string) []workload.Resources {
+	return nil
+}
+func (noOwner) NotifySubmitted(*workload.Job) {}
+func (noOwner) NotifyCancelRequested(string)  {}
 
 // faultyCommitStore is a store with an injected Commit.
 type faultyCommitStore struct {
@@ -252,6 +255,9 @@
 }
 
 func (o knownCapacitiesOwner) MaximalCapacities(string) []workload.Resources { return o.capacities }
+func (o knownCapacitiesOwner) CurrentCapacities(context.Context, string) []workload.Resources {
+	return o.capacities
+}
 
 // Guards against accepting a job that fits on no worker and would stay queued forever,
 // against refusing one that fits or whose workers are not known, and against refusing a
