--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -261,8 +261,8 @@
 	o.dirty[j] = struct{}{}
 }
 
-// Current reports whether no other VM can own the fleet now. What an owner has answered
-// before Current is true was not outdated; otherwise another owner may know better.
+// Current reports whether the ownership lease is valid. If it is, what the owner answered
+// just before is up to date; if not, another owner may know better.
 func (o *Owner) Current() bool { return o.opts.Clock() < o.validUntil() }
 
 // State returns the state of a job as clients see it: a final state only once it
