configsource, fleet: a version that another VM has used makes an older copy unusable

A VM that owns the fleet and takes calls as well starts tasks of jobs which other VMs have accepted by a version that it lacks itself, while its own watch is behind: a worker sees the effect of the new version, and the same VM goes on answering from the old one. Found by reading.

Cause: a job's record did not say by which version it was accepted, and what the owner learned from it did not reach the entry side of the process.

Change: the record has the version.

Result: TestVersionOfAnotherVMIsAwaited and TestOwnerTellsItsVMTheConfigVersionOfAJob (neither compiles without the change). Records of earlier builds hold no version and change nothing.

--- a/pkg/configsource/confirm.go
+++ b/pkg/configsource/confirm.go
@@ -73,6 +73,19 @@
 	return View{s.Catalog(), v.takenAt}, nil
 }
 
+// Observe records that another VM has used a version. If this VM has an older one, its copy is
+// outdated, and calls wait for an attempt to read the new one.
+func (s *Source) Observe(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil || version <= max(s.current.Version, s.observed) {
+		return
+	}
+	s.observed = version
+	s.requiredAsOf = max(s.requiredAsOf, s.opts.Clock())
+	s.opts.Log.Info("another VM has a newer configuration", "version", version, "here", s.current.Version)
+}
+
 // attempts are the tries to learn that the copy is current, one at a time. Calls that wait
 // share them.
 type attempts struct {
--- a/pkg/configsource/confirm_test.go
+++ b/pkg/configsource/confirm_test.go
@@ -192,3 +192,22 @@
 		}
 	})
 }
+
+// Guards against handling calls by an older version than that of a job that this VM already
+// schedules for another one, as its own watch is behind.
+func TestVersionOfAnotherVMIsAwaited(t *testing.T) {
+	runSlowSource(t, "v", func(t *testing.T, store *slowStore, s *Source) {
+		store.setDelays(0, time.Minute)
+		if _, err := store.Put(t.Context(), key, []byte("vv"), platform.AnyVersion, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		if v := acquire(t, s); v.Version != 1 {
+			t.Fatalf("version %d without a watch", v.Version)
+		}
+		s.Observe(2)
+		if v := acquire(t, s); v.Version != 2 {
+			t.Errorf("version %d after another VM has used version 2", v.Version)
+		}
+	})
+}
--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -75,6 +75,7 @@
 	revision      int64
 	currentAsOf   time.Duration // clock time at which the copy was last known to be current
 	requiredAsOf  time.Duration // calls are not served from a copy that was last known to be current before
+	observed      int64         // newest version that another VM is known to have used
 	lastContactAt time.Duration // clock time at which the last answered call was sent
 	storeReached  bool
 	reads         attempts                  // to read the store
--- a/pkg/fleet/entry_test.go
+++ b/pkg/fleet/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,3 +161,22 @@
 		})
 	}
 }
+
+// Guards against an owner that starts tasks by a version of the configuration which its own
+// VM does not notice.
+func TestOwnerTellsItsVMTheConfigVersionOfAJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 2)
+		var observed atomic.Int64
+		b.adjustOptions = func(o *fleet.Options) { o.ObserveConfig = observed.Store }
+		b.startVM()
+		b.sleep(time.Second)
+		j := b.buildJob(smallStep(1))
+		j.ConfigVersion = 7
+		b.storeJob(j)
+		b.sleep(3 * time.Second)
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 1 || observed.Load() != 7 {
+			t.Errorf("%d starts, version %d observed; want 1 and 7", n, observed.Load())
+		}
+	})
+}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -125,6 +125,9 @@
 	if _, ok := o.jobs[id]; ok {
 		return
 	}
+	if o.opts.ObserveConfig != nil {
+		o.opts.ObserveConfig(record.ConfigVersion)
+	}
 	j := newJob(record, p)
 	j.progressVersion = version
 	age := o.opts.Now().UnixMilli() - record.AcceptedUnixMS
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -83,10 +83,13 @@
 	DecodeWorker WorkerDecoder
 	WorkerPrefix string // prefix of the workers' entries in the store
 	Catalog      func() *catalog.Catalog
-	Clock        Clock
-	Now          func() time.Time
-	Log          logr.Logger
-	Address      string // where other VMs reach this one
+	// ObserveConfig tells that a job was accepted by a version of the configuration, which
+	// this VM may not have yet; nil if nobody has to know.
+	ObserveConfig func(version int64)
+	Clock         Clock
+	Now           func() time.Time
+	Log           logr.Logger
+	Address       string // where other VMs reach this one
 	// ReleaseOwnerKey makes another VM delete the owner key of the owner with a
 	// token; kind conflict means that there is another owner. LastStoreAnswer
 	// returns the time of the store's last answer to this VM. Without these two a
--- a/pkg/workload/job.go
+++ b/pkg/workload/job.go
@@ -106,6 +106,9 @@
 	QueueAddress string `cbor:"9,keyasint,omitempty"`
 	// Advice is the policy of its queue at acceptance; nil if its starts need no tickets.
 	Advice *AdvicePolicy `cbor:"10,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration by which it was accepted; 0 in
+	// records of earlier versions.
+	ConfigVersion int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // AdvicePolicy bounds the calls to the advice service for a queue and the lifetime of the
