fleet: a successor asks for an unlisted worker at the address of its assignment

The successor had no address to call and waited for the lease that a worker could have had.

Cause: an assignment names the address to which its start order goes, but a worker without an entry was rebuilt from its ID alone.

Change: it is rebuilt with the address. If it answers there, its runs are known at once; if another process does, the run has ended or never was, as for listed workers. Its labels and capacity stay unknown until its entry comes, and an entry with another address for an incarnation that has not answered yet is a claim. A start order goes to the address of its assignment or not at all.

Result: TestTaskAssignedToAnEntryOfNoWorkerDoesNotWaitForALease failed before (no start within 1 s) and passes.

--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -165,8 +165,7 @@
 			}
 			w := o.workers[t.Assigned.Worker]
 			if w == nil {
-				w = o.addWorker(WorkerEntry{ID: t.Assigned.Worker, Incarnation: t.Assigned.Incarnation, Machine: t.Assigned.Machine})
-				o.requestMachineList() // without an address, no failed call requests it
+				w = o.addAssignedWorker(t.Assigned)
 			}
 			w.compareWithAssignment(t.Assigned)
 			r := &run{
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -162,7 +162,7 @@
 	if !o.stillStarting(r) {
 		return
 	}
-	if !o.acceptsNewRuns(w) {
+	if !o.acceptsNewRuns(w) || !o.atAssignedAddress(w, r) {
 		o.handleStartFailure(w, r, Withdrawn)
 		return
 	}
@@ -401,6 +401,14 @@
 	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine]
 }
 
+// atAssignedAddress reports whether the address of a worker is the one that the assignment of
+// a run names: a successor looks for the run there.
+func (o *Owner) atAssignedAddress(w *worker, r *run) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return r.group.tasks()[r.index].Assigned.Address == w.Address
+}
+
 // handleStartFailure handles a start that was not accepted. Only an unanswered start
 // may still be executed by the worker.
 func (o *Owner) handleStartFailure(w *worker, r *run, v Verdict) {
--- a/pkg/fleet/takeover_test.go
+++ b/pkg/fleet/takeover_test.go
@@ -154,3 +154,25 @@
 		})
 	}
 }
+
+// Guards against a job that stands for as long as the lease of a worker would last, after a
+// former owner has assigned its tasks by an entry of no worker which is gone now: another
+// worker answers at that address.
+func TestTaskAssignedToAnEntryOfNoWorkerDoesNotWaitForALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 2)
+		j := b.submit(smallStep(1))
+		p := workload.NewProgress(j)
+		*p.Task(0, 0, 0) = workload.Task{Phase: workload.Assigned, Run: 1, Assigned: workload.Assignment{Worker: "odd", Incarnation: 7, Address: b.workers.Entry(0).Address}}
+		data, err := p.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.createKey(fleet.ProgressKey(j.ID), data)
+		b.startVM()
+		b.sleep(time.Second)
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 1 {
+			t.Errorf("the task was started %d times within 1 s", n)
+		}
+	})
+}
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -28,6 +28,17 @@
 	return w
 }
 
+// addAssignedWorker adds a worker without an entry from an assignment to it, whose start order
+// went to the address in the assignment; the lock is held.
+func (o *Owner) addAssignedWorker(a workload.Assignment) *worker {
+	w := o.addWorker(WorkerEntry{ID: a.Worker, Incarnation: a.Incarnation, Machine: a.Machine, Address: a.Address})
+	w.entryIncarnation = 0
+	if a.Address == "" {
+		o.requestMachineList() // no failed call requests it
+	}
+	return w
+}
+
 // applyWorker applies a worker's entry in the store and reports whether it names a worker. One
 // of another writer does not, and takes the place of the worker's own entry; the lock is held.
 func (o *Owner) applyWorker(key string, value []byte) (usable bool) {
@@ -63,6 +74,8 @@
 	}
 	if before.Address == "" {
 		o.wakeLeaseLoop(w)
+	} else if before.Address != entry.Address && w.reportedIncarnation == 0 {
+		w.claimed = true // the process may be at either address
 	}
 	if before.Incarnation != entry.Incarnation {
 		o.claimIncarnation(w, entry.Incarnation, entry.Machine != before.Machine)
@@ -77,6 +90,8 @@
 	switch {
 	case w.Address == "" || w.reportedIncarnation == 0:
 		return false
+	case entry.Incarnation == w.reportedIncarnation && w.entryIncarnation == 0:
+		return entry.Address != w.Address // at which it has answered
 	case entry.Incarnation == w.reportedIncarnation && w.entryIncarnation == w.reportedIncarnation:
 		return entry.Address != w.Address || entry.Service != w.Service || entry.Machine != w.Machine
 	}
