--- a/pkg/configsource/confirm.go
+++ b/pkg/configsource/confirm.go
@@ -17,6 +17,8 @@
 	// maxReordering is how long a request may wait for a newer version while later ones
 	// are served from the current one.
 	maxReordering = 150 * time.Millisecond
+	// failureTTL is how long a failed attempt answers for further requests.
+	failureTTL = 300 * time.Millisecond
 	// maxConfirmTime bounds the wait of a request for Confirm.
 	maxConfirmTime = 600 * time.Millisecond
 )
@@ -93,19 +95,26 @@
 	interval func() time.Duration // minimum time between two attempts
 	open     *attempt             // nil if there is none
 	sentAt   time.Duration        // of the latest one
-	failedAt time.Duration        // when the latest one that failed was sent
 	failing  bool                 // the latest one failed
+	failedAt time.Duration        // when the latest one that failed was sent
+	failedBy time.Duration        // when it had failed
 	err      error                // of the latest one that failed
 }
 
+// failedFor reports whether a failed attempt answers a request, at time now, for a copy that
+// was current at asOf.
+func (a *attempts) failedFor(asOf, now time.Duration) bool {
+	return a.failing && (a.failedAt >= asOf || now-a.failedBy < failureTTL)
+}
+
 type attempt struct {
 	done chan struct{}
 	err  error // set when done is closed
 }
 
 // await waits until the copy is known to be current at a time that is not in the future. It
-// returns the error of the first attempt that fails meanwhile, or that was sent since that
-// time and has failed.
+// returns the error of the first attempt that fails meanwhile, or has failed just before or
+// since that time.
 func (s *Source) await(ctx context.Context, a *attempts, asOf time.Duration) error {
 	for {
 		s.mu.Lock()
@@ -113,7 +122,7 @@
 			s.mu.Unlock()
 			return nil
 		}
-		if a.failing && a.failedAt >= asOf {
+		if a.failedFor(asOf, s.opts.Clock()) {
 			defer s.mu.Unlock()
 			return a.err
 		}
@@ -150,7 +159,7 @@
 		defer s.mu.Unlock()
 		a.open, a.failing = nil, err != nil
 		if err != nil {
-			a.failedAt, a.err = a.sentAt, err
+			a.failedAt, a.failedBy, a.err = a.sentAt, s.opts.Clock(), err
 		}
 		current.err = err
 		close(current.done)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -264,30 +264,31 @@
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	state, err := g.opts.Owner.State(ownerCtx, id, queue)
 	cancel()
-	return current(ctx, state, err, func(ctx context.Context) (workload.State, error) { return g.stateFromStore(ctx, id, queue) })
+	return current(g, state, err, func(read lister) (workload.State, error) { return g.stateFromStore(ctx, read, id, queue) })
 }
 
+// lister reads all entries below a prefix.
+type lister func(ctx context.Context, prefix string) ([]platform.Entry, error)
+
 // current returns the owner's answer if it is up to date, and otherwise that of the store. If
 // the store does not answer either, an answer of an owner whose lease has run out is the best
-// that is known.
-func current[T any](ctx context.Context, answer T, ownerErr error, fromStore func(context.Context) (T, error)) (T, error) {
+// that is known, and the store is asked once only.
+func current[T any](g *Gateway, answer T, ownerErr error, fromStore func(lister) (T, error)) (T, error) {
 	if ownerErr == nil {
 		return answer, nil
 	}
 	if !errkind.Is(ownerErr, errkind.StaleEpoch) {
-		return fromStore(ctx)
+		return fromStore(g.list)
 	}
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	stored, err := fromStore(ctx)
-	if errkind.Is(err, errkind.Timeout) {
+	stored, err := fromStore(g.listOnce)
+	if err != nil && !errkind.Is(err, errkind.NotFound) {
 		return answer, nil
 	}
 	return stored, err
 }
 
-func (g *Gateway) stateFromStore(ctx context.Context, id string, queue workload.QueueRef) (workload.State, error) {
-	entries, err := g.list(ctx, fleet.JobKey(id))
+func (g *Gateway) stateFromStore(ctx context.Context, read lister, id string, queue workload.QueueRef) (workload.State, error) {
+	entries, err := read(ctx, fleet.JobKey(id))
 	if err != nil {
 		return "", err
 	}
@@ -298,7 +299,7 @@
 	if err := checkQueue(stored, queue); err != nil {
 		return "", err
 	}
-	progress, err := g.list(ctx, fleet.ProgressKey(id))
+	progress, err := read(ctx, fleet.ProgressKey(id))
 	if err != nil {
 		return "", err
 	}
@@ -329,15 +330,15 @@
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	n, err := g.opts.Owner.QueueLength(ownerCtx, queue)
 	cancel()
-	return current(ctx, n, err, func(ctx context.Context) (int, error) { return g.queueLengthFromStore(ctx, queue) })
+	return current(g, n, err, func(read lister) (int, error) { return g.queueLengthFromStore(ctx, read, queue) })
 }
 
-func (g *Gateway) queueLengthFromStore(ctx context.Context, queue workload.QueueRef) (int, error) {
-	jobs, err := g.list(ctx, fleet.JobPrefix)
+func (g *Gateway) queueLengthFromStore(ctx context.Context, read lister, queue workload.QueueRef) (int, error) {
+	jobs, err := read(ctx, fleet.JobPrefix)
 	if err != nil {
 		return 0, err
 	}
-	progress, err := g.list(ctx, fleet.ProgressPrefix)
+	progress, err := read(ctx, fleet.ProgressPrefix)
 	if err != nil {
 		return 0, err
 	}
@@ -378,6 +379,16 @@
 
 // list reads all pages of a prefix and retries failed calls until ctx ends.
 func (g *Gateway) list(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	return g.listPages(ctx, prefix, func() bool { return wait.Sleep(ctx, storeRetryDelay) })
+}
+
+// listOnce is list without retries.
+func (g *Gateway) listOnce(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	return g.listPages(ctx, prefix, func() bool { return false })
+}
+
+// listPages reads all pages of a prefix; retry is asked after a failed call.
+func (g *Gateway) listPages(ctx context.Context, prefix string, retry func() bool) ([]platform.Entry, error) {
 	var entries []platform.Entry
 	after := ""
 	for {
@@ -387,7 +398,7 @@
 		cancel()
 		g.timeout.RecordCall(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
 		if err != nil {
-			if !wait.Sleep(ctx, storeRetryDelay) {
+			if !retry() {
 				return nil, errkind.Wrap(err, errkind.Timeout, "the store did not answer in time")
 			}
 			continue
