platform: refuse a job at once while neither the store nor another VM answers

While the store was silent for all VMs, callers that handed in a job waited until shortly before their deadline and got 504: the write may be carried out, so they can neither repeat it elsewhere nor give up.

Change: a job is refused with 503 before anything is sent if its request met a copy that could not be confirmed: by then the store has not answered for 0.5 s at least and another VM could not tell either.

--- a/pkg/configsource/confirm.go
+++ b/pkg/configsource/confirm.go
@@ -26,7 +26,10 @@
 // View is the configuration from which a request is handled.
 type View struct {
 	*catalog.Catalog
-	takenAt time.Duration // when the request asked for it
+	// Unconfirmed is why it may be outdated: neither the store nor another VM could tell.
+	// It is nil if it is up to date.
+	Unconfirmed error
+	takenAt     time.Duration // when the request asked for it
 }
 
 // Acquire returns the configuration from which to handle a request that has just arrived.
@@ -44,10 +47,11 @@
 	if !known {
 		return View{}, errkind.New(errkind.Unavailable, "no configuration yet")
 	}
-	if err := s.await(ctx, &s.confirmations, need); err != nil && !s.KeysCertain() {
+	err := s.await(ctx, &s.confirmations, need)
+	if err != nil && !s.KeysCertain() {
 		return View{}, errkind.Wrap(err, errkind.Unavailable, "the configuration may be out of date")
 	}
-	return View{s.Catalog(), now}, nil
+	return View{Catalog: s.Catalog(), Unconfirmed: err, takenAt: now}, nil
 }
 
 // Confirm returns the configuration that is in force after a view was taken. A refusal that
@@ -72,7 +76,7 @@
 	if err := s.await(ctx, &s.confirmations, v.takenAt); err != nil {
 		return View{}, errkind.Wrap(err, errkind.Unavailable, "the configuration may be out of date")
 	}
-	return View{s.Catalog(), v.takenAt}, nil
+	return View{Catalog: s.Catalog(), takenAt: v.takenAt}, nil
 }
 
 // Observe records that another VM has used a version. If this VM has an older one, its copy is
