storecall: send a call a third time if the first two have no answer

A job was still running 5.25 s after its submission while every second answer of the store was lost (TestBatchWithLostAnswersIsNotWrittenForever; traced before: both tries of a write were lost, twice in turn, and each round cost its whole timeout).

Cause: after the second try a call waited for the rest of its timeout, 0.3 to 1 s, although answers that are not lost take milliseconds.

--- a/pkg/storecall/hedge.go
+++ b/pkg/storecall/hedge.go
@@ -7,16 +7,19 @@
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 )
 
+// maxTries is how often Hedge sends a call.
+const maxTries = 3
+
 // outcome is the result or the error of one call.
 type outcome[T any] struct {
 	result T
 	err    error
 }
 
-// Hedge makes an idempotent call with the timeout that t gives and, if there is no
-// answer after t.HedgeAfter, sends it a second time, concurrently. It returns the
-// first conclusive answer. The call must carry conditions that let at most one of
-// the two requests take effect.
+// Hedge makes an idempotent call with the timeout that t gives and, while there is no
+// answer, sends it again, concurrently: after t.HedgeAfter, and after twice that time once
+// more. It returns the first conclusive answer. The call must carry conditions that let at
+// most one of the requests take effect.
 //
 // A refusal is returned only if no request went unanswered; otherwise the error
 // has kind store_unavailable, because the unanswered request may still take
@@ -24,17 +27,37 @@
 func Hedge[T any](ctx context.Context, t *AdaptiveTimeout, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.Next())
 	defer cancel()
-	second := make(chan outcome[T], 1)
-	hedge := time.AfterFunc(t.HedgeAfter(), func() {
-		o := timedCall(ctx, t, call)
-		second <- o
-		if isConclusive(o.err) {
-			cancel() // no need to wait for the first call
+	outcomes := make(chan outcome[T], maxTries)
+	next := time.NewTimer(t.HedgeAfter())
+	defer next.Stop()
+	sent, open := 0, 0
+	send := func() {
+		sent++
+		open++
+		go func() { outcomes <- timedCall(ctx, t, call) }()
+	}
+	send()
+	var o outcome[T]
+	for first := true; open > 0; {
+		select {
+		case <-next.C:
+			if sent < maxTries {
+				next.Reset(t.HedgeAfter() << sent)
+				send()
+			}
+		case got := <-outcomes:
+			open--
+			if isConclusive(got.err) {
+				return got.result, got.err
+			}
+			if first || unanswered(got.err) {
+				o = got
+			}
+			first = false
+			if sent == 1 {
+				return o.result, o.err
+			}
 		}
-	})
-	o := timedCall(ctx, t, call)
-	if !hedge.Stop() && !isConclusive(o.err) {
-		o = combine(o, <-second)
 	}
 	if unanswered(o.err) {
 		t.RecordNoAnswer()
@@ -52,14 +75,6 @@
 	return outcome[T]{result, err}
 }
 
-// combine merges the outcomes of two calls, of which the first is not conclusive.
-func combine[T any](first, second outcome[T]) outcome[T] {
-	if unanswered(first.err) && !isConclusive(second.err) {
-		return first
-	}
-	return second
-}
-
 // isConclusive reports whether the outcome shows the state of the store, so that
 // no other answer is needed.
 func isConclusive(err error) bool {
--- a/pkg/storecall/storecall.go
+++ b/pkg/storecall/storecall.go
@@ -1,7 +1,7 @@
 // Package storecall adapts the timeouts of store calls to recent response times
 // and hedges calls whose answer is late. A store or a connection that stopped
 // answering is detected quickly, while a slow store gets longer timeouts. The
-// package sends at most one second request; retries are up to the caller. The
+// package sends a call at most three times; retries are up to the caller. The
 // gateway, the configuration source and the owner of a fleet use it, the owner also
 // for the delay before a start order is repeated.
 package storecall
@@ -50,7 +50,7 @@
 }
 
 // HedgeAfter returns how long to wait for an answer before the call is sent a
-// second time.
+// second time; before a third time the wait is twice as long.
 func (t *AdaptiveTimeout) HedgeAfter() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
