domain, partition: a recall for another failure domain does not stop what has started

Cause: the owner of a partition takes a job that it believes to be waiting back from its failure domain when another one has capacity. Its belief may be older than the start: the withdrawal arrived while the attempt was being placed, after its claim, and stopped it once it ran. What may run once only ends as unknown then; repeatable work was stopped and counted as lost.

Change: Recall takes back what waits. An attempt that is being placed ends as not run if it has not been claimed yet, and starts otherwise; one that has started is left alone (conflict). Recalls for another domain and for a passed deadline use it; cancellations go on stopping what runs. A report that the job runs clears the partition's note of the recall, so that a later cancellation is sent.

--- a/pkg/domain/attempt.go
+++ b/pkg/domain/attempt.go
@@ -22,7 +22,10 @@
 	startedAt time.Time
 	placing   bool // reserving or starting is in progress
 	// withdrawReason is why the attempt was withdrawn; empty if it was not.
-	withdrawReason   string
+	withdrawReason string
+	// recallReason is why the attempt is to be taken back unless it starts; empty if it is
+	// not.
+	recallReason     string
 	preemption       *preemption
 	report           Report                      // the newest report
 	reporting        bool                        // a goroutine is delivering reports
--- a/pkg/domain/offer.go
+++ b/pkg/domain/offer.go
@@ -96,6 +96,30 @@
 	return nil
 }
 
+// Recall takes back an attempt that has not started. Kind conflict means that it has, and
+// not_found that it is not in this domain.
+func (d *Domain) Recall(_ context.Context, job api.JobID, number int, reason string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped || d.fenced {
+		return d.staleEpochError()
+	}
+	a, ok := d.attempts[job]
+	switch {
+	case !ok || a.offer.Attempt != number:
+		return errkind.New(errkind.NotFound, "attempt %d of job %s is not in this failure domain", number, job)
+	case a.ended || a.withdrawReason != "":
+		return nil
+	case a.placing && a.state != api.StateRunning:
+		a.recallReason = reason // placeCopy checks it until it claims
+		return nil
+	case a.resolving || len(a.copies) > 0:
+		return errkind.New(errkind.Conflict, "attempt %d of job %s has started", number, job)
+	}
+	d.withdraw(a, reason)
+	return nil
+}
+
 // withdraw cancels the attempt or stops its tasks; the caller holds the lock.
 func (d *Domain) withdraw(a *attempt, reason string) {
 	if a.ended || a.withdrawReason != "" {
--- a/pkg/domain/place.go
+++ b/pkg/domain/place.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -191,7 +192,7 @@
 func (d *Domain) claim(a *attempt, c *placedCopy) error {
 	d.mu.Lock()
 	allocations := append([]api.Allocation(nil), c.allocations...)
-	withdrawn, partition := a.withdrawReason != "", a.offer.Partition
+	withdrawn, partition := a.withdrawReason != "" || a.recallReason != "", a.offer.Partition
 	d.mu.Unlock()
 	if withdrawn {
 		return errkind.New(errkind.Cancelled, "withdrawn before the start")
@@ -279,7 +280,7 @@
 func (d *Domain) copyStarted(a *attempt, c *placedCopy) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a.placing = false
+	a.placing, a.recallReason = false, ""
 	c.started = true
 	d.loseTasksOfRestart(a, c)
 	if !c.hedge {
@@ -331,8 +332,8 @@
 		return
 	}
 	switch {
-	case a.withdrawReason != "":
-		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", a.withdrawReason)
+	case a.withdrawReason != "" || a.recallReason != "":
+		d.finishAttempt(a, api.OutcomeNotRun, sched.EndCancelled, "", cmp.Or(a.withdrawReason, a.recallReason))
 	case a.preemption != nil:
 		d.finishAttempt(a, api.OutcomeNotRun, sched.EndPreempted, "", a.preemption.reason)
 	default:
--- a/pkg/domain/place_test.go
+++ b/pkg/domain/place_test.go
@@ -362,3 +362,56 @@
 		}
 	})
 }
+
+// Guards against stopping a run, whose outcome is unknown then if it may not be repeated, by a
+// recall that was sent while the job still waited: the offer of another failure domain is no
+// reason to stop work.
+func TestRecallDoesNotStopWhatHasStarted(t *testing.T) {
+	recall := func(d *Domain) error {
+		return d.Recall(context.Background(), testJob, 1, "another domain has capacity")
+	}
+	for name, spec := range map[string]api.JobSpec{"at most once": atMostOnce, "repeatable": {Payload: runPayload("5s")}, "gang": atMostOnceGang()} {
+		for method, want := range map[string]api.Outcome{"start": api.OutcomeSucceeded, "reserve": ""} {
+			t.Run(name+", during "+method, func(t *testing.T) {
+				withWorld(t, 2, func(t *testing.T, w *world, d *Domain) {
+					w.inject(firstCalls("", method, 1, func() error {
+						if err := recall(d); err != nil {
+							t.Errorf("recall of an attempt that is being placed: %v", err)
+						}
+						return nil
+					}), nil)
+					mustOffer(t, d, offerOf(spec))
+					time.Sleep(2 * time.Second)
+					if err := recall(d); len(w.starts("")) > 0 && !errkind.Is(err, errkind.Conflict) {
+						t.Errorf("recall of a running attempt: %v, want conflict", err)
+					}
+					time.Sleep(8 * time.Second)
+					r, started := w.part.outcome(testJob), len(w.starts("")) > 0
+					if want == "" {
+						want = map[bool]api.Outcome{true: api.OutcomeSucceeded, false: api.OutcomeNotRun}[started]
+					}
+					if r.Outcome != want {
+						t.Errorf("outcome %q (%s), want %q", r.Outcome, r.Reason, want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against keeping an attempt that waits and is recalled.
+func TestRecallTakesBackWhatWaits(t *testing.T) {
+	withWorld(t, 1, func(t *testing.T, w *world, d *Domain) {
+		w.workers[0].SetLeaving(true) // so that nothing is placed
+		time.Sleep(time.Second)
+		mustOffer(t, d, offerOf(api.JobSpec{Payload: runPayload("5s")}))
+		time.Sleep(time.Second)
+		if err := d.Recall(context.Background(), testJob, 1, "another domain has capacity"); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Second)
+		if r := w.part.outcome(testJob); r.Outcome != api.OutcomeNotRun {
+			t.Errorf("outcome %q, want not_run", r.Outcome)
+		}
+	})
+}
--- a/pkg/domain/service.go
+++ b/pkg/domain/service.go
@@ -70,6 +70,9 @@
 	// Withdraw cancels an attempt: a queued one is dropped, a running one
 	// stopped. The outcome follows as a Report.
 	Withdraw(ctx context.Context, domain string, job api.JobID, attempt int, reason string) error
+	// Recall takes back an attempt that has not started. Kind conflict means that it has. An
+	// attempt that is being placed ends as not run, or starts; a Report tells which.
+	Recall(ctx context.Context, domain string, job api.JobID, attempt int, reason string) error
 	// KnownAttempts returns the attempts of a partition's jobs that the domain tracks, so
 	// that a new owner of the partition learns what its predecessor offered.
 	KnownAttempts(ctx context.Context, domain string, partition int) ([]KnownAttempt, error)
--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -95,6 +95,10 @@
 	return nil
 }
 
+func (f *fakeDomains) Recall(ctx context.Context, name string, job api.JobID, attempt int, reason string) error {
+	return f.Withdraw(ctx, name, job, attempt, reason)
+}
+
 func (f *fakeDomains) KnownAttempts(_ context.Context, name string, _ int) ([]domain.KnownAttempt, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/partition/recover_test.go
+++ b/pkg/partition/recover_test.go
@@ -86,3 +86,37 @@
 		}
 	})
 }
+
+// Guards against a cancellation that never reaches the failure domain, as an earlier recall
+// came too late to take the job back.
+func TestCancelAfterARecallThatCameTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.domainNames = []string{testDomain, "r1/b"}
+		p := f.start(t, 1)
+		st := submit(t, p, api.JobSpec{Class: api.ClassShort}, "k")
+		time.Sleep(2 * rerouteDelay)
+		recalls := f.domains.withdrawals()
+		if recalls == 0 {
+			t.Fatal("the waiting job was not recalled for the other domain")
+		}
+		offered := f.domains.lastOffer(t)
+		if err := p.Report(t.Context(), domain.Report{Job: st.ID, Attempt: offered.Attempt, Domain: get(t, p, st.ID).FailureDomain, State: api.StateRunning, Epoch: 7}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := p.Cancel(t.Context(), "postbud", st.ID); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if n := f.domains.withdrawals(); n <= recalls {
+			t.Error("the cancellation did not reach the domain")
+		}
+	})
+}
+
+// withdrawals returns the number of withdrawals and recalls.
+func (f *fakeDomains) withdrawals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.withdrawn)
+}
--- a/pkg/partition/report.go
+++ b/pkg/partition/report.go
@@ -71,6 +71,7 @@
 	}
 	if r.State == api.StateRunning {
 		j.status.Ran = string(errkind.HasRun)
+		j.withdrawing = false // a recall came too late
 	}
 	j.status.Allocations = r.Allocations
 	j.status.Reason = r.Reason
--- a/pkg/partition/sweep.go
+++ b/pkg/partition/sweep.go
@@ -70,7 +70,7 @@
 	case p.expired(j, now):
 		p.expire(j)
 	case p.shouldReroute(j, now, summaries):
-		p.withdraw(j, "another failure domain has free or guaranteed capacity")
+		p.recall(j, "another failure domain has free or guaranteed capacity")
 	case j.offeredEpoch == 0 && !j.offering && !now.Before(j.notBefore) && p.retryApproved(j):
 		p.runBackground(func() { p.offer(j) })
 	}
@@ -96,7 +96,7 @@
 
 func (p *Partition) expire(j *job) {
 	if j.offeredEpoch != 0 || j.offering {
-		p.withdraw(j, "deadline passed")
+		p.recall(j, "deadline passed")
 		return
 	}
 	p.endWithoutRun(j, api.StateExpired, errkind.New(errkind.DeadlinePassed, "the deadline passed before the job could be placed"))
@@ -140,7 +140,12 @@
 
 // withdraw withdraws the attempt from its domain. The domain then reports a queued
 // attempt as not run and a running one as stopped.
-func (p *Partition) withdraw(j *job, reason string) {
+func (p *Partition) withdraw(j *job, reason string) { p.takeBack(j, p.opts.Domains.Withdraw, reason) }
+
+// recall takes the attempt back from its domain, unless it has started meanwhile.
+func (p *Partition) recall(j *job, reason string) { p.takeBack(j, p.opts.Domains.Recall, reason) }
+
+func (p *Partition) takeBack(j *job, call func(ctx context.Context, domain string, job api.JobID, attempt int, reason string) error, reason string) {
 	if j.withdrawing || j.offering {
 		return
 	}
@@ -149,7 +154,7 @@
 	p.runBackground(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 		defer cancel()
-		if err := p.opts.Domains.Withdraw(ctx, name, id, attempt, reason); err != nil {
+		if err := call(ctx, name, id, attempt, reason); err != nil {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			j.withdrawing = false // the next sweep tries again
--- a/pkg/router/domain.go
+++ b/pkg/router/domain.go
@@ -16,6 +16,7 @@
 const (
 	methodOffer         = "domain.offer"
 	methodWithdraw      = "domain.withdraw"
+	methodRecall        = "domain.recall"
 	methodKnownAttempts = "domain.lookup"
 	methodExplain       = "domain.explain"
 	methodSummary       = "domain.summary"
@@ -81,6 +82,21 @@
 	return emptyReply{}, d.Withdraw(ctx, req.Job, req.Attempt, req.Reason)
 }
 
+// Recall takes back an attempt that has not started from the failure domain.
+func (r *Router) Recall(ctx context.Context, name string, job api.JobID, attempt int, reason string) error {
+	req := domainRequest{Domain: name, Job: job, Attempt: attempt, Reason: reason}
+	_, err := call(ctx, r, ownership.DomainShard(name), methodRecall, req, r.recallLocal)
+	return err
+}
+
+func (r *Router) recallLocal(ctx context.Context, req domainRequest) (emptyReply, error) {
+	d, err := r.localDomain(req.Domain)
+	if err != nil {
+		return emptyReply{}, err
+	}
+	return emptyReply{}, d.Recall(ctx, req.Job, req.Attempt, req.Reason)
+}
+
 // KnownAttempts returns the attempts of the partition's jobs that are known to the
 // owner of the failure domain.
 func (r *Router) KnownAttempts(ctx context.Context, name string, partition int) ([]domain.KnownAttempt, error) {
@@ -152,6 +168,7 @@
 func (r *Router) registerDomain(reg peer.Registry) {
 	handle(reg, methodOffer, r.offerLocal)
 	handle(reg, methodWithdraw, r.withdrawLocal)
+	handle(reg, methodRecall, r.recallLocal)
 	handle(reg, methodKnownAttempts, r.knownAttemptsLocal)
 	handle(reg, methodExplain, r.explainLocal)
 	handle(reg, methodSummary, r.summaryLocal)
