fleet, platform: VMs that the store rejects learn of the owner from other VMs

Reads that the store does not answer ended as timeout, though they change nothing.

Change: while the owner key cannot be read, a VM asks up to two others for the owner that they know; the highest fencing token wins. Reads without an answer are refused with 503 and Retry-After.

--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -40,12 +40,16 @@
 	nonce      uint64
 	mu         sync.Mutex
 	owner      ownerRecord
+	ownerToken int64 // version of the owner key that holds owner
 	ownerKnown bool
-	revision   int64 // of the last answer about the owner key
+	hint       OwnerHint // newest from another VM, or of the own ownership
+	revision   int64     // of the last answer about the owner key
 	// vacantSince is when this VM learned that the owner key is free; 0 while it is not.
 	vacantSince time.Duration
 	localOwner  *Owner
 	resigning   bool
+
+	nextHintAt time.Duration // used by Run only
 }
 
 // NewElector returns an Elector; cpuShare is the processor time of this VM in
@@ -68,14 +72,6 @@
 	return e.owner.Address, nil
 }
 
-// LastOwner returns the address of the last known owner, even while the store is
-// unreachable; empty if no owner has been observed yet.
-func (e *Elector) LastOwner() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.owner.Address
-}
-
 // Resign gives up ownership and prevents this VM from campaigning again.
 func (e *Elector) Resign() {
 	e.mu.Lock()
@@ -117,6 +113,7 @@
 	for ctx.Err() == nil {
 		vacant, err := e.watchOwnerKey(ctx)
 		if err != nil {
+			e.askForOwner(ctx)
 			wait.Sleep(ctx, backoff)
 			backoff = min(2*backoff, maxStoreRetryDelay)
 			continue
@@ -156,7 +153,7 @@
 			e.noteVacancy()
 			continue
 		}
-		e.setOwner(event.Entry.Value)
+		e.setOwner(event.Entry)
 	}
 	return !e.ownerKnown, nil
 }
@@ -182,7 +179,7 @@
 		e.noteVacancy()
 		return true, nil
 	}
-	e.setOwner(list.Entries[0].Value)
+	e.setOwner(list.Entries[0])
 	if e.owner.Address == e.opts.Address && e.owner.Nonce != e.nonce {
 		go e.revokePredecessorLease(ctx, list.Entries[0].Lease)
 	}
@@ -198,16 +195,16 @@
 	e.opts.Log.Info("revoked the lease of the previous process at this address", "outcome", errorText(err))
 }
 
-// setOwner applies a value of the owner key. The caller holds the lock.
-func (e *Elector) setOwner(value []byte) {
+// setOwner applies the entry of the owner key. The caller holds the lock.
+func (e *Elector) setOwner(entry platform.Entry) {
 	var r ownerRecord
-	if err := cbor.Unmarshal(value, &r); err != nil {
+	if err := cbor.Unmarshal(entry.Value, &r); err != nil {
 		e.opts.Log.Error(err, "cannot decode the owner record")
 	}
 	if !e.ownerKnown || r != e.owner {
 		e.opts.Log.Info("observed the owner of the fleet", "owner", r.Name, "address", r.Address, "self", r.Nonce == e.nonce)
 	}
-	e.owner, e.ownerKnown, e.vacantSince = r, true, 0
+	e.owner, e.ownerToken, e.ownerKnown, e.vacantSince = r, entry.Version, true, 0
 }
 
 // noteVacancy records that the owner key is free. The caller holds the lock.
@@ -238,7 +235,7 @@
 	e.mu.Lock()
 	acquired.vacantSince, e.vacantSince = e.vacantSince, 0
 	owner := newOwner(e.opts, acquired)
-	e.localOwner = owner
+	e.localOwner, e.hint = owner, OwnerHint{Address: e.opts.Address, Token: acquired.token}
 	resigning = e.resigning
 	e.mu.Unlock()
 	if !resigning {
@@ -268,7 +265,7 @@
 	e.revision = changes.Revision
 	for _, event := range changes.Events {
 		if event.Entry.Key == OwnerKey && !event.Deleted {
-			e.setOwner(event.Entry.Value)
+			e.setOwner(event.Entry)
 			taken = true
 		}
 	}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -94,8 +94,11 @@
 	// token; kind conflict means that there is another owner. LastStoreAnswer
 	// returns the time of the store's last answer to this VM. Without these two a
 	// successor waits for the lease to expire.
-	ReleaseOwnerKey     func(ctx context.Context, token int64) error
-	LastStoreAnswer     func() time.Duration
+	ReleaseOwnerKey func(ctx context.Context, token int64) error
+	LastStoreAnswer func() time.Duration
+	// AskOwner asks other VMs for the owner, while this one cannot read the owner key; nil if
+	// there is nobody to ask.
+	AskOwner            func(ctx context.Context) []OwnerHint
 	Name                string
 	EndedJobRetention   time.Duration // how long the state of ended jobs can be queried
 	HeartbeatInterval   time.Duration // interval at which a worker writes its entry; 0: no periodic writes expected
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -399,7 +399,8 @@
 		g.timeout.RecordCall(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
 		if err != nil {
 			if !retry() {
-				return nil, errkind.Wrap(err, errkind.Timeout, "the store did not answer in time")
+				// Reads change nothing, so the outcome is not in doubt.
+				return nil, errkind.Wrap(err, errkind.Unavailable, "the store did not answer in time").WithRetryAfter(RetryAfter)
 			}
 			continue
 		}
