policy: refuse weights and rates that are not finite

YAML has infinities and NaN. A bootstrap document with 'weight: .nan' or 'weight: .inf' passed the validation, although it has no JSON form and cannot be stored, and its difference from another document showed every field as removed.

Change: Validate reports weights and quotas that are negative or not finite.

--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +49,8 @@
 		"negative attempts":  {func(d *Document) { d.Classes["x"] = Class{MaxAttempts: -1} }, "classes.x.maxAttempts"},
 		"negative quota":     {changeWorkspace(func(ws *Workspace) { ws.Quota.Queued = -1 }), "workspaces.postbud.quota.queued"},
 		"negative weight":    {changeWorkspace(func(ws *Workspace) { ws.Weight = -1 }), "workspaces.postbud.weight"},
+		"infinite weight":    {changeWorkspace(func(ws *Workspace) { ws.Weight = math.Inf(1) }), "workspaces.postbud.weight"},
+		"rate is no number":  {changeWorkspace(func(ws *Workspace) { ws.Quota.RequestsPerSecond = math.NaN() }), "workspaces.postbud.quota.requestsPerSecond"},
 		"no power of two":    {changeGuarantee(func(g *Guarantee) { g.Accelerators = 6 }), guaranteePath + ".accelerators"},
 		"no cells":           {changeGuarantee(func(g *Guarantee) { g.Cells = 0 }), guaranteePath + ".cells"},
 		"larger than worker": {changeGuarantee(func(g *Guarantee) { g.Accelerators = 16 }), guaranteePath + ".accelerators"},
--- a/pkg/policy/validate.go
+++ b/pkg/policy/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/bits"
 	"regexp"
 	"slices"
@@ -114,8 +115,8 @@
 		v.tokenHash(fmt.Sprintf("%s.tokenHashes[%d]", path, i), h)
 	}
 	v.quota(path+".quota", ws.Quota)
-	if ws.Weight < 0 {
-		v.addf(path+".weight", "the weight is negative; use 0 for the default of 1")
+	if !isAmount(ws.Weight) {
+		v.addf(path+".weight", "the weight is negative or not a finite number; use 0 for the default of 1")
 	}
 	total := 0
 	for i, g := range ws.Guarantees {
@@ -138,12 +139,16 @@
 		{"queued", float64(q.Queued)},
 		{"requestsPerSecond", q.RequestsPerSecond},
 	} {
-		if !(f.value >= 0) { // also true for NaN
-			v.addf(path+"."+f.field, "the quota is negative; use 0 for no limit")
+		if !isAmount(f.value) {
+			v.addf(path+"."+f.field, "the quota is negative or not a finite number; use 0 for no limit")
 		}
 	}
 }
 
+// isAmount reports whether x is finite and not negative. YAML has infinities and NaN, with
+// which the document has no JSON form and cannot be stored.
+func isAmount(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
+
 func (v *validator) guarantee(path string, g Guarantee) {
 	if g.Cells < 1 {
 		v.addf(path+".cells", "the number of cells is %d; use 1 or more", g.Cells)
