--- a/pkg/policy/diff.go
+++ b/pkg/policy/diff.go
@@ -17,9 +17,10 @@
 }
 
 // String returns "path: old -> new".
-func (c Change) String() string {
-	return fmt.Sprintf("%s: %s -> %s", c.Path, orNone(c.Old), orNone(c.New))
-}
+func (c Change) String() string { return c.Path + ": " + c.Values() }
+
+// Values returns "old -> new".
+func (c Change) Values() string { return orNone(c.Old) + " -> " + orNone(c.New) }
 
 func orNone(s string) string {
 	if s == "" {
@@ -41,7 +42,16 @@
 // Diff returns the changes from old to next, ordered by path. Either document
 // may be nil. Token hashes are redacted.
 func Diff(old, next *Document) []Change {
-	before, after := flatten(old), flatten(next)
+	return diffLeaves(flattenDocument(old), flattenDocument(next))
+}
+
+// DiffValues returns the changes between two objects as JSON has them, ordered by path,
+// for configurations other than a Document.
+func DiffValues(old, next map[string]any) []Change {
+	return diffLeaves(flatten(old), flatten(next))
+}
+
+func diffLeaves(before, after map[string]string) []Change {
 	paths := map[string]bool{}
 	for p := range before {
 		paths[p] = true
@@ -106,14 +116,35 @@
 	return c
 }
 
-// flatten maps the path of each leaf to its text. An empty object counts as a
-// leaf, so that Diff also reports an added entry without fields.
-func flatten(d *Document) map[string]string {
-	out := map[string]string{}
+// IsRedacted reports whether d has placeholders for token hashes, as Redacted leaves them.
+func (d *Document) IsRedacted() bool {
+	for _, ws := range d.Workspaces {
+		if slices.Contains(ws.TokenHashes, redactedOld) {
+			return true
+		}
+	}
+	for _, op := range d.Operators {
+		if op.TokenHash == redactedOld {
+			return true
+		}
+	}
+	return false
+}
+
+// flattenDocument returns the leaves of a document, which may be nil.
+func flattenDocument(d *Document) map[string]string {
 	if d == nil {
-		return out
+		return map[string]string{}
 	}
-	data, err := json.Marshal(d)
+	return flatten(d)
+}
+
+// flatten maps the path of each leaf of a value that JSON has as an object to its text.
+// An empty object counts as a leaf, so that a difference also reports an added entry
+// without fields.
+func flatten(v any) map[string]string {
+	out := map[string]string{}
+	data, err := json.Marshal(v)
 	if err != nil {
 		return out // unreachable: every field of a document has a JSON form
 	}
