--- a/pkg/ctl/operator.go
+++ b/pkg/ctl/operator.go
@@ -20,7 +20,7 @@
 		newApplyCommand(conn), newPlanCommand(conn), newConfirmCommand(conn), newProposalsCommand(conn),
 		newDrainCommand(conn), newUndrainCommand(conn), newHoldCommand(conn), newResumeCommand(conn),
 		newReclaimCommand(conn), newDefragmentCommand(conn), newCancelWhereCommand(conn), newQuotaCommand(conn), newPriorityCommand(conn),
-		newConfigCommand(conn), newTimelineCommand(conn), newWhyCommand(conn), newMembersCommand(conn), newDomainsCommand(conn),
+		newConfigCommand(conn), newCheckConfigCommand(conn), newTimelineCommand(conn), newWhyCommand(conn), newMembersCommand(conn), newDomainsCommand(conn),
 		newReportCommand(conn), newTokenHashCommand(),
 	} {
 		cmd.GroupID = group
