platform, carawayusher-node: check-operator-config checks the operator's configuration

VMs ignore a version that is not above theirs and fields that they do not know, and accept an empty API key, under which callers without a key are authenticated; operators saw none of this before they stored the configuration.

Change: the command decodes the file as a VM does and reports findings under the names of the operator's document.

--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -34,7 +34,7 @@
 		Use: "carawayusher-node", Short: "carawayusher on the users' platform",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(newFrontCommand(), newCheckConfigCommand(), newExplainCommand(), newAccountCommand(),
+	root.AddCommand(newFrontCommand(), newCheckConfigCommand(), newCheckOperatorConfigCommand(), newExplainCommand(), newAccountCommand(),
 		newAutomationHoldCommand("hold", "Hold all automatic actions: preemption, moves, upkeep, evacuation", true),
 		newAutomationHoldCommand("release", "Give all automatic actions back", false))
 	return root
