--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -50,6 +50,8 @@
 		"negative quota":     {changeWorkspace(func(ws *Workspace) { ws.Quota.Queued = -1 }), "workspaces.postbud.quota.queued"},
 		"negative weight":    {changeWorkspace(func(ws *Workspace) { ws.Weight = -1 }), "workspaces.postbud.weight"},
 		"infinite weight":    {changeWorkspace(func(ws *Workspace) { ws.Weight = math.Inf(1) }), "workspaces.postbud.weight"},
+		"weight no number":   {changeWorkspace(func(ws *Workspace) { ws.Weight = math.NaN() }), "workspaces.postbud.weight"},
+		"infinite rate":      {changeWorkspace(func(ws *Workspace) { ws.Quota.RequestsPerSecond = math.Inf(1) }), "workspaces.postbud.quota.requestsPerSecond"},
 		"rate is no number":  {changeWorkspace(func(ws *Workspace) { ws.Quota.RequestsPerSecond = math.NaN() }), "workspaces.postbud.quota.requestsPerSecond"},
 		"no power of two":    {changeGuarantee(func(g *Guarantee) { g.Accelerators = 6 }), guaranteePath + ".accelerators"},
 		"no cells":           {changeGuarantee(func(g *Guarantee) { g.Cells = 0 }), guaranteePath + ".cells"},
