fleet, metrics: evacuation of a failure domain

Operators could not keep tasks off the workers of a failure domain: only a worker itself could report that it drains.

Workers of an evacuated domain get no tasks: in placement, right before a start is sent or repeated, and in moves of standby machines. A start order is valid no longer than until the bound after the latest confirmed read, so an owner that has lost track of the store cannot start a task too late; with less than a fifth of the bound left the start waits. Long-running tasks move within MaxUnavailable. After the end, workers return in four steps over 3 s unless their entry says that they are warm, and cold workers are less preferred.

--- a/pkg/fleet/advice.go
+++ b/pkg/fleet/advice.go
@@ -114,7 +114,7 @@
 	}
 	var candidates []candidate
 	for _, w := range p.workers {
-		if !w.listed || w.Draining || o.cordoned[w.Machine] || !demand.Fits(w.Capacity) {
+		if !w.listed || w.Draining || o.cordoned[w.Machine] || o.evacuated(w) || !demand.Fits(w.Capacity) {
 			continue
 		}
 		if requires := g.spec().RequiredLabel; requires != "" && !slices.Contains(w.Labels, requires) {
--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -29,12 +29,15 @@
 func (o *Owner) cycleLoop() {
 	pause := storeRetryDelay
 	for {
-		jobsFrom, workersFrom, err := o.loadState()
+		jobsFrom, workersFrom, evacuationsFrom, err := o.loadState()
 		if err == nil {
 			o.goRun(func() { o.watchJobs(jobsFrom) })
 			o.goRun(func() { o.watchWorkers(workersFrom) })
 			o.goRun(o.machineOpsLoop)
 			o.goRun(o.watchAutomationHold)
+			if o.evacuationsEnabled() {
+				o.goRun(func() { o.watchEvacuations(evacuationsFrom) })
+			}
 			o.goRun(o.pollMachines)
 			break
 		}
@@ -94,8 +97,11 @@
 		if o.ruleEnabled(RuleStallEviction) {
 			o.evictStalled(now)
 		}
+		if o.ruleEnabled(RuleEvacuationMove) {
+			o.moveFromEvacuated()
+		}
 	}
-	pending := o.placePending(now) || o.anyDrainingWithRuns()
+	pending := o.placePending(now) || o.anyDrainingWithRuns() || o.anyToMove()
 	o.finishCompleted()
 	o.deleteExpiredJobs(now)
 	return pending
--- a/pkg/fleet/ejection.go
+++ b/pkg/fleet/ejection.go
@@ -151,6 +151,9 @@
 	listed, candidates := map[string]int{}, map[string][]*worker{}
 	for _, w := range o.sortedWorkers() {
 		w.ejected = false
+		if o.evacuated(w) {
+			continue // it gets no tasks, and the share is one of the others
+		}
 		if w.listed {
 			listed[w.Service]++
 		}
--- a/pkg/fleet/guarantee.go
+++ b/pkg/fleet/guarantee.go
@@ -44,6 +44,7 @@
 	group        *taskGroup
 	accelerators int64
 	startedAt    time.Duration // of its newest run
+	evacuated    bool          // all its runs are on evacuated workers, so its stop frees nothing
 }
 
 // markBorrowed determines the groups of urgent work that use more than the guarantee of their
@@ -69,8 +70,10 @@
 			if beyond <= 0 {
 				break
 			}
-			o.borrowed[use.group] = true
-			beyond -= use.accelerators
+			if !use.evacuated {
+				o.borrowed[use.group] = true
+				beyond -= use.accelerators
+			}
 		}
 	}
 }
@@ -83,10 +86,11 @@
 			if j.Class.Priority != 0 || len(g.runs) == 0 {
 				continue
 			}
-			use := urgentUse{group: g}
+			use := urgentUse{group: g, evacuated: true}
 			for _, r := range g.runs {
 				use.accelerators += r.demand.Accelerators
 				use.startedAt = max(use.startedAt, r.startedAt)
+				use.evacuated = use.evacuated && o.evacuated(r.worker)
 			}
 			uses[j.Workspace] = append(uses[j.Workspace], use)
 		}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -13,9 +13,9 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// loadState reads all jobs, their progress and the workers from the store. It
-// returns the revisions from which jobs and workers have to be watched.
-func (o *Owner) loadState() (jobsFrom, workersFrom int64, err error) {
+// loadState reads all jobs, their progress, the workers and the evacuations from the store. It
+// returns the revisions from which jobs, workers and evacuations have to be watched.
+func (o *Owner) loadState() (jobsFrom, workersFrom, evacuationsFrom int64, err error) {
 	startedAt := o.opts.Clock()
 	progress := map[string]platform.Entry{}
 	var jobs, workers []platform.Entry
@@ -33,8 +33,15 @@
 		workersFrom, err = o.listPrefix(o.opts.WorkerPrefix, func(e platform.Entry) { workers = append(workers, e) })
 		return err
 	})
+	var evacuations evacuationKeys
+	if o.evacuationsEnabled() {
+		readings.Go(func() (err error) {
+			evacuations, err = o.listEvacuations()
+			return err
+		})
+	}
 	if err := readings.Wait(); err != nil {
-		return 0, 0, err
+		return 0, 0, 0, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -49,12 +56,13 @@
 		j.noteAdopted(o.tookOverAt)
 		o.adoptAssignments(j)
 	}
+	o.applyEvacuations(evacuations.domains, evacuations.sentAt)
 	o.loaded = true
 	now := o.opts.Clock()
 	o.opts.Log.Info("state loaded from the store", "jobs", len(o.jobs), "live", len(o.live), "workers", len(o.workers),
 		"tookMS", (now - startedAt).Milliseconds(), "sinceVacantMS", (now - o.ownership.vacantSince).Milliseconds())
 	o.opts.Metrics.TakeoverPhase("loaded", now-o.ownership.vacantSince)
-	return jobsFrom, workersFrom, nil
+	return jobsFrom, workersFrom, evacuations.revision, nil
 }
 
 // listPrefix reads all pages of a prefix and passes each entry to visit. It returns
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -107,7 +107,12 @@
 	Waves               WaveStore
 	Advice              AdviceClient
 	MaintenanceDuration time.Duration // how long the maintenance of a machine takes
-	Metrics             *metrics.Set  // nil disables metrics
+	// EvacuationPrefix is the prefix of the keys that name evacuated failure domains; empty if
+	// the deployment has no evacuations. EvacuationBound is the time from the store's answer to
+	// the operator until no task may start in the domain.
+	EvacuationPrefix string
+	EvacuationBound  time.Duration
+	Metrics          *metrics.Set // nil disables metrics
 	// ProcessUsage returns the resources that this process uses; nil disables their report.
 	ProcessUsage  func() processusage.Usage
 	DisabledRules Rules // decision rules that are not applied
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -168,10 +168,16 @@
 	}
 	o.mu.Lock()
 	now := o.opts.Clock()
+	ttl, ok := o.startTTL(now)
+	if !ok {
+		o.mu.Unlock()
+		o.deferStart(w, r)
+		return
+	}
 	task := &r.group.tasks()[r.index]
 	start := StartOrder{
 		Task: r.group.taskID(r.index), Run: r.number, Payload: r.group.job.Payload, Checkpoint: task.Checkpoint,
-		DeadlineMS: w.estimatedClockMS(now) + startOrderTTL.Milliseconds(), Token: o.ownership.token,
+		DeadlineMS: w.estimatedClockMS(now) + ttl.Milliseconds(), Token: o.ownership.token,
 	}
 	if a := r.group.advice; a != nil {
 		start.Ticket = a.tickets[w.ID].value
@@ -209,6 +215,9 @@
 	if !o.awaitOwnership() || !o.stillStarting(r) {
 		return Unanswered
 	}
+	if o.isEvacuated(r.worker) {
+		return Withdrawn
+	}
 	send()
 	var repeat *slotRequest // for the next attempt
 	var repeatGranted chan struct{}
@@ -229,7 +238,7 @@
 		case <-repeatGranted:
 			repeat, repeatGranted = nil, nil
 			releaseSlot = sync.OnceFunc(o.startSlots.release)
-			if !o.awaitOwnership() || !o.stillStarting(r) {
+			if !o.awaitOwnership() || !o.stillStarting(r) || o.isEvacuated(r.worker) {
 				if open > 0 {
 					o.recordUnawaitedStart(r)
 				}
@@ -398,7 +407,7 @@
 func (o *Owner) acceptsNewRuns(w *worker) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine]
+	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine] && !o.evacuated(w)
 }
 
 // atAssignedAddress reports whether the address of a worker is the one that the assignment of
@@ -450,7 +459,13 @@
 		if o.opts.Advice == nil {
 			r.group.exclude(w, now) // no service issues tickets; the worker may stop asking for them
 		}
-	case StaleRun, Accepted, Withdrawn:
+	case Withdrawn:
+		if o.evacuated(w) {
+			o.countWithheldStart()
+			o.withdrawStart(r, "a start of its gang was withdrawn")
+			return
+		}
+	case StaleRun, Accepted:
 	case Unhealthy, BadOrder:
 		w.backoffUntil, w.backoffReason = now+unhealthyBackoff, v
 		r.group.exclude(w, now)
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -38,6 +38,7 @@
 	cycles          int64                      // placement cycles so far
 	borrowed        map[*taskGroup]bool        // urgent work beyond a guarantee, in this cycle; nil if none has to give way
 	cordoned        map[string]bool            // machines whose workers get no new tasks
+	evacuations     evacuationState
 	lastScanAt      time.Duration              // last scan of all runs and worker leases; 0 forces a scan
 	dirty           map[*job]struct{}          // jobs whose progress has to be written
 	learnedRunTimes map[string]*learnedRunTime // by queue
@@ -85,7 +86,7 @@
 		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
-		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
+		evacuations: evacuationState{machineDomains: map[string]string{}}, waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), contactSlots: make(chan struct{}, maxOpenContacts),
 	}
 }
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -237,16 +237,17 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
 			Free: w.Capacity.Sub(all), FreeAfterStops: w.Capacity.Sub(all).Add(beingStopped),
 			Schedulable: o.schedulable(w, now),
-			Ejected:     w.ejected,
-			Penalty:     o.penalty(w),
+			Ejected:     w.ejected || o.returnsLater(w, now),
+			Penalty:     o.penalty(w) + o.coldPenalty(w, now),
 		}
 		if pw.Schedulable {
 			p.capacity = p.capacity.Add(w.Capacity)
 		}
-		if w.listed {
+		inService := w.listed && !o.evacuated(w)
+		if inService {
 			p.listed.add(w, all)
 		}
-		if w.listed && w.unansweredCalls == 0 {
+		if inService && w.unansweredCalls == 0 {
 			p.answering.add(w, all)
 		}
 		first := len(p.runs)
@@ -436,7 +437,7 @@
 
 // schedulable reports whether new tasks may be placed on a worker; the lock is held.
 func (o *Owner) schedulable(w *worker, now time.Duration) bool {
-	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine] && now >= w.backoffUntil && w.unansweredCalls == 0
+	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine] && !o.evacuated(w) && now >= w.backoffUntil && w.unansweredCalls == 0
 }
 
 // runningPerWorker counts the runs of a group by worker; nil if the step has no limit per
--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -159,6 +159,9 @@
 	if !o.awaitOwnership() {
 		return false
 	}
+	if _, fetched := o.homePools[m.ID]; !fetched && !o.mayBringIntoService(m) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(o.ctx, machineOpTimeout)
 	defer cancel()
 	verdict, err := o.opts.Machines.Move(ctx, m.ID, pool, o.ownership.token)
--- a/pkg/fleet/ports.go
+++ b/pkg/fleet/ports.go
@@ -25,6 +25,7 @@
 	Capacity     workload.Resources
 	Draining     bool
 	MinRemaining time.Duration // lower bound of the time until a draining worker shuts down
+	ColdLeft     time.Duration // how much longer the worker is slow, from when the entry was written
 }
 
 // RunState is the state of a run that its worker reports as running.
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -28,6 +28,11 @@
 	RuleFailedWorkersLast
 	// RuleLearnedRunTimes corrects declared run times by those observed.
 	RuleLearnedRunTimes
+	// RuleEvacuationMove moves long-running tasks off evacuated failure domains.
+	RuleEvacuationMove
+	// RuleColdWorkersLast prefers workers that are not cold, and lets workers return in steps
+	// after an evacuation.
+	RuleColdWorkersLast
 )
 
 // ruleEnabled reports whether a rule is in force.
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -376,7 +376,9 @@
 	}
 	used, _ := w.usage()
 	s.listed++
-	s.use.add(w, used)
+	if state != stateEvacuated {
+		s.use.add(w, used)
+	}
 	if !w.contacted {
 		s.uncontacted++
 	}
@@ -385,6 +387,9 @@
 	}
 }
 
+// stateEvacuated is the state of workers whose failure domain is evacuated.
+const stateEvacuated = "evacuated"
+
 // workerState names why a worker gets no new tasks, or "schedulable"; the lock is held.
 func (o *Owner) workerState(w *worker, now time.Duration) string {
 	switch {
@@ -392,6 +397,8 @@
 		return "unlisted"
 	case w.Draining:
 		return "draining"
+	case o.evacuated(w):
+		return stateEvacuated
 	case !w.describesProcess():
 		return "entry_outdated"
 	case o.cordoned[w.Machine]:
@@ -402,6 +409,8 @@
 		return "backoff_" + string(w.backoffReason)
 	case w.ejected:
 		return "ejected"
+	case o.returnsLater(w, now):
+		return "returning"
 	}
 	return "schedulable"
 }
@@ -516,7 +525,7 @@
 	writes := o.writeState(a.now)
 	g := metrics.OwnerGauges{
 		JobsStanding: map[metrics.ServiceLabel]int{}, JobsSuspect: map[string]int{}, Workers: map[metrics.ServiceLabel]int{}, UsedShare: map[string]float64{},
-		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored, WaitingStarts: o.startSlots.queueLength(), WaitingProbes: o.probeSlots.queueLength(),
+		EvacuatedDomains: len(o.evacuations.domains), OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored, WaitingStarts: o.startSlots.queueLength(), WaitingProbes: o.probeSlots.queueLength(),
 	}
 	for name, s := range a.services {
 		g.UsedShare[name] = s.use.share()
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -194,6 +194,9 @@
 	idleSince     time.Duration // since when it has had no runs; 0 if not observed yet
 	drainingSince time.Duration
 	runs          map[*run]struct{}
+	formerDomains []string      // failure domains that earlier entries of its incarnation named
+	coldUntil     time.Duration // it is slow before this time, by its entry
+	returnsAt     time.Duration // kept for later before this time, after an evacuation
 
 	incarnationState
 	incarnationSince    time.Duration // when this incarnation became known
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -54,6 +54,7 @@
 	if w == nil {
 		w = o.addWorker(entry)
 		w.listed, w.drainingSince = true, o.opts.Clock()
+		o.noteDomain(w, entry)
 		o.stopGivenUpRuns(w) // it was removed when its entry was, and may have started anew
 		return true
 	}
@@ -66,6 +67,7 @@
 		return true
 	}
 	before := w.WorkerEntry
+	o.noteDomain(w, entry)
 	w.WorkerEntry, w.entryIncarnation = entry, entry.Incarnation
 	w.Incarnation = before.Incarnation
 	if entry.Draining && !before.Draining {
--- a/pkg/metrics/owner.go
+++ b/pkg/metrics/owner.go
@@ -17,6 +17,8 @@
 	QueuedOrders   int
 	WaitingStarts  int // that wait for other starts
 	WaitingProbes  int // of workers that do not answer
+
+	EvacuatedDomains int // failure domains on whose workers no task may start
 }
 
 // OwnerGauges replaces the gauges of the owner.
@@ -40,6 +42,7 @@
 	for service, share := range g.UsedShare {
 		s.usedShare.WithLabelValues(service).Set(share)
 	}
+	s.evacuatedDomains.Set(float64(g.EvacuatedDomains))
 	s.openWrites.Set(float64(g.OpenWrites))
 	s.oldestUnstored.Set(g.OldestUnstored.Seconds())
 	s.queuedOrders.Set(float64(g.QueuedOrders))
