fleet: tests of evacuations, one per failure

fleettest places its racks in failure domains, records a violation when a run starts in an evacuated one later than a bound after the acknowledgement, and reports cold workers.

--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -37,6 +37,7 @@
 	rejectedStarts     int
 	incompleteGangEnds int
 	checkDrains        bool
+	evacuations        evacuations
 	starts             map[workload.TaskID]int
 	running            map[workload.TaskID]int
 	doneAcked          map[workload.TaskID]bool
@@ -72,7 +73,7 @@
 		rack := fmt.Sprintf("r%d", i/perRack)
 		f.addWorker(fleet.WorkerEntry{
 			ID: fmt.Sprintf("w%02d", i), Incarnation: 1, Service: "service", Address: address(i),
-			Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
+			Zone: fmt.Sprintf("zone-%d", i/perRack), Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 		})
 	}
 	return f
@@ -89,6 +90,7 @@
 
 func (f *Fleet) publish(w *Worker) {
 	f.mu.Lock()
+	w.entry.ColdLeft = max(0, time.Until(w.coldUntil))
 	key, value := f.encode(w.entry)
 	f.mu.Unlock()
 	_, err := f.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
--- a/pkg/fleet/fleettest/standstill.go
+++ b/pkg/fleet/fleettest/standstill.go
@@ -335,7 +335,10 @@
 	var capacity, used workload.Resources
 	for _, w := range f.workers {
 		v.addEnds(w, f.doneAcked)
-		if w.dead || w.removed {
+		if _, evacuated := f.evacuations.ackedAt[w.entry.Zone]; w.dead || w.removed || evacuated {
+			for task := range w.runs {
+				v.jobRuns[task.Job] = true
+			}
 			continue
 		}
 		usage := w.usage()
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -71,6 +71,7 @@
 	loseAnswers   int // number of next orders that are carried out but not answered
 	lateOrders    int // number of next orders that are carried out late and not answered
 	lateBy        time.Duration
+	coldUntil     time.Time // it reports that it is slow before this time
 	drainStoredAt time.Time // when the store accepted the entry that reports draining
 	refuseOrders  int       // number of orders refused as unhealthy, after those whose answers are lost
 }
@@ -120,6 +121,7 @@
 	if w.fleet.checkDrains && !w.drainStoredAt.IsZero() && time.Since(w.drainStoredAt) > drainStartBound {
 		w.fleet.recordViolationLocked("%s started on %s %v after the store accepted that the worker drains", o.Task, w.entry.ID, time.Since(w.drainStoredAt))
 	}
+	w.fleet.checkEvacuation(w, o.Task)
 	r := &activeRun{task: o.Task, number: o.Run, demand: step.Demand(), startedAt: time.Now(), outcome: w.fleet.runOutcome(o.Task, o.Run), checkpoint: o.Checkpoint}
 	if w.failAll {
 		r.outcome = Outcome{Duration: 50 * time.Millisecond, Fails: true}
