fleet: stricter tests of evacuations; the start is checked once, right before it is sent

Jobs now have a task for each worker, the emulator checks when a start order is sent as well as when it is carried out, and a test covers the wait for ownership between the checks and the send.

--- a/pkg/fleet/failuredomain_test.go
+++ b/pkg/fleet/failuredomain_test.go
@@ -22,7 +22,7 @@
 	evacuationPrefix = "evacuate/"
 	evacuationBound  = 5 * time.Second
 	// promptly is the bound of an evacuation without a fault, far below evacuationBound.
-	promptly = 50 * time.Millisecond
+	promptly = 10 * time.Millisecond
 )
 
 // evacuationStore is the connection of a VM to the store, with faults of the evacuation keys.
@@ -80,10 +80,12 @@
 	}
 }
 
-// submitFor submits a job of two tasks every 100 ms, which occupies two of its eight workers.
+// submitFor submits a job every 400 ms with a task for each of eight workers.
 func (b *testbed) submitFor(d time.Duration) (jobs []*workload.Job) {
-	for end := time.Now().Add(d); time.Now().Before(end); b.sleep(100 * time.Millisecond) {
-		jobs = append(jobs, b.buildJob(smallStep(2)))
+	step := smallStep(8)
+	step.MaxPerWorker = 1
+	for end := time.Now().Add(d); time.Now().Before(end); b.sleep(400 * time.Millisecond) {
+		jobs = append(jobs, b.buildJob(step))
 		b.workers.AddJob(jobs[len(jobs)-1])
 		go b.storeJob(jobs[len(jobs)-1])
 	}
@@ -101,50 +103,55 @@
 		flag.Store(true)
 		time.AfterFunc(d, func() { flag.Store(false) })
 	}
-	evacuate := func(bound time.Duration) func(b *testbed, _ *evacuationStore) {
-		return func(b *testbed, _ *evacuationStore) { b.evacuate("zone-0", bound) }
-	}
+	type action func(b *testbed, owner *evacuationStore)
+	evacuate := func(b *testbed, _ *evacuationStore) { b.evacuate("zone-0", promptly) }
+	kill := func(b *testbed, _ *evacuationStore) { b.killVM(b.ownerIndex()) }
+	cut := func(_ *testbed, owner *evacuationStore) { set(&owner.unreachable, 8*time.Second) }
 	tests := map[string]struct {
-		at    func(b *testbed, owner *evacuationStore) // stores the key, with the fault
-		after func(b *testbed, owner *evacuationStore) // half a second later
+		at    action // stores the key, with the fault
+		after action // half a second later
 	}{
-		"no fault":                 {at: evacuate(promptly)},
-		"takeover":                 {at: evacuate(promptly), after: func(b *testbed, _ *evacuationStore) { b.killVM(b.ownerIndex()) }},
-		"killed with the key":      {at: func(b *testbed, _ *evacuationStore) { b.evacuate("zone-0", promptly); b.killVM(b.ownerIndex()) }},
-		"store down after the key": {at: func(b *testbed, _ *evacuationStore) { b.evacuate("zone-0", evacuationBound); outage(b, 8*time.Second) }},
-		"store down in force":      {at: evacuate(promptly), after: func(b *testbed, _ *evacuationStore) { outage(b, 8*time.Second) }},
-		"store down at takeover":   {at: evacuate(promptly), after: func(b *testbed, _ *evacuationStore) { b.killVM(b.ownerIndex()); outage(b, 4*time.Second) }},
-		"slow store": {at: func(b *testbed, _ *evacuationStore) {
+		"no fault":            {evacuate, nil},
+		"takeover":            {evacuate, kill},
+		"killed with the key": {func(b *testbed, _ *evacuationStore) { b.evacuate("zone-0", promptly); kill(b, nil) }, nil},
+		"store down after the key": {func(b *testbed, _ *evacuationStore) {
+			b.evacuate("zone-0", evacuationBound)
+			outage(b, 8*time.Second)
+		}, nil},
+		"store down in force":    {evacuate, func(b *testbed, _ *evacuationStore) { outage(b, 8*time.Second) }},
+		"store down at takeover": {evacuate, func(b *testbed, _ *evacuationStore) { kill(b, nil); outage(b, 4*time.Second) }},
+		"slow store": {func(b *testbed, _ *evacuationStore) {
 			b.store.UpdateFaults(func(f *memory.Faults) { f.Delay = 400 * time.Millisecond })
 			b.evacuate("zone-0", time.Second)
-		}},
-		"silent watch": {at: func(b *testbed, owner *evacuationStore) {
+		}, nil},
+		"silent watch": {func(b *testbed, owner *evacuationStore) {
 			set(&owner.silent, time.Minute)
 			b.evacuate("zone-0", time.Second)
-		}},
-		"keys not readable": {at: func(b *testbed, owner *evacuationStore) {
+		}, nil},
+		"keys not readable": {func(b *testbed, owner *evacuationStore) {
 			set(&owner.unreadable, 10*time.Second)
 			b.evacuate("zone-0", evacuationBound)
-		}},
-		"owner cut off": {at: func(b *testbed, owner *evacuationStore) {
-			set(&owner.unreachable, 8*time.Second)
-			b.evacuate("zone-0", evacuationBound)
-		}},
-		"owner cut off in force":   {at: evacuate(promptly), after: func(_ *testbed, owner *evacuationStore) { set(&owner.unreachable, 8*time.Second) }},
-		"two domains, one to stay": {at: func(b *testbed, _ *evacuationStore) { b.evacuate("zone-0", promptly); b.evacuate("zone-1", promptly) }, after: func(b *testbed, _ *evacuationStore) { b.sleep(2 * time.Second); b.endEvacuation("zone-1") }},
-		"late orders and restarts": {at: func(b *testbed, _ *evacuationStore) {
-			b.delayOrders(0, 4*time.Second)
-			b.evacuate("zone-0", evacuationBound)
-		}, after: func(b *testbed, _ *evacuationStore) { b.workers.Heartbeat(1) }},
-		"a name of no domain too": {at: func(b *testbed, _ *evacuationStore) {
+		}, nil},
+		"owner cut off":          {func(b *testbed, owner *evacuationStore) { cut(b, owner); b.evacuate("zone-0", evacuationBound) }, nil},
+		"owner cut off in force": {evacuate, cut},
+		"two domains, one halfway": {func(b *testbed, _ *evacuationStore) {
+			b.evacuate("zone-0", promptly)
+			b.evacuate("zone-1", promptly)
+		}, func(b *testbed, _ *evacuationStore) { b.sleep(2 * time.Second); b.endEvacuation("zone-1") }},
+		"unanswered starts": {func(b *testbed, _ *evacuationStore) {
+			b.silenceDomain(true)
+			b.submitAndWait(smallStep(60), 10*time.Millisecond)
+			b.evacuate("zone-0", promptly)
+		}, func(b *testbed, _ *evacuationStore) { b.sleep(2 * time.Second); b.silenceDomain(false) }},
+		"names of no domain beside it": {func(b *testbed, _ *evacuationStore) {
 			b.evacuate("", promptly)
 			b.evacuate("zone-9", promptly)
 			b.evacuate("zone-0", promptly)
-		}},
-		"key of another type, kept": {at: func(b *testbed, _ *evacuationStore) {
+		}, nil},
+		"a value that is no JSON": {func(b *testbed, _ *evacuationStore) {
 			b.createKey(evacuationPrefix+"zone-0", []byte("\xff"))
 			b.workers.BeginEvacuation("zone-0", promptly)
-		}},
+		}, nil},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -168,9 +175,11 @@
 	}
 }
 
-// delayOrders makes the next order to a worker late.
-func (b *testbed) delayOrders(worker int, by time.Duration) {
-	b.workers.UpdateFaults(worker, func(f *fleettest.Faults) { f.LateOrders, f.LateBy = 1, by })
+// silenceDomain sets whether calls to the workers of zone-0 are not answered.
+func (b *testbed) silenceDomain(silent bool) {
+	for i := range 4 {
+		b.workers.UpdateFaults(i, func(f *fleettest.Faults) { f.Unreachable = silent })
+	}
 }
 
 // wantLog reports whether a log line holds all the words.
@@ -224,8 +233,8 @@
 		}
 		b.sleep(100 * time.Millisecond)
 		b.evacuate("zone-0", promptly)
-		b.sleep(time.Second)
-		for _, j := range jobs[1:] { // the starts of the first were sent
+		b.sleep(300 * time.Millisecond) // the workers' order loops are still busy with the first
+		for _, j := range jobs[1:] {    // the starts of the first were sent
 			for i := range step.Tasks {
 				if !b.workers.Runs(workload.TaskID{Job: j.ID, Index: i}) {
 					t.Errorf("member %d of %s does not run", i, j.ID)
--- a/pkg/fleet/fleettest/evacuation.go
+++ b/pkg/fleet/fleettest/evacuation.go
@@ -13,8 +13,9 @@
 	ackedAt map[string]time.Time // by failure domain: when the store answered the operator
 }
 
-// BeginEvacuation makes the emulator record a violation when a run starts on a worker of a
-// failure domain later than a bound from now, when the store has acknowledged the evacuation.
+// BeginEvacuation makes the emulator record a violation when a start order is sent to a worker
+// of a failure domain, or carried out there, later than a bound from now, when the store has
+// acknowledged the evacuation.
 func (f *Fleet) BeginEvacuation(domain string, bound time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -33,7 +34,7 @@
 
 func (f *Fleet) checkEvacuation(w *Worker, task workload.TaskID) {
 	if at, evacuated := f.evacuations.ackedAt[w.entry.Zone]; evacuated && time.Since(at) > f.evacuations.bound {
-		f.recordViolationLocked("%s started on %s %v after the evacuation of %s was acknowledged", task, w.entry.ID, time.Since(at), w.entry.Zone)
+		f.recordViolationLocked("start of %s on %s %v after the evacuation of %s was acknowledged", task, w.entry.ID, time.Since(at), w.entry.Zone)
 	}
 }
 
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -632,6 +632,11 @@
 
 // Start implements fleet.WorkerClient.
 func (f *Fleet) Start(ctx context.Context, address, instance string, o fleet.StartOrder) (fleet.OrderReply, error) {
+	f.mu.Lock()
+	if w := f.workers[address]; w != nil {
+		f.checkEvacuation(w, o.Task)
+	}
+	f.mu.Unlock()
 	return f.deliverOrder(ctx, address, instance, func(w *Worker) fleet.Verdict { return w.start(o) })
 }
 
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -407,7 +407,7 @@
 func (o *Owner) acceptsNewRuns(w *worker) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine] && !o.evacuated(w)
+	return w.listed && w.describesProcess() && !w.Draining && !o.cordoned[w.Machine]
 }
 
 // atAssignedAddress reports whether the address of a worker is the one that the assignment of
