--- a/pkg/fleet/failuredomain_test.go
+++ b/pkg/fleet/failuredomain_test.go
@@ -126,10 +126,12 @@
 		}, nil},
 		"silent watch": {func(b *testbed, owner *evacuationStore) {
 			set(&owner.silent, time.Minute)
+			b.sleep(time.Second) // a poll that waits would deliver the key
 			b.evacuate("zone-0", time.Second)
 		}, nil},
 		"keys not readable": {func(b *testbed, owner *evacuationStore) {
 			set(&owner.unreadable, 10*time.Second)
+			b.sleep(time.Second)
 			b.evacuate("zone-0", evacuationBound)
 		}, nil},
 		"owner cut off":          {func(b *testbed, owner *evacuationStore) { cut(b, owner); b.evacuate("zone-0", evacuationBound) }, nil},
