fleettest: runs of workers that are down do not count as runs of their job

The standstill check counted them since the evacuations were added, so a job whose runs are all on crashed workers was not reported as standing.

--- a/pkg/fleet/fleettest/standstill.go
+++ b/pkg/fleet/fleettest/standstill.go
@@ -335,17 +335,17 @@
 	var capacity, used workload.Resources
 	for _, w := range f.workers {
 		v.addEnds(w, f.doneAcked)
-		if _, evacuated := f.evacuations.ackedAt[w.entry.Zone]; w.dead || w.removed || evacuated {
-			for task := range w.runs {
-				v.jobRuns[task.Job] = true
-			}
+		if w.dead || w.removed {
 			continue
 		}
-		usage := w.usage()
-		capacity, used = capacity.Add(w.entry.Capacity), used.Add(usage)
 		for task := range w.runs {
 			v.jobRuns[task.Job] = true
 		}
+		if _, evacuated := f.evacuations.ackedAt[w.entry.Zone]; evacuated {
+			continue
+		}
+		usage := w.usage()
+		capacity, used = capacity.Add(w.entry.Capacity), used.Add(usage)
 		if w.unreachable || w.entry.Draining || w.failAll || w.hang {
 			continue
 		}
