--- a/pkg/fleet/failuredomain.go
+++ b/pkg/fleet/failuredomain.go
@@ -165,7 +165,9 @@
 	known := map[string]bool{}
 	var unsent []*run
 	for _, w := range o.sortedWorkers() {
-		known[w.Zone] = true
+		if w.Zone != "" {
+			known[w.Zone] = true
+		}
 		if domain == "" || !w.inDomain(domain) {
 			continue
 		}
--- a/pkg/fleet/failuredomain_test.go
+++ b/pkg/fleet/failuredomain_test.go
@@ -85,9 +85,14 @@
 	step := smallStep(8)
 	step.MaxPerWorker = 1
 	for end := time.Now().Add(d); time.Now().Before(end); b.sleep(400 * time.Millisecond) {
-		jobs = append(jobs, b.buildJob(step))
-		b.workers.AddJob(jobs[len(jobs)-1])
-		go b.storeJob(jobs[len(jobs)-1])
+		j := b.buildJob(step)
+		jobs = append(jobs, j)
+		b.workers.AddJob(j)
+		value, err := workload.EncodeJob(j)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		go b.createKey(fleet.JobKey(j.ID), value) // the store may be down
 	}
 	return jobs
 }
@@ -283,6 +288,7 @@
 		if _, err := b.store.Commit(t.Context(), platform.Txn{Deletes: []string{fleet.AutomationHoldKey}}); err != nil {
 			t.Fatal(err)
 		}
+		b.workers.SetDelay(100 * time.Millisecond) // a move takes longer than the time between two observations
 		for range 400 {
 			b.sleep(50 * time.Millisecond)
 			running := 0
--- a/pkg/fleet/withdraw_test.go
+++ b/pkg/fleet/withdraw_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,12 +16,10 @@
 		o, now, _ := newIdleOwner() // its client is nil: a start that is sent panics
 		defer o.cancel()
 		*now = 2 * time.Hour // the lease has run out
-		j := newJob(&workload.Job{ID: "aa", Steps: []workload.Step{{Tasks: 1}}}, workload.NewProgress(&workload.Job{ID: "aa", Steps: []workload.Step{{Tasks: 1}}}))
-		w := &worker{WorkerEntry: WorkerEntry{ID: "w", Zone: "zone"}, runs: map[*run]struct{}{}}
-		r := &run{group: j.groups[0], worker: w, phase: phaseStarting, startSentAt: *now}
-		w.runs[r] = struct{}{}
+		r := newStartingRun(o, "zone", 1)
+		r.startSentAt = *now
 		verdict := make(chan Verdict, 1)
-		go func() { verdict <- o.sendStartWithRetries(r, "address", "w", StartOrder{}, func() {}) }()
+		go func() { verdict <- o.sendStartWithRetries(r, "address", "w0", StartOrder{}, func() {}) }()
 		synctest.Wait()
 		o.mu.Lock()
 		o.evacuations.domains = map[string]bool{"zone": true}
@@ -31,3 +30,36 @@
 		}
 	})
 }
+
+// newStartingRun returns the first run of a gang that starts, with each member on a worker of
+// its own. The first worker is in a failure domain.
+func newStartingRun(o *Owner, domain string, tasks int) *run {
+	record := &workload.Job{ID: "aa", Steps: []workload.Step{{Tasks: tasks, Gang: true}}}
+	g := newJob(record, workload.NewProgress(record)).groups[0]
+	for i := range tasks {
+		w := &worker{WorkerEntry: WorkerEntry{ID: "w" + strconv.Itoa(i)}, listed: true, runs: map[*run]struct{}{}}
+		o.workers[w.ID] = w
+		r := &run{group: g, index: i, number: 1, worker: w, phase: phaseStarting}
+		g.tasks()[i].Phase, g.tasks()[i].Run = workload.Assigned, 1
+		g.runs[i], w.runs[r] = r, struct{}{}
+	}
+	g.runs[0].worker.Zone = domain
+	return g.runs[0]
+}
+
+// Guards against a gang that waits for the order loop of a worker whose failure domain is
+// evacuated, although no start of it was sent.
+func TestStartsThatWereNotSentAreWithdrawnWithTheirGang(t *testing.T) {
+	o, now, _ := newIdleOwner()
+	defer o.cancel()
+	*now = time.Minute
+	g := newStartingRun(o, "zone", 3).group
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.applyEvacuations(map[string]bool{"zone": true}, *now)
+	for i, task := range g.tasks() {
+		if task.Phase != workload.Pending || g.runs[i] != nil {
+			t.Errorf("task %d is %v, its run is %v", i, task.Phase, g.runs[i])
+		}
+	}
+}
