--- a/pkg/fleet/failuredomain.go
+++ b/pkg/fleet/failuredomain.go
@@ -26,7 +26,7 @@
 	// each poll, so this is also about the age at which the state is confirmed.
 	evacuationPollShare = 0.1
 	// evacuationMarginShare, and the drift of a worker's clock since it was last read, are
-	// left between the deadline of a start and the bound.
+	// left between the deadline of a start order and the bound.
 	evacuationMarginShare = 0.05
 	// minStartTTLShare is the least time for which a start order must be valid to be sent.
 	minStartTTLShare = 0.2
@@ -384,9 +384,8 @@
 	return false
 }
 
-// mayBringIntoService reports whether a standby machine may be fetched. While a failure domain
-// is evacuated, a machine of unknown failure domain may be one of it; while it is not known
-// whether one is, any machine may.
+// mayBringIntoService reports whether a standby machine may be fetched: it is certainly in no
+// evacuated failure domain. The domain of a machine is known from its workers only.
 func (o *Owner) mayBringIntoService(m Machine) bool {
 	if !o.evacuationsEnabled() {
 		return true
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -31,19 +31,19 @@
 	placementWait     prometheus.Histogram
 	events            *prometheus.CounterVec
 
-	jobsStanding     *prometheus.GaugeVec
-	jobsSuspect      *prometheus.GaugeVec
-	workers          *prometheus.GaugeVec
-	usedShare        *prometheus.GaugeVec
-	evacuatedDomains prometheus.Gauge
-	openWrites       prometheus.Gauge
-	oldestUnstored   prometheus.Gauge
-	queuedOrders     prometheus.Gauge
-	callsWaiting     *prometheus.GaugeVec
-	cycleDuration    *prometheus.HistogramVec
-	cycleGap         *prometheus.HistogramVec
-	takeover         *prometheus.HistogramVec
-	jobKnownAge      *prometheus.HistogramVec
+	jobsStanding   *prometheus.GaugeVec
+	jobsSuspect    *prometheus.GaugeVec
+	workers        *prometheus.GaugeVec
+	usedShare      *prometheus.GaugeVec
+	evacuated      prometheus.Gauge
+	openWrites     prometheus.Gauge
+	oldestUnstored prometheus.Gauge
+	queuedOrders   prometheus.Gauge
+	callsWaiting   *prometheus.GaugeVec
+	cycleDuration  *prometheus.HistogramVec
+	cycleGap       *prometheus.HistogramVec
+	takeover       *prometheus.HistogramVec
+	jobKnownAge    *prometheus.HistogramVec
 }
 
 // New returns a Set with its own registry; dropped returns the total number of
@@ -77,21 +77,21 @@
 		}),
 		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs, ended and ejected workers, suspect jobs, evacuations, withheld and deferred starts, standstills of the process.", "event"),
 
-		jobsStanding:     gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
-		workers:          gauges("workers", "Workers known to the owner by state.", "service", "state"),
-		jobsSuspect:      gauges("jobs_suspect", "Live jobs whose tasks fail on most workers that run them.", "service"),
-		usedShare:        gauges("service_used_share", "Share of the scarcest resource of a service's listed workers that is in use.", "service"),
-		evacuatedDomains: gauge("evacuated_domains", "Failure domains on whose workers no task may start."),
-		openWrites:       gauge("open_writes", "Batches of job progress that are being written."),
-		oldestUnstored:   gauge("oldest_unstored_change_seconds", "Age of the oldest change of job progress that is not stored."),
-		queuedOrders:     gauge("queued_orders", "Orders to workers that are queued."),
-		callsWaiting:     gauges("worker_calls_waiting", "Starts, and polls of workers that do not answer, that wait for others to end.", "kind"),
-		cycleDuration:    histogram("cycle_seconds", "Duration of a placement cycle."),
-		cycleGap:         histogram("cycle_gap_seconds", "Time between two placement cycles."),
-		takeover:         histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
-		jobKnownAge:      histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
+		jobsStanding:   gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
+		workers:        gauges("workers", "Workers known to the owner by state.", "service", "state"),
+		jobsSuspect:    gauges("jobs_suspect", "Live jobs whose tasks fail on most workers that run them.", "service"),
+		usedShare:      gauges("service_used_share", "Share of the scarcest resource of a service's listed workers that is in use.", "service"),
+		evacuated:      gauge("evacuated_domains", "Failure domains on whose workers no task may start."),
+		openWrites:     gauge("open_writes", "Batches of job progress that are being written."),
+		oldestUnstored: gauge("oldest_unstored_change_seconds", "Age of the oldest change of job progress that is not stored."),
+		queuedOrders:   gauge("queued_orders", "Orders to workers that are queued."),
+		callsWaiting:   gauges("worker_calls_waiting", "Starts, and polls of workers that do not answer, that wait for others to end.", "kind"),
+		cycleDuration:  histogram("cycle_seconds", "Duration of a placement cycle."),
+		cycleGap:       histogram("cycle_gap_seconds", "Time between two placement cycles."),
+		takeover:       histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
+		jobKnownAge:    histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
 	}
-	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.evacuatedDomains, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
+	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.evacuated, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.unansweredCalls, s.configAge, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
--- a/pkg/metrics/owner.go
+++ b/pkg/metrics/owner.go
@@ -42,7 +42,7 @@
 	for service, share := range g.UsedShare {
 		s.usedShare.WithLabelValues(service).Set(share)
 	}
-	s.evacuatedDomains.Set(float64(g.EvacuatedDomains))
+	s.evacuated.Set(float64(g.EvacuatedDomains))
 	s.openWrites.Set(float64(g.OpenWrites))
 	s.oldestUnstored.Set(g.OldestUnstored.Seconds())
 	s.queuedOrders.Set(float64(g.QueuedOrders))
