fleet: no frequent cycles for moves that an automation hold keeps back

During an evacuation with long-running tasks under an automation hold, the owner ran a whole cycle every 0.1 s: 201 in 20 s instead of 20 (trial of a review).

Cause: anyToMove counted tasks that may not be moved now.

Change: it reports none while automation is held or the rule is disabled.

Result: tests of evacuations pass.

--- a/pkg/fleet/failuredomain.go
+++ b/pkg/fleet/failuredomain.go
@@ -365,10 +365,10 @@
 	return g.spec().Tasks-left <= limit
 }
 
-// anyToMove reports whether a long-running task has to move from an evacuated failure domain;
-// the lock is held.
+// anyToMove reports whether a long-running task is to be moved from an evacuated failure
+// domain; the lock is held.
 func (o *Owner) anyToMove() bool {
-	if len(o.evacuations.domains) == 0 {
+	if len(o.evacuations.domains) == 0 || o.automationHeld() || !o.ruleEnabled(RuleEvacuationMove) {
 		return false
 	}
 	for _, w := range o.sortedWorkers() {
