--- a/internal/cluster/policy.go
+++ b/internal/cluster/policy.go
@@ -25,6 +25,9 @@
 // operator is the name of the administrator in the configuration document.
 const operator = "alice"
 
+// Token returns the token of a workspace.
+func Token(workspace string) string { return tokenOf(workspace) }
+
 func tokenOf(name string) string { return name + "-cluster-token" }
 
 // Policy returns a configuration document with the workspaces of both
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -66,6 +66,9 @@
 // Name returns the name of the process in the cluster.
 func (p *Process) Name() string { return p.name }
 
+// Log returns the path of the log file.
+func (p *Process) Log() string { return p.log }
+
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
