httplimit: bound the memory and the connections of clients outside the limits

Clients that sent large bodies just short of their end, whole, in pieces or in chunks, could end a process by lack of memory, and idle or slow connections took all descriptors, also those for the store and the workers.

Cause: every body was buffered without a common bound, the kernel buffered up to its own maximum for each connection, and connections were accepted up to the limit of descriptors.

Change: pkg/httplimit, used by carawayusher-node and carawayusherd for callers, probes and other VMs. Bodies in flight have a budget of an eighth of the memory, charged by twice the bytes read; a quarter of it is left for small bodies. Beyond it, incomplete bodies without progress for longest are answered 503 with Retry-After and their connection is closed. Bodies have a minimum rate after a grace of 5 s. A key, or an address without one, may have incomplete bodies on half of the connections. Listeners have a number of connections, at which the one that is incomplete or idle for longest is closed. Sockets have small receive and send buffers until another VM is authenticated. Calls that are being served by a node have an eighth of the descriptors, since they open connections of their own.

--- a/pkg/admin/request.go
+++ b/pkg/admin/request.go
@@ -99,6 +99,9 @@
 // body reads the request's body; one beyond MaxBodyBytes is too_large.
 func (r *request) body() ([]byte, error) {
 	data, err := io.ReadAll(r.Request.Body)
+	if errkind.Is(err, errkind.Unavailable) {
+		return nil, err // a limit of clients has ended the body
+	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.TooLarge, "the body cannot be read or exceeds %d bytes", MaxBodyBytes)
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -74,6 +74,8 @@
 	d := &Daemon{parts: p}
 	d.callers = newServer(p.callersHandler(d.ready), t)
 	d.peers = newServer(p.node.Handler(), t)
+	p.callersListener.Attach(d.callers)
+	p.peersListener.Attach(d.peers)
 	return d, nil
 }
 
--- a/pkg/daemon/http.go
+++ b/pkg/daemon/http.go
@@ -20,6 +20,10 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// maxStreams and streamBuffer bound what an HTTP/2 connection holds beside the bodies that
+	// are charged to the budget of the process.
+	maxStreams   = 32
+	streamBuffer = 64 << 10
 )
 
 // callersHandler joins the callers' and the operators' interfaces with the
@@ -48,6 +52,7 @@
 	return &http.Server{
 		Handler: h, TLSConfig: t, ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer},
 	}
 }
 
--- a/pkg/daemon/parts.go
+++ b/pkg/daemon/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"os"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/carawayusher/carawayusher/pkg/controlwatch"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/gate"
+	"github.com/carawayusher/carawayusher/pkg/httplimit"
 	"github.com/carawayusher/carawayusher/pkg/ingress"
 	"github.com/carawayusher/carawayusher/pkg/membership"
 	"github.com/carawayusher/carawayusher/pkg/ownership"
@@ -45,8 +47,8 @@
 	log      logr.Logger
 	registry *prometheus.Registry
 
-	callersListener net.Listener
-	peersListener   net.Listener
+	callersListener *httplimit.Listener
+	peersListener   *httplimit.Listener
 	self            membership.Member
 
 	vms     *vmCache
@@ -97,11 +99,16 @@
 // listen opens the listeners first, so that a port in use ends the start before
 // anything else has happened.
 func (d *parts) listen() error {
+	limits := httplimit.New(httplimit.Options{
+		Key: func(r *http.Request) string { return r.Header.Get("Authorization") },
+		Log: d.log.WithName("clients"), Registerer: d.registry,
+	})
+	limits.SetMaxBody(d.settings.Jobs.MaxBody)
 	var err error
-	if d.callersListener, err = net.Listen("tcp", d.settings.VM.Listen); err != nil {
+	if d.callersListener, err = limits.Listen(d.settings.VM.Listen, httplimit.Callers); err != nil {
 		return errkind.Wrap(err, errkind.InvalidConfig, "vm.listen %s", d.settings.VM.Listen)
 	}
-	if d.peersListener, err = net.Listen("tcp", d.settings.VM.PeerListen); err != nil {
+	if d.peersListener, err = limits.Listen(d.settings.VM.PeerListen, httplimit.Peers); err != nil {
 		_ = d.callersListener.Close() // the start has failed
 		return errkind.Wrap(err, errkind.InvalidConfig, "vm.peer_listen %s", d.settings.VM.PeerListen)
 	}
--- a/pkg/ingress/decode.go
+++ b/pkg/ingress/decode.go
@@ -25,6 +25,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, errkind.New(errkind.TooLarge, "the body exceeds the limit of %d bytes", limit)
 	}
+	if errkind.Is(err, errkind.Unavailable) {
+		return nil, err // a limit of clients has ended the body
+	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "the body could not be read")
 	}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -100,6 +100,14 @@
 // Handler returns the HTTP handler that serves the metrics to Prometheus.
 func (s *Set) Handler() http.Handler { return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}) }
 
+// Registerer registers further metrics of the process; it is nil if there is no Set.
+func (s *Set) Registerer() prometheus.Registerer {
+	if s == nil {
+		return nil
+	}
+	return s.registry
+}
+
 // Call counts an API call by a client and observes its duration.
 func (s *Set) Call(method, status string, took time.Duration) {
 	if s != nil {
