httplimit: bound the connections that wait to be accepted, and settings of the daemon

Cause: the kernel completes up to 4,096 connections before they are accepted and receives data for them, and a connection with open headers took 110 KB, not 64 KB.

Change: the backlog is a quarter of the listener's connections, at least 128; a connection of callers counts as 128 KiB; receive buffers are 8 KiB until a body has 64 KiB; a complete body is charged once instead of twice; served calls have a sixteenth of the descriptors, since a pool dials twice as many connections.

--- a/pkg/daemon/parts.go
+++ b/pkg/daemon/parts.go
@@ -100,6 +100,7 @@
 // anything else has happened.
 func (d *parts) listen() error {
 	limits := httplimit.New(httplimit.Options{
+		Memory: d.settings.Limits.Memory, Files: d.settings.Limits.MaxOpen,
 		Key: func(r *http.Request) string { return r.Header.Get("Authorization") },
 		Log: d.log.WithName("clients"), Registerer: d.registry,
 	})
--- a/pkg/httplimit/body.go
+++ b/pkg/httplimit/body.go
@@ -125,13 +125,16 @@
 // record counts what a read has returned; Limiter.mu is held.
 func (b *body) record(n int, err error) {
 	b.received += int64(n)
+	if b.received > largeBody && b.received-int64(n) <= largeBody {
+		b.conn.resize(bodyBuffer)
+	}
 	if b.received-b.counted >= progressBytes {
 		b.counted, b.progressAt = b.received, time.Now()
 	}
 	bytes := chargeFactor * int64(n)
 	switch {
 	case errors.Is(err, io.EOF):
-		b.limiter.hold(b, bytes) // even beyond the budget, since the request is whole
+		b.limiter.reduce(b, b.received) // even beyond the budget, since the request is whole
 		b.complete = true
 		b.limiter.remove(b)
 		b.conn.bodyRead()
@@ -181,6 +184,9 @@
 	l.release(b)
 	l.remove(b)
 	complete := b.complete
+	if complete && b.received > largeBody {
+		b.conn.resize(readBuffer)
+	}
 	if r.ProtoMajor == 1 {
 		b.conn.setBody(nil)
 	}
--- a/pkg/httplimit/limiter.go
+++ b/pkg/httplimit/limiter.go
@@ -34,13 +34,14 @@
 	// reserveShare is the part of the budget that is left for small bodies.
 	reserveShare = 4
 	// connectionBytes is what an incomplete connection takes at most: headers and their copies,
-	// buffers and stacks (60 KB measured with headers of 16,384 bytes) with its receive buffer.
-	connectionBytes = 64 << 10
+	// buffers, stacks and as much garbage (110 KB measured with headers of 16,384 bytes), with its
+	// receive buffer.
+	connectionBytes = 128 << 10
 	// callShare is the part of the descriptors for calls that are being served, since each of them
-	// may open a connection to the store or to another VM.
-	callShare = 8
-	// chargeFactor times its bytes is charged for a body: what reads it holds a copy while its
-	// buffer grows, and the decoded request afterwards.
+	// may open a connection to the store, and leave a second one that was dialed meanwhile.
+	callShare = 16
+	// chargeFactor times its bytes is charged for a body while it is read, as its reader copies it
+	// when its buffer grows. Afterwards its bytes are charged once, for the decoded request.
 	chargeFactor = 2
 	// smallBody is the size up to which a body may use the reserve. Ordinary submissions have a
 	// few kilobytes.
@@ -63,8 +64,11 @@
 	slowWrite = 3 * time.Second
 
 	// readBuffer and writeBuffer are the buffers of connections in the kernel, which doubles them
-	// for its own records. peerBuffer replaces both once another VM is authenticated.
-	readBuffer, writeBuffer = 16 << 10, 32 << 10
+	// for its own records. bodyBuffer replaces readBuffer while a body of more than largeBody is
+	// read, since fewer bytes in a round trip would make it slow. peerBuffer replaces both once
+	// another VM is authenticated.
+	readBuffer, writeBuffer = 8 << 10, 32 << 10
+	bodyBuffer, largeBody   = 32 << 10, 64 << 10
 	peerBuffer              = 256 << 10
 
 	// freeTimeout bounds the wait for the reader of a body that was ended; it only has to run.
@@ -176,7 +180,7 @@
 		case l.used+bytes <= limit || l.used <= b.charged: // a body alone is always read
 			l.hold(b, bytes)
 			return true
-		case l.used-l.ending+bytes > limit:
+		case l.used-l.ending+bytes > limit && l.used-l.ending > b.charged:
 			victim := l.stalest(b, func(o *body) bool { return o.charged > 0 })
 			if victim == nil {
 				return false
@@ -214,11 +218,16 @@
 	if b.charged == 0 {
 		return
 	}
-	l.used -= b.charged
 	if b.ended != "" {
 		l.ending -= b.charged
 	}
-	b.charged = 0
+	l.reduce(b, 0)
+}
+
+// reduce lowers the charge of a body; l.mu is held.
+func (l *Limiter) reduce(b *body, bytes int64) {
+	l.used -= b.charged - bytes
+	b.charged = bytes
 	close(l.freed)
 	l.freed = make(chan struct{})
 }
--- a/pkg/httplimit/listener.go
+++ b/pkg/httplimit/listener.go
@@ -33,6 +33,10 @@
 	// at once.
 	maxPeerConnections = 256
 	maxProbes          = 32
+	// minBacklog is above the number of other VMs that connect to a new owner at once.
+	minBacklog = 128
+	// maxPending bounds how many connections are asked for unread bytes before one is closed.
+	maxPending = 16
 )
 
 // maxConnections returns the number of connections of a class: callers have at most a half of
@@ -70,8 +74,13 @@
 	if err != nil {
 		return nil, err
 	}
+	tcp := inner.(*net.TCPListener)
+	if err := setBacklog(tcp, max(minBacklog, l.maxConnections(class)/4)); err != nil {
+		_ = tcp.Close() // it is not used
+		return nil, err
+	}
 	ln := &Listener{
-		TCPListener: inner.(*net.TCPListener), limiter: l, class: class, max: l.maxConnections(class), conns: map[*conn]struct{}{},
+		TCPListener: tcp, limiter: l, class: class, max: l.maxConnections(class), conns: map[*conn]struct{}{},
 	}
 	l.metrics.observe(ln)
 	return ln, nil
@@ -91,6 +100,20 @@
 	return err
 }
 
+// setBacklog bounds the connections that wait to be accepted. The kernel receives data for them,
+// and its default is 4,096.
+func setBacklog(ln *net.TCPListener, n int) error {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), n) })
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Attach makes a server, which must serve this listener only, apply the limits.
 func (ln *Listener) Attach(s *http.Server) {
 	s.Handler = ln.limiter.Handler(s.Handler)
@@ -121,6 +144,13 @@
 	defer ln.limiter.mu.Unlock()
 	if len(ln.conns) >= ln.max {
 		victim, reason := ln.victim(time.Now())
+		for range maxPending {
+			if victim == nil || !victim.pending() {
+				break
+			}
+			victim.since = time.Now()
+			victim, reason = ln.victim(victim.since)
+		}
 		ln.limiter.metrics.connections.WithLabelValues(string(ln.class), reason).Inc()
 		if victim == nil {
 			ln.limiter.logEnd(reason, c.RemoteAddr().String())
@@ -211,6 +241,21 @@
 	return c.since
 }
 
+// pending reports whether an idle connection has bytes that the server has not read yet, which
+// may be a whole request of an ordinary caller.
+func (c *conn) pending() bool {
+	if c.reading.Load() || c.writingSince.Load() != 0 {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // 0 if it fails
+	return err == nil && n > 0
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
@@ -272,6 +317,13 @@
 	}
 }
 
+// resize sets the receive buffer of the connection.
+func (c *conn) resize(bytes int) {
+	if c != nil {
+		_ = c.SetReadBuffer(bytes) // only slower without
+	}
+}
+
 // bodyRead records that a body was read to its end; Limiter.mu is held.
 func (c *conn) bodyRead() {
 	if c != nil {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -17,6 +17,7 @@
 	Log      Log
 	TLS      TLS
 	Drain    Drain
+	Limits   Limits
 }
 
 // VM says who this VM is and where it listens. Addresses are host:port.
@@ -97,3 +98,10 @@
 type Drain struct {
 	Timeout time.Duration
 }
+
+// Limits say what the machine has, from which the limits of clients are derived. Zero means
+// what the process finds.
+type Limits struct {
+	Memory  int64
+	MaxOpen int // descriptors
+}
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -150,5 +150,9 @@
 			func(s *Settings) *string { return &s.TLS.ClientCA }),
 		durationKey("drain.timeout", "30s", time.Second, 10*time.Minute, "Time that a graceful shutdown waits for open calls.",
 			func(s *Settings) *time.Duration { return &s.Drain.Timeout }),
+		sizeKey("limits.memory", "", 32<<20, 1<<40, "Memory from which the limits of clients are derived: an eighth for request bodies in flight, a quarter for callers' connections. Without it, the least of the machine's memory, the container's limit and GOMEMLIMIT.",
+			func(s *Settings) *int64 { return &s.Limits.Memory }),
+		countKey("limits.max_fds", "", "descriptors", 1<<20, "Descriptors of which callers' connections take at most a half and other VMs before their handshake an eighth. Without it, the limit of the process.",
+			func(s *Settings) *int { return &s.Limits.MaxOpen }),
 	}
 }
