httplimit: store nothing of a connection that was closed for a new one

A connection that is closed at the number of connections could have sent a whole request whose handler had not begun. The job was stored then though its caller got no response; and the 503 of a body that had just ended could be cut.

Cause: the connection was closed without ending its body, and an ended body counted as none.

Change: the body of a dropped connection ends, also one that is read from the buffer later; an ended body keeps its place until its response is written. Guarded by TestClosedConnectionIsNotRead.

--- a/pkg/httplimit/body.go
+++ b/pkg/httplimit/body.go
@@ -61,6 +61,9 @@
 	if r.ProtoMajor == 1 {
 		c.setBody(b)
 	}
+	if c != nil && c.dropped && b.ended == "" {
+		b.end(reasonStale) // its bytes may have been read already
+	}
 	if b.ended == "" {
 		// It also bounds the time in which the server discards what the handler has not read.
 		_ = b.deadlines.SetReadDeadline(b.deadline()) // a writer without deadlines has no connection
--- a/pkg/httplimit/limiter_test.go
+++ b/pkg/httplimit/limiter_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,6 +164,19 @@
 	}
 }
 
+// Guards against storing a request, whose bytes had all arrived, after its connection was closed
+// without a response.
+func TestClosedConnectionIsNotRead(t *testing.T) {
+	l := newTestLimiter()
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("whole"))
+	r = r.WithContext(context.WithValue(r.Context(), connKey{}, &conn{dropped: true}))
+	l.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); !errkind.Is(err, errkind.Unavailable) {
+			t.Errorf("the body is read: %v", err)
+		}
+	})).ServeHTTP(httptest.NewRecorder(), r)
+}
+
 // Guards against a minimum rate that a client inside the limits meets, and against none.
 func TestMinimumRate(t *testing.T) {
 	l := newTestLimiter()
--- a/pkg/httplimit/listener.go
+++ b/pkg/httplimit/listener.go
@@ -187,14 +187,19 @@
 }
 
 // drop closes a connection. One whose request body is incomplete is answered first, unless
-// many such answers are under way.
+// many such answers are under way. Either way, what it has sent is not stored.
 func (ln *Listener) drop(c *conn) {
 	delete(ln.conns, c)
-	if c.body != nil && c.body.ended == "" && ln.closing < ln.max/8 {
-		c.closing = true
-		ln.closing++
-		c.body.end(reasonStale)
-		return
+	c.dropped = true
+	if c.body != nil {
+		if c.body.ended == "" {
+			c.body.end(reasonStale)
+		}
+		if ln.closing < ln.max/8 {
+			c.closing = true
+			ln.closing++
+			return
+		}
 	}
 	if c.writingSince.Load() != 0 {
 		_ = c.SetLinger(0) // the kernel drops what the client does not read
@@ -230,6 +235,7 @@
 	requests int       // that were read to their end and are being served
 	since    time.Time // when it became idle, or the first bytes of a request arrived
 	body     *body     // that is being read with HTTP/1, which has one request at a time
+	dropped  bool      // closed in favour of another one
 	closing  bool      // counted in Listener.closing
 }
 
@@ -313,7 +319,7 @@
 // setBody sets the body that is being read; Limiter.mu is held.
 func (c *conn) setBody(b *body) {
 	if c != nil {
-		c.body = b
+		c.body, c.since = b, time.Now()
 	}
 }
 
