shortage: stop work for urgent groups only where waiting would be too late

An urgent group preempted at once, within its guarantee at any cost, also if the capacity was about to be free or if the same job had been stopped just before.

Change: where bounds.reclaim_ms is set, a group waits for ends of runs that are predicted within half of its slack, keeps that capacity, and within a guarantee stops at any cost only 1.4 s before the bound (a stop takes up to 0.9 s); for separate tasks all at once. Victims cost the work lost times one more than the earlier preemptions of their job; after three, or within 1 s of their end, they are a last resort and are spared by work outside guarantees. Both rules can be disabled.

--- a/pkg/explain/standing.go
+++ b/pkg/explain/standing.go
@@ -26,6 +26,7 @@
 	"no_capacity":    "no worker had enough free capacity",
 	"fragmented":     "the free capacity was spread over too many workers",
 	"unschedulable":  "capacity was free only on workers that accept no tasks; look at the states of workers",
+	"awaiting_ends":  "runs that end soon were about to free its capacity, so that nothing was stopped for it",
 	"kept_for_stops": "the free capacity was kept for other work that waited for stops",
 	"reserved":       "the free capacity was reserved for a waiting gang",
 	"headroom":       "the free capacity was kept for urgent work",
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -32,6 +32,7 @@
 	jobs       map[string]*workload.Job
 	outcomeFor func(workload.TaskID, int64) Outcome
 	delay      time.Duration
+	stopTime   time.Duration // how long a run takes to stop
 
 	violations         []string
 	rejectedStarts     int
@@ -63,7 +64,7 @@
 // NewWithEncoder is New with a custom encoding of the entries and custom addresses.
 func NewWithEncoder(store platform.Transactor, n, perRack int, capacity workload.Resources, encoder Encoder, address func(int) string) *Fleet {
 	f := &Fleet{
-		store: store, encode: encoder, delay: callDelay, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
+		store: store, encode: encoder, delay: callDelay, stopTime: stopGrace / 2, workers: map[string]*Worker{}, jobs: map[string]*workload.Job{},
 		outcomeFor: func(workload.TaskID, int64) Outcome { return Outcome{Duration: time.Second} },
 		starts:     map[workload.TaskID]int{}, running: map[workload.TaskID]int{}, doneAcked: map[workload.TaskID]bool{}, repeated: map[taskRun]string{}, listedEnds: defaultListedEnds, failed: map[workload.TaskID][]*failedEnd{},
 		gangs: map[gangRun]map[*activeRun]*Worker{}, ledger: newLedger(),
@@ -133,6 +134,13 @@
 	f.delay = d
 }
 
+// SetStopTime sets how long a run takes to stop.
+func (f *Fleet) SetStopTime(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopTime = d
+}
+
 // SetListedEnds sets how many unacknowledged ends a worker lists at a time.
 func (f *Fleet) SetListedEnds(n int) {
 	f.mu.Lock()
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -193,7 +193,7 @@
 		return fleet.Accepted
 	}
 	r.stopping = true
-	time.AfterFunc(stopGrace/2, func() {
+	time.AfterFunc(w.fleet.stopTime, func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
 		w.fleet.endGang(w, r, fleet.EndStopped)
--- a/pkg/fleet/guarantee.go
+++ b/pkg/fleet/guarantee.go
@@ -33,7 +33,7 @@
 		for i := range waiting {
 			if waiting[i].priority == 0 && waiting[i].group.job.Workspace == ws.Name {
 				waiting[i].withinGuarantee = true
-				waiting[i].reclaims = now-waiting[i].group.readySince >= guaranteeDelay
+				waiting[i].reclaims = now-waiting[i].group.readySince >= guaranteeDelay || (o.mayAwaitEnds(waiting[i]) && o.reclaimDue(waiting[i], now))
 			}
 		}
 	}
--- a/pkg/fleet/health_test.go
+++ b/pkg/fleet/health_test.go
@@ -140,6 +140,7 @@
 		"placed, but nothing runs":      {false, planned(placement.Placed, ""), reasonStartFailed, -1},
 		"victims stop":                  {false, planned(placement.Preempting, ""), reasonAwaitingStops, -1},
 		"others stop":                   {false, planned(placement.AwaitingStops, ""), reasonAwaitingStops, -1},
+		"others end soon":               {false, planned(placement.AwaitingEnds, ""), reasonAwaitingEnds, -1},
 		"blocked":                       {false, planned(placement.Blocked, ""), reasonBlocked, -1},
 		"blocked by headroom":           {false, planned(placement.Blocked, placement.Headroom), "headroom", -1},
 		"headroom earlier":              {false, both(planned(placement.Blocked, placement.Headroom), planned(placement.Blocked, "")), "headroom", -1},
@@ -173,7 +174,7 @@
 // Guards against a reason that explain prints as its bare code.
 func TestEveryReasonIsExplained(t *testing.T) {
 	reasons := []standingReason{
-		reasonNotStored, reasonStarting, reasonStopping, reasonUncertain, reasonSilent, reasonAdopted, reasonFormerRun, reasonStartFailed, reasonNotPlanned, reasonAwaitingStops, reasonBlocked,
+		reasonNotStored, reasonStarting, reasonStopping, reasonUncertain, reasonSilent, reasonAdopted, reasonFormerRun, reasonStartFailed, reasonNotPlanned, reasonAwaitingStops, reasonAwaitingEnds, reasonBlocked,
 	}
 	for _, r := range []placement.Reason{
 		placement.NoCapacity, placement.Fragmented, placement.Unschedulable, placement.KeptForStops, placement.Reserved, placement.Headroom, placement.Ejected, placement.SingleRack,
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -102,6 +102,9 @@
 	MaxWorkerLease      time.Duration // longest lease that a worker accepts; 0: unknown
 	CheckpointIntervalS float64       // seconds of work between checkpoints
 	RemoteSlowdown      float64       // factor of the run time of a task away from its data
+	// ReclaimBound is the time from its acceptance within which the first step of an urgent
+	// job within its workspace's guarantee must start; 0: not known, it preempts at once.
+	ReclaimBound time.Duration
 	// Machines, Waves and Advice are nil if the platform does not offer them.
 	Machines            MachineClient
 	Waves               WaveStore
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/placement"
+	"github.com/carawayusher/carawayusher/pkg/shortage"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -25,6 +26,9 @@
 	// destroy by preemption, in multiples of its own work. A higher bound brings
 	// callers no further gain; docs/measurements.md compares the bounds.
 	maxStopCostRatio = 2.0
+	// maxReclaimCostRatio is the same bound for a group within its guarantee as long as its
+	// start is not due: its caller loses more by a late end than others lose by the same work.
+	maxReclaimCostRatio = 4.0
 	// exclusionPeriod is how long a group that fits nowhere else is kept off the
 	// workers on which it failed.
 	exclusionPeriod = time.Second
@@ -44,6 +48,8 @@
 	criticalPath    time.Duration // expected run time from this step to the end of the job
 	slack           time.Duration // time left until targetEnd, less criticalPath
 	lateness        int           // 0: can end in time, 1: late, 2: too late to be of value
+	lateSlack       time.Duration // time left until the job is of no value, less criticalPath
+	startBy         time.Duration // when it should have started if it is within a guarantee; 0 if there is no bound
 	withinGuarantee bool          // urgent, and its workspace's urgent jobs fit into the guarantee
 	reclaims        bool          // within its guarantee, and takes back what urgent work of others borrows
 }
@@ -159,10 +165,12 @@
 	allowed := o.targetDuration(g.job)
 	c.targetEnd = start + allowed
 	c.slack = c.targetEnd - c.criticalPath - now
+	c.lateSlack = start + lateFactor*allowed - c.criticalPath - now
+	c.startBy = o.startBy(g, start)
 	switch {
 	case c.slack >= 0:
 		c.lateness = 0
-	case start+lateFactor*allowed-c.criticalPath >= now:
+	case c.lateSlack >= 0:
 		c.lateness = 1
 	default:
 		c.lateness = 2
@@ -190,6 +198,7 @@
 type victim struct {
 	group *taskGroup
 	run   *run // nil for a gang
+	cost  shortage.Victim
 }
 
 // stop orders the victim's runs to stop; the lock is held.
@@ -254,7 +263,8 @@
 			if r.phase == phaseStopping || r.phase == phaseUncertain {
 				continue
 			}
-			p.runs = append(p.runs, placement.Run{Group: o.addToVictim(p, r, now), Demand: r.demand, EndsIn: o.remainingRunTime(r, now)})
+			endsIn, known := o.expectedEnd(r, now)
+			p.runs = append(p.runs, placement.Run{Group: o.addToVictim(p, r, endsIn, known, now), Demand: r.demand, EndsIn: endsIn, EndUnknown: !known})
 		}
 		// The planner may append runs; the capacity limit keeps it from overwriting those
 		// of the next worker.
@@ -262,6 +272,7 @@
 		s.Workers = append(s.Workers, pw)
 		p.workers = append(p.workers, w)
 	}
+	o.setStopCosts(p)
 	p.Planner = placement.New(*s)
 	return p
 }
@@ -287,8 +298,9 @@
 
 // addToVictim adds a run to its unit of preemption in the snapshot and returns the
 // index of that unit.
-func (o *Owner) addToVictim(p *servicePlanner, r *run, now time.Duration) int {
+func (o *Owner) addToVictim(p *servicePlanner, r *run, endsIn time.Duration, endKnown bool, now time.Duration) int {
 	v, mark := victim{group: r.group, run: r}, &r.victimPos
+	v.cost.EndKnown = true
 	if r.group.spec().Gang {
 		v.run, mark = nil, &r.group.victimPos
 	}
@@ -300,7 +312,10 @@
 		})
 	}
 	g := &p.snapshot.Groups[mark.index]
-	g.StopCost += o.runStopCost(r, now)
+	cost := &p.victims[mark.index].cost
+	cost.Lost += o.runStopCost(r, now)
+	cost.Cores += r.demand.CoreEquivalents()
+	cost.EndsIn, cost.EndKnown = max(cost.EndsIn, endsIn), cost.EndKnown && endKnown
 	g.NonPreemptible = g.NonPreemptible || r.phase != phaseRunning
 	return mark.index
 }
@@ -333,9 +348,14 @@
 		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst, o.opts.RemoteSlowdown
 	}
 	if !o.automationHeld() {
-		r.MaxStopCost = o.maxStopCost(c)
+		r.MaxStopCost = o.maxStopCost(c, now)
 		r.MayPreempt = r.MaxStopCost > 0
-		r.MayStopBorrowed = c.reclaims && o.ruleEnabled(RuleGuarantee)
+		r.MayStopLastResort = c.withinGuarantee && o.ruleEnabled(RuleGuarantee)
+		r.MayStopBorrowed = c.reclaims && o.ruleEnabled(RuleGuarantee) && o.reclaimDue(c, now)
+		if o.mayAwaitEnds(c) {
+			r.MayWait = c.urgency(now).MayWait()
+			r.PreemptAll, r.KeepEarliest = c.withinGuarantee && o.reclaimDue(c, now), c.withinGuarantee && spec.Gang
+		}
 	}
 	if o.needsTickets(g) {
 		r.EligibleWorkers = o.ticketHolders(g, now)
@@ -345,16 +365,26 @@
 
 // maxStopCost returns how much work, in core-seconds, may be thrown away in favor of a
 // group; 0 if it may not preempt.
-func (o *Owner) maxStopCost(c pendingGroup) float64 {
+func (o *Owner) maxStopCost(c pendingGroup, now time.Duration) float64 {
 	switch {
-	case c.withinGuarantee && o.ruleEnabled(RuleGuarantee):
+	case c.withinGuarantee && o.ruleEnabled(RuleGuarantee) && o.reclaimDue(c, now):
 		return math.Inf(1)
+	case c.withinGuarantee && o.ruleEnabled(RuleGuarantee):
+		if c.lateness > 0 {
+			return 0 // a stop does not help its caller before the start is due
+		}
+		return maxReclaimCostRatio * c.pendingWork()
 	case c.priority == 0 && c.lateness < 2 && o.ruleEnabled(RulePreemption):
-		return maxStopCostRatio * c.group.spec().Demand().CoreEquivalents() * c.expectedRunTime.Seconds() * float64(len(c.pending))
+		return maxStopCostRatio * c.pendingWork()
 	}
 	return 0
 }
 
+// pendingWork returns the expected work of the pending tasks in core-seconds.
+func (c *pendingGroup) pendingWork() float64 {
+	return c.group.spec().Demand().CoreEquivalents() * c.expectedRunTime.Seconds() * float64(len(c.pending))
+}
+
 // placeGroup plans one group and carries out the outcome: it assigns workers, preempts
 // victims or requests advice. It returns 1 if it made a reservation for a blocked gang.
 func (o *Owner) placeGroup(p *servicePlanner, c pendingGroup, now time.Duration, mayReserve bool) int {
@@ -378,18 +408,14 @@
 	case placement.Placed:
 		o.assign(p, c, outcome, now)
 	case placement.Preempting:
-		for _, n := range outcome.Victims {
-			v := p.victims[n]
-			o.opts.Metrics.Event("preemption")
-			o.opts.Log.Info("preempted for urgent work", "job", v.group.job.ID, "for", g.job.ID,
-				"entitled", c.withinGuarantee, "waitedMS", waited.Milliseconds())
-			v.stop(o, "preempted")
-		}
+		o.stopVictims(p, c, outcome.Victims, waited)
 	case placement.Blocked:
 		o.logWaiting(p, c, waited, now)
 		if request.Reserve && spec.Gang {
 			return 1
 		}
+	case placement.AwaitingEnds:
+		o.opts.Metrics.Event("preemption_deferred")
 	case placement.AwaitingStops:
 	}
 	return 0
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -28,6 +28,13 @@
 	RuleFailedWorkersLast
 	// RuleLearnedRunTimes corrects declared run times by those observed.
 	RuleLearnedRunTimes
+	// RulePreemptionWait stops nothing for urgent work while the capacity that it needs
+	// becomes free in time by itself, and, within a guarantee, stops work at any cost only
+	// where the start would otherwise be too late.
+	RulePreemptionWait
+	// RuleVictimCost chooses victims by the work lost, the capacity that a stop idles, the
+	// number of earlier stops of their jobs and how soon they end anyway.
+	RuleVictimCost
 )
 
 // ruleEnabled reports whether a rule is in force.
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -51,6 +51,7 @@
 	reasonStartFailed   standingReason = "start_failed"   // the latest start was not accepted
 	reasonNotPlanned    standingReason = "not_planned"    // no cycle has tried to place the group lately
 	reasonAwaitingStops standingReason = "awaiting_stops" // runs are being stopped for it
+	reasonAwaitingEnds  standingReason = "awaiting_ends"  // runs that end soon free its capacity
 	reasonBlocked       standingReason = "blocked"        // not placed; why has not been computed
 )
 
@@ -245,6 +246,8 @@
 		return reasonStartFailed, nil
 	case placement.AwaitingStops, placement.Preempting:
 		return reasonAwaitingStops, nil
+	case placement.AwaitingEnds:
+		return reasonAwaitingEnds, nil
 	case placement.Blocked:
 	}
 	if g.planned.reason == "" {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -103,6 +103,7 @@
 	progressVersion int64          // version of the progress key; 0 if absent
 	storedState     workload.State // state in the stored progress record
 	acceptedAt      time.Duration  // on the owner's clock
+	preemptions     int            // decisions that stopped runs of the job for urgent work; at takeover an upper bound
 	lastRanAt       time.Duration  // when a run of the job was last known to be running; the takeover for an adopted job
 
 	cancelRequested   bool
@@ -146,6 +147,8 @@
 				if t.Phase == workload.Done {
 					g.doneTasks++
 				}
+				// Runs that neither failed nor are the newest were stopped, mostly for urgent work.
+				out.preemptions = max(out.preemptions, int(t.Run)-t.Failures-1)
 				if g.attemptsExhausted(t.Failures) {
 					out.pendingFinalState = workload.Failed
 				}
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -27,6 +27,9 @@
 	// Preempting: the request fits once the victims have been stopped; the capacity is
 	// kept for it.
 	Preempting
+	// AwaitingEnds: the request is expected to fit within MayWait as runs end; the capacity
+	// is kept for it.
+	AwaitingEnds
 	// Blocked: the request does not fit; a reservation may have been made.
 	Blocked
 )
@@ -36,6 +39,8 @@
 	Group  int // index into Snapshot.Groups
 	Demand workload.Resources
 	EndsIn time.Duration // expected remaining run time; 0 when it is overdue
+	// EndUnknown means that EndsIn is too uncertain to rely on the end, as for an overdue run.
+	EndUnknown bool
 }
 
 // Group is a set of runs that is stopped as a whole: a gang, or a single run.
@@ -43,6 +48,7 @@
 	Priority       int
 	StopCost       float64 // value of the work lost when the group is stopped
 	NonPreemptible bool    // never chosen as a victim
+	LastResort     bool    // a victim only of requests with MayStopLastResort, if others do not suffice
 	Borrowed       bool    // urgent work on capacity beyond the guarantee of its workspace
 }
 
@@ -99,6 +105,16 @@
 	MayPreempt        bool
 	// MaxStopCost bounds the total StopCost of the victims.
 	MaxStopCost float64
+	// MayWait is how long the request may wait for runs to end before others are preempted.
+	MayWait time.Duration
+	// KeepEarliest keeps the capacity on which the blocked request is expected to fit earliest,
+	// so that work behind it cannot take what becomes free.
+	KeepEarliest bool
+	// PreemptAll preempts for all separate tasks at once, and otherwise for one at a time.
+	PreemptAll bool
+	// MayStopLastResort allows victims with LastResort if others of lesser priority do not
+	// suffice.
+	MayStopLastResort bool
 	// MayStopBorrowed allows victims of the same priority that use borrowed capacity, if
 	// those of lesser priority do not suffice.
 	MayStopBorrowed bool
@@ -161,6 +177,9 @@
 	if r.MayUseEjected && p.anyEjected {
 		strict := r
 		strict.MayUseEjected, strict.Reserve, strict.Explain = false, false, false
+		if r.MayWait > 0 {
+			strict.MayPreempt = false // an ejected worker with free capacity is better than a wait
+		}
 		if outcome := p.place(strict); outcome.Code != Blocked {
 			return outcome
 		}
@@ -188,19 +207,19 @@
 	}
 	if chosen != nil {
 		p.allocate(r, chosen, false)
+		if victims := p.preemptForRest(r, chosen, scopes); victims != nil {
+			return Outcome{Code: Preempting, Victims: victims}
+		}
 		return Outcome{Code: AwaitingStops}
 	}
 	if multiRack {
 		scopes = append(slices.Clone(p.racks), p.allWorkers)
 	}
 	if r.MayPreempt {
-		lesser := r
-		lesser.MayStopBorrowed = false
-		victims := p.preempt(lesser, scopes)
-		if victims == nil && r.MayStopBorrowed {
-			victims = p.preempt(r, scopes)
+		if r.MayWait > 0 && p.keepEarliest(r, scopes, r.MayWait, true) {
+			return Outcome{Code: AwaitingEnds}
 		}
-		if victims != nil {
+		if victims := p.preemptLesserFirst(r, scopes); victims != nil {
 			return Outcome{Code: Preempting, Victims: victims}
 		}
 	}
@@ -208,7 +227,10 @@
 	if r.Explain {
 		outcome.Reason = p.blockedReason(r, multiRack)
 	}
-	if r.Reserve && r.Gang {
+	switch {
+	case r.KeepEarliest:
+		p.keepEarliest(r, scopes, math.MaxInt64, false)
+	case r.Reserve && r.Gang:
 		p.reserve(r, scopes)
 	}
 	return outcome
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +10,65 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
+// preemptLesserFirst preempts work of lesser priority or, if that does not suffice and the
+// request allows it, also work that is a last resort, and then work that uses borrowed capacity.
+func (p *Planner) preemptLesserFirst(r Request, scopes [][]int) []int {
+	lesser := r
+	lesser.MayStopBorrowed, lesser.MayStopLastResort = false, false
+	victims := p.preempt(lesser, scopes)
+	if victims == nil && r.MayStopLastResort {
+		lesser.MayStopLastResort = true
+		victims = p.preempt(lesser, scopes)
+	}
+	if victims == nil && r.MayStopBorrowed {
+		victims = p.preempt(r, scopes)
+	}
+	return victims
+}
+
+// preemptForRest preempts for the separate tasks for which pending stops do not suffice, if
+// the request asks for all of them; chosen are the workers of the others.
+func (p *Planner) preemptForRest(r Request, chosen []int, scopes [][]int) []int {
+	if !r.MayPreempt || !r.PreemptAll || len(chosen) == r.Count {
+		return nil
+	}
+	r.Count -= len(chosen)
+	if r.MaxPerWorker > 0 {
+		running := maps.Clone(r.RunningPerWorker)
+		if running == nil {
+			running = map[string]int{}
+		}
+		for _, i := range chosen {
+			running[p.workers[i].ID]++
+		}
+		r.RunningPerWorker = running
+	}
+	return p.preemptLesserFirst(r, scopes)
+}
+
+// keepEarliest keeps the capacity on which all tasks of the request are expected to fit
+// earliest without a preemption, if that is within a time; it reports whether it is. With
+// reliable it does not count on runs whose end is unknown.
+func (p *Planner) keepEarliest(r Request, scopes [][]int, within time.Duration, reliable bool) bool {
+	best, bestAt := p.earliestScope(r, scopes, reliable)
+	if best == nil || bestAt > within {
+		return false
+	}
+	p.allocate(r, best, false)
+	return true
+}
+
+// earliestScope returns the workers of the scope in which all tasks fit earliest, and the time
+// from which they fit.
+func (p *Planner) earliestScope(r Request, scopes [][]int, reliable bool) (best []int, bestAt time.Duration) {
+	for _, scope := range scopes {
+		if chosen, at := p.earliestFit(r, scope, reliable); chosen != nil && (best == nil || at < bestAt) {
+			best, bestAt = chosen, at
+		}
+	}
+	return best, bestAt
+}
+
 // preempt finds the cheapest groups to stop so that the request fits into one of the
 // scopes, allocates that capacity, and returns the groups; nil if there are none.
 func (p *Planner) preempt(r Request, scopes [][]int) []int {
@@ -65,6 +125,9 @@
 
 // mayStop reports whether the request goes before a group.
 func (r *Request) mayStop(g *Group) bool {
+	if g.LastResort && !r.MayStopLastResort {
+		return false
+	}
 	return g.Priority > r.Priority || (r.MayStopBorrowed && g.Borrowed && g.Priority == r.Priority)
 }
 
@@ -160,11 +223,11 @@
 }
 
 // chooseVictims places the tasks one by one on the worker with the lowest stop cost;
-// of separate tasks it places only one. Once a gang is a victim, its capacity on all of
+// of separate tasks it places only one, or with PreemptAll as many as it can. Once a gang is a victim, its capacity on all of
 // its workers is free to use. It fails if the total cost exceeds the limit.
 func (e *evictor) chooseVictims(scope []int, limit float64) (eviction, bool) {
 	needed := e.r.Count
-	if !e.r.Gang {
+	if !e.r.Gang && !e.r.PreemptAll {
 		needed = 1
 	}
 	e.beginScope(scope)
@@ -173,6 +236,9 @@
 	for len(found.workers) < needed {
 		at := e.cheapestPosition()
 		if at < 0 || found.cost+e.costs[at] > limit {
+			if !e.r.Gang && len(found.workers) > 0 {
+				break
+			}
 			return eviction{}, false
 		}
 		worker := scope[at]
@@ -316,12 +382,7 @@
 // reserve makes reservations on the workers on which the gang fits earliest. Later
 // requests use that capacity only for tasks that end before the reservation starts.
 func (p *Planner) reserve(r Request, scopes [][]int) {
-	best, bestAt := []int(nil), time.Duration(math.MaxInt64)
-	for _, scope := range scopes {
-		if chosen, at := p.earliestFit(r, scope); chosen != nil && at < bestAt {
-			best, bestAt = chosen, at
-		}
-	}
+	best, bestAt := p.earliestScope(r, scopes, false)
 	for _, i := range best {
 		w := &p.workers[i]
 		w.reservations = append(w.reservations, reservation{from: bestAt, demand: r.Demand})
@@ -334,13 +395,13 @@
 	at     time.Duration
 }
 
-// earliestFit returns the workers of a scope on which the gang fits earliest, and the
-// time from which it fits.
-func (p *Planner) earliestFit(r Request, scope []int) ([]int, time.Duration) {
+// earliestFit returns the workers of a scope on which all tasks fit earliest, and the
+// time from which they fit. With reliable it does not count on runs whose end is unknown.
+func (p *Planner) earliestFit(r Request, scope []int, reliable bool) ([]int, time.Duration) {
 	var slots []slot
 	for _, i := range scope {
 		if w := &p.workers[i]; p.usable(r, w) {
-			slots = p.appendSlots(slots, r, i)
+			slots = p.appendSlots(slots, r, i, reliable)
 		}
 	}
 	if len(slots) < r.Count {
@@ -354,7 +415,7 @@
 	return chosen, slots[r.Count-1].at
 }
 
-func (p *Planner) appendSlots(slots []slot, r Request, i int) []slot {
+func (p *Planner) appendSlots(slots []slot, r Request, i int, reliable bool) []slot {
 	w := &p.workers[i]
 	p.sortRuns(w)
 	free, at, next := p.unreserved(w), time.Duration(0), 0
@@ -368,7 +429,9 @@
 		if next == len(w.Runs) {
 			break
 		}
-		free, at = free.Add(w.Runs[next].Demand), max(at, w.Runs[next].EndsIn)
+		if run := w.Runs[next]; !reliable || !run.EndUnknown {
+			free, at = free.Add(run.Demand), max(at, run.EndsIn)
+		}
 		next++
 	}
 	return slots
