shortage: let a workspace that floods a service delay itself

Cause: under a lasting shortage the order by slack gives each workspace capacity in proportion to what it sends, so that one workspace takes the others' value, and nothing protects the largest jobs of a kind.

Change: while the demand of a service has exceeded its capacity for 2 s, and until it has not for 3 s, groups of a priority within 1.5 times the fair part of their workspace go first; guarantees count first, the rest is divided in proportion to them. Large jobs of a kind whose largest tenth is served less than 0.6 times as often as the kind go first among these. Without a shortage the order is unchanged. RuleShortageOrder can be disabled.

Ordering by need, as first intended, was worse than by slack (docs/design/shortage.md). pkg/shortage passes with -race, of pkg/fleet the tests of guarantees and of this order.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -141,6 +141,9 @@
 			}
 		}
 	}
+	if s == workload.Completed {
+		o.recordOutcome(j, o.opts.Clock()-j.acceptedAt <= lateFactor*o.targetDuration(j))
+	}
 	j.progress.State = s
 	j.progress.FinishedUnixMS = o.opts.Now().UnixMilli()
 	o.markDirty(j)
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -133,6 +133,7 @@
 	age := o.opts.Now().UnixMilli() - record.AcceptedUnixMS
 	j.acceptedAt = o.opts.Clock() - time.Duration(max(0, age))*time.Millisecond
 	o.jobs[id] = j
+	o.kindOf(j).AddSize(o.work(record))
 	if !j.HasDueTimes() {
 		o.recordUrgentArrival(j, j.acceptedAt)
 	}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -10,6 +10,7 @@
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/metrics"
+	"github.com/carawayusher/carawayusher/pkg/shortage"
 	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
@@ -33,15 +34,17 @@
 	jobs            map[string]*job
 	live            map[string]*job // jobs whose progress has no final state yet
 	workers         map[string]*worker
-	workersByID     []*worker                  // workers by ID; nil after a change of the set
-	planners        map[string]*servicePlanner // by service name
-	cycles          int64                      // placement cycles so far
-	borrowed        map[*taskGroup]bool        // urgent work beyond a guarantee, in this cycle; nil if none has to give way
-	cordoned        map[string]bool            // machines whose workers get no new tasks
-	lastScanAt      time.Duration              // last scan of all runs and worker leases; 0 forces a scan
-	dirty           map[*job]struct{}          // jobs whose progress has to be written
-	learnedRunTimes map[string]*learnedRunTime // by queue
-	urgentDemand    map[string]*urgentDemand   // by service
+	workersByID     []*worker                   // workers by ID; nil after a change of the set
+	planners        map[string]*servicePlanner  // by service name
+	cycles          int64                       // placement cycles so far
+	borrowed        map[*taskGroup]bool         // urgent work beyond a guarantee, in this cycle; nil if none has to give way
+	cordoned        map[string]bool             // machines whose workers get no new tasks
+	lastScanAt      time.Duration               // last scan of all runs and worker leases; 0 forces a scan
+	dirty           map[*job]struct{}           // jobs whose progress has to be written
+	learnedRunTimes map[string]*learnedRunTime  // by queue
+	urgentDemand    map[string]*urgentDemand    // by service
+	kinds           map[string]*shortage.Kind   // by queue
+	shortages       map[string]*serviceShortage // by service
 	nextCleanupAt   time.Duration
 	adviceRequests  chan adviceRequest
 	automationHold  atomic.Bool // operators have suspended all automatic actions
@@ -84,6 +87,7 @@
 		validity: newLeaseValidity(acquired.validUntil),
 		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
+		kinds: map[string]*shortage.Kind{}, shortages: map[string]*serviceShortage{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), contactSlots: make(chan struct{}, maxOpenContacts),
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -68,6 +68,9 @@
 	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
 	o.explained = 0
+	if o.ruleEnabled(RuleShortageOrder) {
+		o.orderUnderShortage(waiting, now)
+	}
 	reservations := 0
 	for _, c := range waiting {
 		service := o.serviceOf(c.group.job)
@@ -123,6 +126,9 @@
 				g.ready, g.readySince, g.stopsWait, g.stopsWaitFrom = true, now, 0, 0
 			}
 			if c, ok := o.pendingGroupOf(g, now, unixMS); ok {
+				if c.lateness > 1 {
+					o.recordOutcome(j, false)
+				}
 				waiting = append(waiting, c)
 			}
 		}
@@ -220,7 +226,7 @@
 	workers  []*worker
 	victims  []victim // by index of the snapshot's groups
 
-	capacity          workload.Resources // of all workers that accept tasks
+	capacity, used    workload.Resources // of all workers that accept tasks, and what runs on them
 	listed, answering serviceUse         // of the listed workers, and of those that answer
 	headroomKept      bool
 }
@@ -234,7 +240,7 @@
 		o.planners[service] = p
 	}
 	p.cycle, p.headroomKept = o.cycles, false
-	p.capacity, p.listed, p.answering = workload.Resources{}, serviceUse{}, serviceUse{}
+	p.capacity, p.used, p.listed, p.answering = workload.Resources{}, workload.Resources{}, serviceUse{}, serviceUse{}
 	s := &p.snapshot
 	s.Workers, s.Groups, p.runs, p.workers, p.victims = s.Workers[:0], s.Groups[:0], p.runs[:0], p.workers[:0], p.victims[:0]
 	for _, w := range o.sortedWorkers() {
@@ -250,7 +256,7 @@
 			Penalty:     o.penalty(w),
 		}
 		if pw.Schedulable {
-			p.capacity = p.capacity.Add(w.Capacity)
+			p.capacity, p.used = p.capacity.Add(w.Capacity), p.used.Add(all)
 		}
 		if w.listed {
 			p.listed.add(w, all)
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -35,6 +35,9 @@
 	// RuleVictimCost chooses victims by the work lost, the capacity that a stop idles, the
 	// number of earlier stops of their jobs and how soon they end anyway.
 	RuleVictimCost
+	// RuleShortageOrder orders the waiting groups of a priority by what callers lose and by the
+	// workspaces' shares while the demand of a service exceeds its capacity.
+	RuleShortageOrder
 )
 
 // ruleEnabled reports whether a rule is in force.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -103,6 +103,7 @@
 	progressVersion int64          // version of the progress key; 0 if absent
 	storedState     workload.State // state in the stored progress record
 	acceptedAt      time.Duration  // on the owner's clock
+	outcomeRecorded bool           // it is counted as served or not among its kind
 	preemptions     int            // decisions that stopped runs of the job for urgent work; at takeover an upper bound
 	lastRanAt       time.Duration  // when a run of the job was last known to be running; the takeover for an adopted job
 
