--- a/pkg/shortage/admission.go
+++ b/pkg/shortage/admission.go
@@ -15,7 +15,7 @@
 	// lateFactor is the multiple of its objective that a job may take and still be of value.
 	lateFactor = 3
 	// waitMargin is the factor by which the predicted wait must exceed what a job can wait. With
-	// 1.25, in an overload of 1.3 times the capacity, every second job that was refused would
+	// 1.25, in an overload of 1.4 times the capacity, every second job that was refused would
 	// have been of value.
 	waitMargin = 2.5
 	// maxRetryAfter bounds the Retry-After; no prediction reaches further.
--- a/pkg/shortage/load_test.go
+++ b/pkg/shortage/load_test.go
@@ -207,8 +207,9 @@
 
 func constant(v float64) func(float64) float64 { return func(float64) float64 { return v } }
 
-// loads are the loads of both new deployments, for a service of 1000 tasks and a mean work of a
-// job of about 120 task-seconds; 8 jobs a second use all of it.
+// loads are the loads of both new deployments, for a service of 1000 tasks at once and a mean work
+// of a job of about 100 task-seconds. play sends 1.3 times the rate; about 7.8 use all of the
+// capacity.
 var loads = map[string]load{
 	"bursts": {seconds: 120, spread: 0.8, capacity: constant(1000), rate: func(at float64) float64 {
 		if math.Mod(at, 20) < 6 {
