--- a/pkg/fleet/preempt_test.go
+++ b/pkg/fleet/preempt_test.go
@@ -265,8 +265,9 @@
 func TestOwnerTellsOfALastingShortage(t *testing.T) {
 	for name, tc := range map[string]struct {
 		disabled fleet.Rules
+		held     bool
 		told     bool
-	}{"in force": {0, true}, "disabled": {fleet.RuleAdmission, false}} {
+	}{"in force": {told: true}, "disabled": {disabled: fleet.RuleAdmission}, "held": {held: true}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newReclaimTestbed(t, 1, 8, tc.disabled)
@@ -274,6 +275,9 @@
 				step := gangStep(1, 8)
 				step.Estimate = 4 * time.Second
 				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: step.Estimate} })
+				if tc.held {
+					b.createKey(fleet.AutomationHoldKey, []byte(`{"hold":true,"reason":"test"}`))
+				}
 				var jobs []*workload.Job
 				for range 40 {
 					jobs = append(jobs, b.submitPatient(step))
