--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -33,6 +33,19 @@
 	// RuleColdWorkersLast prefers workers that are not cold, and lets workers return in steps
 	// after an evacuation.
 	RuleColdWorkersLast
+	// RulePreemptionWait stops nothing for urgent work while the capacity that it needs
+	// becomes free in time by itself, and, within a guarantee, stops work at any cost only
+	// where the start would otherwise be too late.
+	RulePreemptionWait
+	// RuleVictimCost chooses victims by the work lost, the capacity that a stop idles, the
+	// number of earlier stops of their jobs and how soon they end anyway.
+	RuleVictimCost
+	// RuleShortageOrder orders the waiting groups of a priority by what callers lose and by the
+	// workspaces' shares while the demand of a service exceeds its capacity.
+	RuleShortageOrder
+	// RuleAdmission refuses jobs that cannot complete while they are of value, in a lasting
+	// shortage.
+	RuleAdmission
 )
 
 // ruleEnabled reports whether a rule is in force.
