--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/explain"
+	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/logging"
 	"github.com/carawayusher/carawayusher/pkg/metrics"
 	"github.com/carawayusher/carawayusher/platform"
@@ -45,7 +46,8 @@
 }
 
 func newFrontCommand() *cobra.Command {
-	var metricsPort int
+	var options platform.ServeOptions
+	var disabled []string
 	cmd := &cobra.Command{
 		Use: "front", Short: "Serve callers and take part in scheduling", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -53,16 +55,20 @@
 			if err != nil {
 				return err
 			}
+			if options.DisabledRules, err = fleet.ParseRules(disabled); err != nil {
+				return err
+			}
 			out := logging.NewAsyncWriter(os.Stdout)
 			defer out.Close()
 			log, _, err := logging.New(logging.Options{Writer: out})
 			if err != nil {
 				return err
 			}
-			return platform.Serve(settings, log, metrics.New(out.Dropped), metricsPort)
+			return platform.Serve(settings, log, metrics.New(out.Dropped), options)
 		},
 	}
-	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics at this VM's address; 0 serves none")
+	cmd.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port of the metrics at this VM's address; 0 serves none")
+	cmd.Flags().StringSliceVar(&disabled, "disable-rules", nil, "decision rules that are not applied, by name")
 	return cmd
 }
 
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -1,5 +1,13 @@
 package fleet
 
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/carawayusher/carawayusher/pkg/errkind"
+)
+
 // Rules is a set of decision rules.
 type Rules uint32
 
@@ -48,5 +56,26 @@
 	RuleAdmission
 )
 
+// ruleNames are the names by which operators disable rules.
+var ruleNames = map[string]Rules{
+	"headroom": RuleHeadroom, "preemption": RulePreemption, "guarantee": RuleGuarantee, "reservation": RuleReservation, "slack-order": RuleSlackOrder,
+	"drain-eviction": RuleDrainEviction, "stall-eviction": RuleStallEviction, "multi-rack": RuleMultiRack, "failed-workers-last": RuleFailedWorkersLast,
+	"learned-run-times": RuleLearnedRunTimes, "evacuation-move": RuleEvacuationMove, "cold-workers-last": RuleColdWorkersLast,
+	"preemption-wait": RulePreemptionWait, "victim-cost": RuleVictimCost, "shortage-order": RuleShortageOrder, "admission": RuleAdmission,
+}
+
+// ParseRules returns the rules with the given names; an unknown name has kind invalid_config.
+func ParseRules(names []string) (Rules, error) {
+	var all Rules
+	for _, name := range names {
+		r, known := ruleNames[name]
+		if !known {
+			return 0, errkind.New(errkind.InvalidConfig, "rule %q is not one of %s", name, strings.Join(slices.Sorted(maps.Keys(ruleNames)), ", "))
+		}
+		all |= r
+	}
+	return all, nil
+}
+
 // ruleEnabled reports whether a rule is in force.
 func (o *Owner) ruleEnabled(r Rules) bool { return o.opts.DisabledRules&r == 0 }
