placement: the attempt without ejected workers keeps no capacity

Cause: the first attempt, without ejected workers, kept the capacity on which the gang would fit earliest; the second attempt lacked it.

Change: only the second attempt keeps capacity.

--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -177,7 +177,7 @@
 func (p *Planner) Place(r Request) Outcome {
 	if r.MayUseEjected && p.anyEjected {
 		strict := r
-		strict.MayUseEjected, strict.Reserve, strict.Explain = false, false, false
+		strict.MayUseEjected, strict.Reserve, strict.Explain, strict.KeepEarliest = false, false, false, false
 		if r.MayWait > 0 {
 			strict.MayPreempt = false // an ejected worker with free capacity is better than a wait
 		}
