--- a/pkg/fleet/preempt_test.go
+++ b/pkg/fleet/preempt_test.go
@@ -104,6 +104,10 @@
 	lesserDone     int
 }
 
+func (l *preemptionLoad) add(o preemptionLoad) {
+	l.inTime, l.urgent, l.stopped, l.lost, l.lesserDone = l.inTime+o.inTime, l.urgent+o.urgent, l.stopped+o.stopped, l.lost+o.lost, l.lesserDone+o.lesserDone
+}
+
 var lostInLine = regexp.MustCompile(`"lostCoreSeconds"=(\d+)`)
 
 // playPreemptionLoad plays bursts of urgent jobs with a guarantee. Jobs of priority 2, gangs
@@ -208,8 +212,13 @@
 // Guards against preemptions that cost other callers more than urgent jobs gain: the load that
 // the users measured stopped 684 runs for 23 urgent jobs, and one job 71 times.
 func TestPreemptionCostsLess(t *testing.T) {
-	before := playPreemptionLoad(t, fleet.RulePreemptionWait|fleet.RuleVictimCost)
-	after := playPreemptionLoad(t, 0)
+	// Plays differ, as goroutines do not run in a fixed order; the sums differ far less.
+	const plays = 4
+	var before, after preemptionLoad
+	for range plays {
+		before.add(playPreemptionLoad(t, fleet.RulePreemptionWait|fleet.RuleVictimCost))
+		after.add(playPreemptionLoad(t, 0))
+	}
 	t.Logf("rules off: %+v", before)
 	t.Logf("rules on:  %+v", after)
 	if after.inTime < before.inTime-before.urgent/10 {
@@ -219,7 +228,7 @@
 		t.Errorf("%d jobs of lower priority completed, %d without the rules", after.lesserDone, before.lesserDone)
 	}
 	// The capacity that urgent work takes must come from others, so the work lost differs less
-	// than the victims: by -12 to +2% in 12 plays.
+	// than the victims.
 	if after.stopped > before.stopped*9/10 || after.lost > before.lost*11/10 {
 		t.Errorf("%d victims with %d core-seconds, %d with %d without the rules", after.stopped, after.lost, before.stopped, before.lost)
 	}
