--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -10,6 +10,7 @@
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/metrics"
+	"github.com/carawayusher/carawayusher/pkg/shortage"
 	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
@@ -39,10 +40,14 @@
 	borrowed        map[*taskGroup]bool        // urgent work beyond a guarantee, in this cycle; nil if none has to give way
 	cordoned        map[string]bool            // machines whose workers get no new tasks
 	evacuations     evacuationState
-	lastScanAt      time.Duration              // last scan of all runs and worker leases; 0 forces a scan
-	dirty           map[*job]struct{}          // jobs whose progress has to be written
-	learnedRunTimes map[string]*learnedRunTime // by queue
-	urgentDemand    map[string]*urgentDemand   // by service
+	lastScanAt      time.Duration               // last scan of all runs and worker leases; 0 forces a scan
+	dirty           map[*job]struct{}           // jobs whose progress has to be written
+	learnedRunTimes map[string]*learnedRunTime  // by queue
+	urgentDemand    map[string]*urgentDemand    // by service
+	kinds           map[string]*shortage.Kind   // by queue
+	shortages       map[string]*serviceShortage // by service
+	arriving        map[servicePriority]*shortage.Rate
+	admission       atomic.Pointer[admissionTable]
 	nextCleanupAt   time.Duration
 	adviceRequests  chan adviceRequest
 	automationHold  atomic.Bool // operators have suspended all automatic actions
@@ -85,6 +90,7 @@
 		validity: newLeaseValidity(acquired.validUntil),
 		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
+		kinds: map[string]*shortage.Kind{}, shortages: map[string]*serviceShortage{}, arriving: map[servicePriority]*shortage.Rate{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
 		evacuations: evacuationState{machineDomains: map[string]string{}}, waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), contactSlots: make(chan struct{}, maxOpenContacts),
