placement: prefer workers by speed where speeds differ

The planner took the fullest worker first, whatever its speed.

Worker has a Speed. Requests with a Tolerance below what a slow worker costs take it last, others first; gangs take workers of like speed; headroom is not kept on slow workers; urgent tasks may wait for a faster worker if they end earlier by it. Without speeds all decisions are as before.

--- a/pkg/placement/headroom.go
+++ b/pkg/placement/headroom.go
@@ -52,11 +52,12 @@
 }
 
 // freeForHeadroom returns the capacity of a worker that urgent work could get without a
-// preemption; none if the worker accepts no tasks or its accelerators are all in use.
+// preemption; none if the worker accepts no tasks, is slow, or its accelerators are all in
+// use.
 func (p *Planner) freeForHeadroom(i int) workload.Resources {
 	w := &p.workers[i]
 	free := w.FreeAfterStops
-	if !w.Schedulable || w.Ejected || free.MilliCPU <= 0 || free.MemoryMiB <= 0 || (w.Capacity.Accelerators > 0 && free.Accelerators <= 0) {
+	if !w.Schedulable || w.Ejected || w.speed() < slowBelow || free.MilliCPU <= 0 || free.MemoryMiB <= 0 || (w.Capacity.Accelerators > 0 && free.Accelerators <= 0) {
 		return workload.Resources{}
 	}
 	return free
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -60,6 +60,9 @@
 	Ejected bool
 	// Penalty makes a worker less preferred; workers with the lowest penalty come first.
 	Penalty int
+	// Speed is the speed relative to the other workers, 1 for a normal one; 0 if unknown. It
+	// takes few different values.
+	Speed float64
 
 	reservations []reservation
 	headroom     bool               // kept for urgent work
@@ -93,10 +96,15 @@
 	ExcludedWorkers   map[string]bool // workers on which tasks of the step failed
 	EligibleWorkers   map[string]bool // if not nil, only these workers may be used
 	Priority          int
-	ExpectedDuration  time.Duration // run time of a task
-	MayUseHeadroom    bool          // see Planner.KeepHeadroom
-	MayUseEjected     bool          // ejected workers may be used if the request is blocked otherwise
-	MayPreempt        bool
+	ExpectedDuration  time.Duration // run time of a task on a worker of normal speed
+	// Tolerance is how much longer a task may take than expected before its caller loses.
+	Tolerance time.Duration
+	// AwaitFaster is how long tasks may wait for faster workers if they end earlier by it
+	// than on free workers that are too slow.
+	AwaitFaster    time.Duration
+	MayUseHeadroom bool // see Planner.KeepHeadroom
+	MayUseEjected  bool // ejected workers may be used if the request is blocked otherwise
+	MayPreempt     bool
 	// MaxStopCost bounds the total StopCost of the victims.
 	MaxStopCost float64
 	// MayStopBorrowed allows victims of the same priority that use borrowed capacity, if
@@ -109,6 +117,8 @@
 	// Explain asks for the Reason of a blocked request, which costs several passes over
 	// the workers. It does not affect the decision.
 	Explain bool
+
+	speeds speedRange
 }
 
 // Outcome is the answer to a Request. Workers holds an index into
@@ -133,6 +143,7 @@
 
 	candidates []candidate // reused by fit
 	evictor    evictor
+	unevenness
 }
 
 // New returns a Planner. It takes ownership of the snapshot and changes it.
@@ -145,6 +156,7 @@
 	for i := range p.workers {
 		p.allWorkers[i] = i
 		p.anyEjected = p.anyEjected || p.workers[i].Ejected
+		p.note(&p.workers[i])
 		n, ok := byRack[p.workers[i].Rack]
 		if !ok {
 			n = len(p.racks)
@@ -173,15 +185,22 @@
 	if r.Gang && r.SameRack {
 		scopes = p.racks
 	}
-	if chosen := p.fitBestScope(r, scopes, true); chosen != nil {
-		return p.allocateNow(r, chosen)
-	}
-	multiRack := r.Gang && r.SameRack && p.acceptsMultiRack(r)
-	if multiRack {
-		if chosen := p.fit(r, p.allWorkers, true); chosen != nil {
+	multiRack, multiRackKnown := false, false
+	for _, speeds := range p.speedRanges(r) {
+		r.speeds = speeds
+		if chosen := p.fitBestScope(r, scopes, true); chosen != nil {
 			return p.allocateNow(r, chosen)
 		}
+		if !multiRackKnown {
+			multiRack, multiRackKnown = r.Gang && r.SameRack && p.acceptsMultiRack(r), true
+		}
+		if multiRack {
+			if chosen := p.fit(r, p.allWorkers, true); chosen != nil {
+				return p.allocateNow(r, chosen)
+			}
+		}
 	}
+	r.speeds = anySpeed
 	chosen := p.fitBestScope(r, scopes, false)
 	if multiRack && chosen == nil {
 		chosen = p.fit(r, p.allWorkers, false)
@@ -196,9 +215,9 @@
 	if r.MayPreempt {
 		lesser := r
 		lesser.MayStopBorrowed = false
-		victims := p.preempt(lesser, scopes)
+		victims := p.preemptInTime(lesser, scopes)
 		if victims == nil && r.MayStopBorrowed {
-			victims = p.preempt(r, scopes)
+			victims = p.preemptInTime(r, scopes)
 		}
 		if victims != nil {
 			return Outcome{Code: Preempting, Victims: victims}
@@ -215,6 +234,11 @@
 }
 
 func (p *Planner) allocateNow(r Request, chosen []int) Outcome {
+	if p.uneven && r.AwaitFaster > 0 {
+		if chosen = p.trimSlow(r, chosen); len(chosen) == 0 {
+			return Outcome{Code: Blocked, Reason: SlowWorkers}
+		}
+	}
 	p.allocate(r, chosen, true)
 	return Outcome{Code: Placed, Workers: chosen, MultiRack: r.SameRack && p.onSeveralRacks(chosen)}
 }
@@ -337,17 +361,18 @@
 	key    fitKey
 }
 
-// fitKey orders workers: those in the rack of the data first, then by penalty, then by
-// the least free capacity, so that whole workers stay free for large tasks.
+// fitKey orders workers: those in the rack of the data first, then by penalty, then by speed
+// where speeds differ, then by the least free capacity, so that whole workers stay free for large tasks.
 type fitKey struct {
 	remote, penalty int
+	speed           float64
 	accelerators    int64
 	memory          int64
 	cpu             int64
 }
 
 func (a fitKey) compare(b fitKey) int {
-	return cmp.Or(cmp.Compare(a.remote, b.remote), cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.accelerators, b.accelerators),
+	return cmp.Or(cmp.Compare(a.remote, b.remote), cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.speed, b.speed), cmp.Compare(a.accelerators, b.accelerators),
 		cmp.Compare(a.memory, b.memory), cmp.Compare(a.cpu, b.cpu))
 }
 
@@ -356,6 +381,9 @@
 	if r.AffinityRack != "" && w.Rack != r.AffinityRack {
 		k.remote = 1
 	}
+	if p.uneven {
+		k.speed = p.speedRank(r, w)
+	}
 	return k
 }
 
@@ -366,7 +394,7 @@
 		return free
 	}
 	for _, c := range w.reservations {
-		if r.ExpectedDuration <= c.from {
+		if r.durationOn(w) <= c.from {
 			continue
 		}
 		freeThen := w.FreeAfterStops
@@ -392,7 +420,7 @@
 
 // usable reports whether the request may use the worker now.
 func (p *Planner) usable(r Request, w *Worker) bool {
-	return r.admits(w) && (r.MayUseHeadroom || !w.headroom) && p.eligible(r, w)
+	return r.admits(w) && (r.MayUseHeadroom || !w.headroom) && r.speeds.admits(w) && p.eligible(r, w)
 }
 
 // eligible reports whether the constraints of the request admit the worker.
@@ -431,7 +459,7 @@
 		// that no later request uses it.
 		w.Free = w.Free.Sub(r.Demand)
 		if now {
-			w.Runs = append(w.Runs, Run{Group: -1, Demand: r.Demand, EndsIn: r.ExpectedDuration})
+			w.Runs = append(w.Runs, Run{Group: -1, Demand: r.Demand, EndsIn: r.durationOn(w)})
 		} else {
 			w.keptForStops = w.keptForStops.Add(r.Demand)
 		}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -9,6 +9,19 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
+// preemptInTime is preempt on the workers that are fast enough for the request, or else on
+// any.
+func (p *Planner) preemptInTime(r Request, scopes [][]int) []int {
+	if p.uneven && !r.inTimeOn(&Worker{Speed: p.slowest}) {
+		faster := r
+		faster.speeds = notSlow
+		if victims := p.preempt(faster, scopes); victims != nil {
+			return victims
+		}
+	}
+	return p.preempt(r, scopes)
+}
+
 // preempt finds the cheapest groups to stop so that the request fits into one of the
 // scopes, allocates that capacity, and returns the groups; nil if there are none.
 func (p *Planner) preempt(r Request, scopes [][]int) []int {
@@ -52,7 +65,7 @@
 
 // without returns the worker once some of its runs have stopped.
 func (w *Worker) without(stopped func(Run) bool) Worker {
-	after := Worker{FreeAfterStops: w.FreeAfterStops, reservations: w.reservations}
+	after := Worker{Speed: w.Speed, FreeAfterStops: w.FreeAfterStops, reservations: w.reservations}
 	for _, run := range w.Runs {
 		if stopped(run) {
 			after.FreeAfterStops = after.FreeAfterStops.Add(run.Demand)
--- a/pkg/placement/reason.go
+++ b/pkg/placement/reason.go
@@ -20,6 +20,7 @@
 	NotEligible   Reason = "advice"         // the free workers are not in EligibleWorkers
 	Limit         Reason = "limit"          // MaxPerWorker
 	Label         Reason = "label"          // the free workers lack RequiredLabel
+	SlowWorkers   Reason = "slow_workers"   // the free workers are slow; a faster one is expected soon
 	Combined      Reason = "combined"       // several constraints at once
 )
 
