fleet: place work by the speeds of workers

Urgent jobs were late because one of their tasks ran on a slow worker.

Expected ends use the speed as well. RuleWorkerSpeed disables it.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -84,6 +84,7 @@
 		o.abandonExpiredRuns(now)
 		o.settleOldStarts(now)
 		o.dropLapsedGivenUpRuns(now)
+		o.updateSpeeds(now)
 	}
 	o.finishCancelled()
 	o.finishFailed()
@@ -131,6 +132,7 @@
 // held.
 func (o *Owner) finishJob(j *job, s workload.State) {
 	for _, g := range j.groups {
+		g.runTimes = nil
 		for _, r := range g.runs {
 			if r.phase == phasePlanned {
 				o.unassign(r)
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -21,6 +21,7 @@
 	if !o.confirmIncarnation(w, reply.Incarnation, sentAt) {
 		return false
 	}
+	w.lateReply = w.unansweredCalls > 0 || now-sentAt > maxReplyTime
 	w.contacted, w.clockMS, w.clockReadAt, w.lastAnswerAt, w.unansweredCalls = true, reply.ClockMS, now, now, 0
 	if request.AckedThrough == w.ackThrough {
 		w.ackDue = false
@@ -93,6 +94,7 @@
 	r.tailLatency = time.Duration(s.Load) * time.Millisecond
 	if s.Percent > r.progressPercent {
 		r.progressPercent, r.progressAt = s.Percent, now
+		o.observeProgress(r, now)
 	}
 	o.recordCheckpoint(r.group, r.index, r.number, s.Checkpoint)
 	if r.phase == phaseUncertain && o.mayContinue(r) {
@@ -138,11 +140,14 @@
 	defer func() { w.unackedEnds = append(w.unackedEnds, entry) }()
 	for r := range w.runs {
 		if r.number == end.Run && r.group.taskID(r.index) == end.Task {
+			if end.Reason == EndDone {
+				o.observeEnd(r, o.opts.Clock())
+			}
 			o.removeRun(r)
 			r.noteRan(o.opts.Clock())
 			ran = r.runTime(o.opts.Clock())
 			if end.Reason == EndDone && ran > 0 {
-				o.recordRunTime(r.group, ran)
+				o.recordRunTime(r.group, r.normalRunTime(ran))
 			}
 			break
 		}
--- a/pkg/fleet/estimate.go
+++ b/pkg/fleet/estimate.go
@@ -102,11 +102,11 @@
 func (o *Owner) remainingRunTime(r *run, now time.Duration) time.Duration {
 	elapsed := now - r.startedAt
 	if r.phase != phaseRunning {
-		return o.expectedRunTime(r.group)
+		return o.expectedRunTimeOn(r)
 	}
 	if seen := r.progressAt - r.startedAt; r.progressPercent >= minExtrapolationPercent && seen >= minExtrapolationTime {
 		total := time.Duration(float64(seen) * completePercent / float64(r.progressPercent))
 		return max(0, total-elapsed)
 	}
-	return max(0, o.expectedRunTime(r.group)-elapsed)
+	return max(0, o.expectedRunTimeOn(r)-elapsed)
 }
--- a/pkg/fleet/evacuate.go
+++ b/pkg/fleet/evacuate.go
@@ -83,7 +83,7 @@
 			if w.lastAnswerAt-r.progressAt < stallTimeout || now-r.progressAt < stallTimeout {
 				continue
 			}
-			expected := o.expectedRunTime(r.group)
+			expected := o.expectedRunTimeOn(r)
 			if r.progressPercent > 0 && now-r.startedAt < time.Duration(stallRunTimeFactor*float64(expected)) {
 				continue
 			}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -173,6 +173,7 @@
 				phaseSince: o.tookOverAt, startUnanswered: !t.Assigned.StartSettled, adopted: true,
 				startSentAt: o.tookOverAt - time.Duration(t.Assigned.StartAgeS)*time.Second,
 			}
+			r.speed.resumed = t.Run > 1 && g.spec().Checkpointing // it may have begun with a checkpoint
 			g.runs[i] = r
 			w.runs[r] = struct{}{}
 			o.enqueueOrder(w, order{kind: orderAdopt, run: r})
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -371,7 +371,7 @@
 	if r.adopted {
 		// Without this its remaining time and its stop cost would be taken for those of a
 		// run that has just begun.
-		r.startedAt -= time.Duration(float64(r.progressPercent) / completePercent * float64(o.expectedRunTime(r.group)))
+		r.startedAt -= time.Duration(float64(r.progressPercent) / completePercent * float64(o.expectedRunTimeOn(r)))
 	}
 	o.opts.Log.V(1).Info("run started", "task", r.group.taskID(r.index).String(), "run", r.number, "worker", r.worker.ID)
 }
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -42,6 +42,7 @@
 	dirty           map[*job]struct{}          // jobs whose progress has to be written
 	learnedRunTimes map[string]*learnedRunTime // by queue
 	urgentDemand    map[string]*urgentDemand   // by service
+	speeds          speedState                 // estimates of the workers' speeds
 	nextCleanupAt   time.Duration
 	adviceRequests  chan adviceRequest
 	automationHold  atomic.Bool // operators have suspended all automatic actions
@@ -83,7 +84,7 @@
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
 		validity: newLeaseValidity(acquired.validUntil),
 		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
+		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{}, speeds: newSpeedState(),
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
 		waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
 		cycleTrigger: make(chan struct{}, 1), machineListTrigger: make(chan struct{}, 1), writeSlots: make(chan struct{}, maxOpenWrites), contactSlots: make(chan struct{}, maxOpenContacts),
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -43,6 +43,7 @@
 	expectedRunTime time.Duration // of one task
 	criticalPath    time.Duration // expected run time from this step to the end of the job
 	slack           time.Duration // time left until targetEnd, less criticalPath
+	lateSlack       time.Duration // time left until its job has no value, less criticalPath
 	lateness        int           // 0: can end in time, 1: late, 2: too late to be of value
 	withinGuarantee bool          // urgent, and its workspace's urgent jobs fit into the guarantee
 	reclaims        bool          // within its guarantee, and takes back what urgent work of others borrows
@@ -159,10 +160,11 @@
 	allowed := o.targetDuration(g.job)
 	c.targetEnd = start + allowed
 	c.slack = c.targetEnd - c.criticalPath - now
+	c.lateSlack = start + lateFactor*allowed - c.criticalPath - now
 	switch {
 	case c.slack >= 0:
 		c.lateness = 0
-	case start+lateFactor*allowed-c.criticalPath >= now:
+	case c.lateSlack >= 0:
 		c.lateness = 1
 	default:
 		c.lateness = 2
@@ -239,6 +241,7 @@
 			Schedulable: o.schedulable(w, now),
 			Ejected:     w.ejected,
 			Penalty:     o.penalty(w),
+			Speed:       w.speed,
 		}
 		if pw.Schedulable {
 			p.capacity = p.capacity.Add(w.Capacity)
@@ -329,6 +332,12 @@
 		MayUseReserved: freeCapacityFirst,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
+	if o.ruleEnabled(RuleWorkerSpeed) {
+		r.Tolerance = c.tolerance()
+		if !freeCapacityFirst {
+			r.AwaitFaster = o.awaitFaster(c, waited)
+		}
+	}
 	if o.ruleEnabled(RuleMultiRack) {
 		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst, o.opts.RemoteSlowdown
 	}
@@ -463,6 +472,7 @@
 	}
 	number++
 	g.multiRack = outcome.MultiRack
+	g.gangSpeed = p.slowestSpeed(outcome.Workers)
 	var started []*run
 	for n, chosen := range outcome.Workers {
 		i, w := c.pending[n], p.workers[chosen]
@@ -472,6 +482,7 @@
 		}
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine, Address: w.Address}
 		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
+		r.speed.resumed = t.Checkpoint != ""
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
 	}
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -28,6 +28,8 @@
 	RuleFailedWorkersLast
 	// RuleLearnedRunTimes corrects declared run times by those observed.
 	RuleLearnedRunTimes
+	// RuleWorkerSpeed places work by the speeds of workers where these differ materially.
+	RuleWorkerSpeed
 )
 
 // ruleEnabled reports whether a rule is in force.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawayusher/carawayusher/pkg/workerspeed"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -38,6 +39,7 @@
 	throttlePercent int            // percent of full speed that a filler may use
 	lastListedAt    time.Duration  // when the worker last listed the run
 	victimPos       victimPosition // of a run outside a gang
+	speed           runSpeed
 }
 
 // victimPosition is the index of a preemption candidate in the snapshot of one
@@ -64,7 +66,9 @@
 	stopsWait       time.Duration // time since readySince in which it waited for stops
 	stopsWaitFrom   time.Duration // since when it has waited for stops; 0 if it does not
 	ready           bool
-	multiRack       bool // placed on several racks although it prefers one
+	multiRack       bool               // placed on several racks although it prefers one
+	gangSpeed       float64            // of a gang: speed of its slowest worker when it was placed; 0 if unknown
+	runTimes        *workerspeed.Group // for the comparison of workers; nil if there are none
 	advice          *adviceState
 	ticketRefused   bool           // a worker has refused a start for want of a ticket
 	victimPos       victimPosition // of a gang as a whole
@@ -206,6 +210,7 @@
 	replaced      *replacedIncarnation // the incarnation before the claim; nil if it is not known
 
 	lastAnswerAt time.Duration
+	lateReply    bool          // what its latest reply reports may have happened long before
 	ackAdvanced  chan struct{} // closed and replaced when ackThrough rises
 
 	unansweredCalls int                      // consecutive calls without an answer
@@ -216,6 +221,7 @@
 	ejections       int                      // consecutive ejections without a success between them
 	ejectedUntil    time.Duration            // no new runs before this time, if it is ejected
 	ejected         bool                     // see ejectWorst
+	speed           float64                  // class of speed, 1 if normal; 0 if unknown or the service is even
 
 	orders         chan order
 	awaitingAnswer []order       // put aside until it answers
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -211,6 +211,7 @@
 	w.incarnationSince = o.opts.Clock()
 	w.incarnationState = incarnationState{priorExpiry: o.opts.Clock() + maxOrderDelay}
 	w.resetEjection()
+	w.speed = 0
 	o.stopGivenUpRuns(w)
 	for r := range w.runs {
 		if r.phase != phasePlanned {
