workerspeed: learn faster, and use doubtful workers last

Of the urgent jobs of the first 15 s, 93 of 165 were late, as a run counted by its progress and the limits of the classes were strict also on fleets with slow workers.

A run now counts in full from 30% of progress, the assumption of normal speed counts for less once other speeds are known, and workers that are unknown or may be slow come after those of normal speed for work with little slack.

--- a/pkg/fleet/speed.go
+++ b/pkg/fleet/speed.go
@@ -20,6 +20,9 @@
 	// percent and known with a delay.
 	minSamplePercent = 10
 	minSampleTime    = 300 * time.Millisecond
+	// fullSamplePercent is the progress from which a run counts as much as one that has
+	// ended: the rate of its progress is known well by then.
+	fullSamplePercent = 30
 	// maxReplyTime is the time of a poll from which its reply may be late, as on a processor
 	// that stands still. What such a reply reports is no sample.
 	maxReplyTime = renewMaxWait + renewTimeoutMargin
@@ -90,7 +93,7 @@
 	if done < minSamplePercent || took < minSampleTime {
 		return
 	}
-	share := float64(done)/completePercent - s.share
+	share := min(1, float64(done)/fullSamplePercent) - s.share
 	s.share += share
 	o.observe(r.worker, r, time.Duration(float64(took)*completePercent/float64(done)), share)
 }
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -17,7 +17,7 @@
 	slowBelow = 0.75
 	// toleranceMargin is how much of the expected loss of time on a worker the tolerance of a
 	// request must be for the worker to be in time: run times and speeds are estimates.
-	toleranceMargin = 1.25
+	toleranceMargin = 1.5
 	// awaitMargin is how much earlier a task must be expected to end on a worker that it waits
 	// for: the capacity is seen with a delay, and other work may take it.
 	awaitMargin = 300 * time.Millisecond
@@ -49,7 +49,10 @@
 const (
 	rankSlowInTime = iota
 	rankFastFirst
+	rankUnknownFirst
 	rankNormal
+	rankUnknownLast
+	rankDoubtful
 	rankFastLast
 	rankTooSlow
 )
@@ -59,14 +62,21 @@
 // fastest first.
 func (p *Planner) speedRank(r Request, w *Worker) float64 {
 	s := w.speed()
+	patient := toleranceMargin*float64(r.ExpectedDuration)*(1/slowBelow-1) <= float64(r.Tolerance)
 	switch {
-	case s >= slowBelow && s <= 1:
+	case w.Speed <= 0 && patient:
+		return rankUnknownFirst
+	case w.Speed <= 0:
+		return rankUnknownLast
+	case s == 1:
 		return rankNormal
+	case s >= slowBelow && s < 1:
+		return rankDoubtful
 	case s < slowBelow && r.inTimeOn(w):
 		return rankSlowInTime
 	case s < slowBelow:
 		return rankTooSlow + 1 - s
-	case toleranceMargin*float64(r.ExpectedDuration)*(1/slowBelow-1) <= float64(r.Tolerance):
+	case patient:
 		return rankFastLast
 	}
 	return rankFastFirst
--- a/pkg/workerspeed/classes.go
+++ b/pkg/workerspeed/classes.go
@@ -13,17 +13,24 @@
 	// is fast.
 	SlowBelow = 0.75
 	FastAbove = 1.35
+	// DoubtfulBelow is the speed below which a worker that is not known to be slow is used after
+	// those of normal speed.
+	DoubtfulBelow = 0.8
+	doubtfulSpeed = 0.85
 )
 
 // Parameters of the classes.
 const (
 	// minClassInfo is the information from which a worker gets a class other than normal; a
-	// run in a group of even tasks has about that much, one that is compared with its queue a
-	// tenth of it.
-	minClassInfo = 12.0
+	// run in a group has about that much, one that is compared with its queue a third of it.
+	minClassInfo = 8.0
+	// minNormalInfo is the information from which a worker is known to be of normal speed.
+	minNormalInfo = 4.0
 	// confidence is how many standard deviations the estimate must be beyond a limit for a
-	// worker to enter a class.
-	confidence = 1.0
+	// worker to enter a class, and confidenceUneven the same once workers of other speeds are
+	// known.
+	confidence       = 1.0
+	confidenceUneven = 0.6
 	// hysteresis is the difference, in logarithms, by which an estimate must be back within
 	// the limit for the worker to leave its class.
 	hysteresis = 0.08
@@ -161,7 +168,7 @@
 
 // posterior returns the logarithm of the speed of a worker and its information.
 func (w *worker) posterior() (info, mean float64) {
-	prior, priorMean := priorInfo, 0.0
+	prior, priorMean := w.service.priorInfo(), 0.0
 	if k := w.service.kinds[w.kind]; k != nil && k.known {
 		prior, priorMean = kindInfo, k.logSpeed
 	}
@@ -169,10 +176,20 @@
 	return info, (w.sum - w.info*w.service.center + prior*priorMean) / info
 }
 
+func (s *service) priorInfo() float64 {
+	if s.uneven {
+		return priorInfoUneven
+	}
+	return priorInfo
+}
+
 // nextClass returns the class of a worker: the one of its estimate, if that is certain
 // enough, or the one before while the estimate is close to its limit.
 func (w *worker) nextClass(info float64) int {
 	deviation := confidence / math.Sqrt(info)
+	if w.service.uneven {
+		deviation = confidenceUneven / math.Sqrt(info)
+	}
 	wanted := classOf(w.logSpeed)
 	if wanted == w.class {
 		return w.class
@@ -184,7 +201,7 @@
 	} else if stays := classOf(w.logSpeed+hysteresis) >= w.class; stays {
 		return w.class
 	}
-	certain := info >= minClassInfo+priorInfo
+	certain := info >= minClassInfo+w.service.priorInfo()
 	switch {
 	case wanted < normalClass && w.class >= normalClass && (!certain || classOf(w.logSpeed+deviation) >= normalClass):
 		return normalClass
@@ -204,15 +221,22 @@
 	s.uneven = estimated >= minEstimated && extreme > 0 && float64(extreme) >= limit
 }
 
-// Speed returns the class of speed of a worker, 1 for a normal one; 0 if it has no estimate
-// or the speeds of the service do not differ materially.
+// Speed returns the class of speed of a worker, 1 for a normal one and slightly less for one that
+// may be slow; 0 if it has no estimate or the speeds of the service do not differ materially.
 func (e *Estimator) Speed(service, id string, incarnation int64, kindName string) float64 {
 	s := e.services[service]
 	if s == nil || !s.uneven {
 		return 0
 	}
 	if w := e.workers[id]; w != nil && w.incarnation == incarnation && w.service == s {
-		return classes[w.class].speed
+		switch {
+		case w.class != normalClass:
+			return classes[w.class].speed
+		case w.logSpeed < math.Log(DoubtfulBelow):
+			return doubtfulSpeed
+		case w.info >= minNormalInfo:
+			return 1
+		}
 	}
 	if k := s.kinds[kindName]; k != nil && k.known {
 		return classes[classOf(k.logSpeed)].speed
--- a/pkg/workerspeed/workerspeed.go
+++ b/pkg/workerspeed/workerspeed.go
@@ -19,8 +19,10 @@
 	// ten seconds, short enough to follow a worker that is slow for a minute.
 	halfLife = 20 * time.Second
 	// priorInfo is the information (inverse variance) of the assumption that a worker is of
-	// normal speed, or of the speed of its kind: a standard deviation of 0.35.
-	priorInfo = 8.0
+	// normal speed: a standard deviation of 0.35. Once workers of other speeds are known, the
+	// assumption counts for less, a standard deviation of 0.6.
+	priorInfo       = 8.0
+	priorInfoUneven = 3.0
 	// kindInfo is the information of the speed of a kind whose workers are alike.
 	kindInfo = 16.0
 	// minSampleVariance bounds the weight of a sample, as the ends of runs are known late by
@@ -45,7 +47,7 @@
 	Task           int           // index of the task in its group
 	RunTime        time.Duration // of the whole run, extrapolated if it has not ended
 	Expected       time.Duration // of a task of the group on a worker of normal speed
-	Share          float64       // share of the run that the sample covers, up to 1
+	Share          float64       // weight of the sample, up to 1 for all samples of a run
 }
 
 // Group holds the run times of the tasks of a task group. The zero value is ready to use.
@@ -103,7 +105,7 @@
 
 // Observe adds a sample.
 func (e *Estimator) Observe(now time.Duration, s Sample) {
-	if s.RunTime <= 0 || s.Expected <= 0 || s.Share <= 0 {
+	if s.RunTime <= 0 || s.Expected <= 0 || s.Share < 0 {
 		return
 	}
 	svc := e.service(s.Service)
