placement, fleet: speed comes after the rack, and trades are off by default

Gangs that prefer one rack were spread over several racks, or ran away from their data, if only there enough workers were not slow: the planner tried all racks with fast workers before it tried one rack with any.

A gang now chooses by speed only within the scope that it gets without speeds. Speed orders the workers for urgent groups after the rack of the data and the penalty; other groups are placed as before, gangs with slow workers last. Waiting for faster workers and slow workers first for work with slack need Options.SpeedTrades. The headroom takes slow workers of a rack last. A gauge counts workers by class.

--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -108,6 +108,9 @@
 	Advice              AdviceClient
 	MaintenanceDuration time.Duration // how long the maintenance of a machine takes
 	Metrics             *metrics.Set  // nil disables metrics
+	// SpeedTrades makes urgent work wait for faster workers while slow ones are free, and other
+	// work take slow workers first where it is in time.
+	SpeedTrades bool
 	// ProcessUsage returns the resources that this process uses; nil disables their report.
 	ProcessUsage  func() processusage.Usage
 	DisabledRules Rules // decision rules that are not applied
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -332,12 +332,7 @@
 		MayUseReserved: freeCapacityFirst,
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
-	if o.ruleEnabled(RuleWorkerSpeed) {
-		r.Tolerance = c.tolerance()
-		if !freeCapacityFirst {
-			r.AwaitFaster = o.awaitFaster(c, waited)
-		}
-	}
+	o.applySpeedPreference(&r, c, waited, freeCapacityFirst)
 	if o.ruleEnabled(RuleMultiRack) {
 		r.AllowMultiRack, r.MultiRackSlowdown = freeCapacityFirst, o.opts.RemoteSlowdown
 	}
--- a/pkg/fleet/speed.go
+++ b/pkg/fleet/speed.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
+	"github.com/carawayusher/carawayusher/pkg/metrics"
+	"github.com/carawayusher/carawayusher/pkg/placement"
 	"github.com/carawayusher/carawayusher/pkg/workerspeed"
 )
 
@@ -177,6 +180,17 @@
 	}
 }
 
+// workersBySpeed counts the workers with a known speed by service and class; the lock is held.
+func (o *Owner) workersBySpeed() map[metrics.ServiceLabel]int {
+	n := map[metrics.ServiceLabel]int{}
+	for _, w := range o.workers {
+		if w.listed && w.speed > 0 {
+			n[metrics.ServiceLabel{Service: w.Service, Value: strconv.FormatFloat(w.speed, 'g', -1, 64)}]++
+		}
+	}
+	return n
+}
+
 // speedOf returns the speed of the worker of a run, or of the slowest worker of its gang; 1 if
 // it is unknown.
 func (r *run) speedOf() float64 {
@@ -221,8 +235,6 @@
 // caller loses: until its job is late, or if it is late already, until it has no value.
 func (c *pendingGroup) tolerance() time.Duration {
 	switch {
-	case c.group.spec().LongRunning:
-		return 0
 	case c.lateness == 0:
 		return c.slack
 	case c.lateness == 1:
@@ -231,12 +243,21 @@
 	return unlimitedTolerance
 }
 
-// awaitFaster returns how long a group may wait for faster workers.
-func (o *Owner) awaitFaster(c pendingGroup, waited time.Duration) time.Duration {
-	if c.priority > 0 || c.lateness > 1 || c.group.spec().LongRunning {
-		return 0
+// applySpeedPreference sets which speeds a request prefers. Urgent groups that are of value take
+// fast workers first. With SpeedTrades they also wait for them for a while, and other groups take
+// the slow workers on which they are in time.
+func (o *Owner) applySpeedPreference(r *placement.Request, c pendingGroup, waited time.Duration, freeCapacityFirst bool) {
+	longRunning := c.group.spec().LongRunning
+	switch {
+	case !o.ruleEnabled(RuleWorkerSpeed):
+	case c.priority == 0 && c.lateness < 2 && !longRunning:
+		r.Speed = placement.FastFirst
+		if o.opts.SpeedTrades && !freeCapacityFirst {
+			r.AwaitFaster = max(0, maxAwaitFaster-waited)
+		}
+	case o.opts.SpeedTrades && !longRunning:
+		r.Speed, r.Tolerance = placement.SlowInTimeFirst, c.tolerance()
 	}
-	return max(0, maxAwaitFaster-waited)
 }
 
 // normalRunTime returns the time that a run would have taken on a worker of normal speed.
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -515,7 +515,7 @@
 func (o *Owner) gauges(a *assessment) metrics.OwnerGauges {
 	writes := o.writeState(a.now)
 	g := metrics.OwnerGauges{
-		JobsStanding: map[metrics.ServiceLabel]int{}, JobsSuspect: map[string]int{}, Workers: map[metrics.ServiceLabel]int{}, UsedShare: map[string]float64{},
+		JobsStanding: map[metrics.ServiceLabel]int{}, JobsSuspect: map[string]int{}, Workers: map[metrics.ServiceLabel]int{}, WorkersBySpeed: o.workersBySpeed(), UsedShare: map[string]float64{},
 		OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored, WaitingStarts: o.startSlots.queueLength(), WaitingProbes: o.probeSlots.queueLength(),
 	}
 	for name, s := range a.services {
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -34,6 +34,7 @@
 	jobsStanding   *prometheus.GaugeVec
 	jobsSuspect    *prometheus.GaugeVec
 	workers        *prometheus.GaugeVec
+	workersBySpeed *prometheus.GaugeVec
 	usedShare      *prometheus.GaugeVec
 	openWrites     prometheus.Gauge
 	oldestUnstored prometheus.Gauge
@@ -74,10 +75,11 @@
 		placementWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "carawayusher_placement_wait_seconds", Help: "Time from a step's turn to its placement.", Buckets: latencyBuckets,
 		}),
-		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs, ended and ejected workers, suspect jobs, standstills of the process.", "event"),
+		events: counter("events_total", "Takeovers, losses of ownership, preemptions, lapsed and stalled runs, ended, ejected and slow workers, suspect jobs, standstills of the process.", "event"),
 
 		jobsStanding:   gauges("jobs_standing", "Jobs of which a task may run and no run is running, by reason.", "service", "reason"),
 		workers:        gauges("workers", "Workers known to the owner by state.", "service", "state"),
+		workersBySpeed: gauges("workers_by_speed", "Workers of services with uneven workers by class of speed, 1 for a normal one.", "service", "speed"),
 		jobsSuspect:    gauges("jobs_suspect", "Live jobs whose tasks fail on most workers that run them.", "service"),
 		usedShare:      gauges("service_used_share", "Share of the scarcest resource of a service's listed workers that is in use.", "service"),
 		openWrites:     gauge("open_writes", "Batches of job progress that are being written."),
@@ -89,7 +91,7 @@
 		takeover:       histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
 		jobKnownAge:    histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
 	}
-	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
+	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.workersBySpeed, s.usedShare, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.unansweredCalls, s.configAge, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
--- a/pkg/metrics/owner.go
+++ b/pkg/metrics/owner.go
@@ -11,6 +11,7 @@
 	JobsStanding   map[ServiceLabel]int // by service and reason
 	JobsSuspect    map[string]int       // by service
 	Workers        map[ServiceLabel]int // by service and state
+	WorkersBySpeed map[ServiceLabel]int // by service and class of speed
 	UsedShare      map[string]float64   // by service
 	OpenWrites     int
 	OldestUnstored time.Duration
@@ -36,6 +37,10 @@
 	for l, n := range g.Workers {
 		s.workers.WithLabelValues(l.Service, l.Value).Set(float64(n))
 	}
+	s.workersBySpeed.Reset()
+	for l, n := range g.WorkersBySpeed {
+		s.workersBySpeed.WithLabelValues(l.Service, l.Value).Set(float64(n))
+	}
 	s.usedShare.Reset()
 	for service, share := range g.UsedShare {
 		s.usedShare.WithLabelValues(service).Set(share)
--- a/pkg/placement/headroom.go
+++ b/pkg/placement/headroom.go
@@ -47,17 +47,18 @@
 			h.workers = append(h.workers, i)
 		}
 	}
-	slices.SortStableFunc(h.workers, func(a, b int) int { return compareRoom(p.freeForHeadroom(b), p.freeForHeadroom(a)) })
+	slices.SortStableFunc(h.workers, func(a, b int) int {
+		return cmp.Or(compareSlow(&p.workers[a], &p.workers[b]), compareRoom(p.freeForHeadroom(b), p.freeForHeadroom(a)))
+	})
 	return h
 }
 
 // freeForHeadroom returns the capacity of a worker that urgent work could get without a
-// preemption; none if the worker accepts no tasks, is slow, or its accelerators are all in
-// use.
+// preemption; none if the worker accepts no tasks or its accelerators are all in use.
 func (p *Planner) freeForHeadroom(i int) workload.Resources {
 	w := &p.workers[i]
 	free := w.FreeAfterStops
-	if !w.Schedulable || w.Ejected || w.speed() < slowBelow || free.MilliCPU <= 0 || free.MemoryMiB <= 0 || (w.Capacity.Accelerators > 0 && free.Accelerators <= 0) {
+	if !w.Schedulable || w.Ejected || free.MilliCPU <= 0 || free.MemoryMiB <= 0 || (w.Capacity.Accelerators > 0 && free.Accelerators <= 0) {
 		return workload.Resources{}
 	}
 	return free
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -97,6 +97,7 @@
 	EligibleWorkers   map[string]bool // if not nil, only these workers may be used
 	Priority          int
 	ExpectedDuration  time.Duration // run time of a task on a worker of normal speed
+	Speed             SpeedPreference
 	// Tolerance is how much longer a task may take than expected before its caller loses.
 	Tolerance time.Duration
 	// AwaitFaster is how long tasks may wait for faster workers if they end earlier by it
@@ -185,22 +186,15 @@
 	if r.Gang && r.SameRack {
 		scopes = p.racks
 	}
-	multiRack, multiRackKnown := false, false
-	for _, speeds := range p.speedRanges(r) {
-		r.speeds = speeds
-		if chosen := p.fitBestScope(r, scopes, true); chosen != nil {
+	if chosen := p.fitBestScope(r, scopes, true); chosen != nil {
+		return p.allocateNow(r, chosen)
+	}
+	multiRack := r.Gang && r.SameRack && p.acceptsMultiRack(r)
+	if multiRack {
+		if chosen := p.fit(r, p.allWorkers, true); chosen != nil {
 			return p.allocateNow(r, chosen)
 		}
-		if !multiRackKnown {
-			multiRack, multiRackKnown = r.Gang && r.SameRack && p.acceptsMultiRack(r), true
-		}
-		if multiRack {
-			if chosen := p.fit(r, p.allWorkers, true); chosen != nil {
-				return p.allocateNow(r, chosen)
-			}
-		}
 	}
-	r.speeds = anySpeed
 	chosen := p.fitBestScope(r, scopes, false)
 	if multiRack && chosen == nil {
 		chosen = p.fit(r, p.allWorkers, false)
@@ -215,9 +209,9 @@
 	if r.MayPreempt {
 		lesser := r
 		lesser.MayStopBorrowed = false
-		victims := p.preemptInTime(lesser, scopes)
+		victims := p.preempt(lesser, scopes)
 		if victims == nil && r.MayStopBorrowed {
-			victims = p.preemptInTime(r, scopes)
+			victims = p.preempt(r, scopes)
 		}
 		if victims != nil {
 			return Outcome{Code: Preempting, Victims: victims}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -9,19 +9,6 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// preemptInTime is preempt on the workers that are fast enough for the request, or else on
-// any.
-func (p *Planner) preemptInTime(r Request, scopes [][]int) []int {
-	if p.uneven && !r.inTimeOn(&Worker{Speed: p.slowest}) {
-		faster := r
-		faster.speeds = notSlow
-		if victims := p.preempt(faster, scopes); victims != nil {
-			return victims
-		}
-	}
-	return p.preempt(r, scopes)
-}
-
 // preempt finds the cheapest groups to stop so that the request fits into one of the
 // scopes, allocates that capacity, and returns the groups; nil if there are none.
 func (p *Planner) preempt(r Request, scopes [][]int) []int {
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -45,6 +45,20 @@
 	return loss <= 0 || toleranceMargin*float64(loss) <= float64(r.Tolerance)
 }
 
+// SpeedPreference is the order in which a request takes workers of different speeds, after the
+// rack of its data and the penalty.
+type SpeedPreference int
+
+// Orders of workers.
+const (
+	// AnySpeed takes workers regardless of their speed; a gang takes slow ones last.
+	AnySpeed SpeedPreference = iota
+	// FastFirst takes fast workers first and slow ones last.
+	FastFirst
+	// SlowInTimeFirst takes slow workers first if tasks end within the tolerance there.
+	SlowInTimeFirst
+)
+
 // Ranks of workers by speed, the lowest first.
 const (
 	rankSlowInTime = iota
@@ -62,7 +76,15 @@
 // fastest first.
 func (p *Planner) speedRank(r Request, w *Worker) float64 {
 	s := w.speed()
-	patient := toleranceMargin*float64(r.ExpectedDuration)*(1/slowBelow-1) <= float64(r.Tolerance)
+	switch {
+	case r.Speed == AnySpeed && r.Gang && s < slowBelow:
+		return rankTooSlow // a gang is as fast as its slowest member
+	case r.Speed == AnySpeed:
+		return rankNormal
+	case r.Speed == FastFirst && s < slowBelow:
+		return rankTooSlow + 1 - s
+	}
+	patient := r.Speed == SlowInTimeFirst && toleranceMargin*float64(r.ExpectedDuration)*(1/slowBelow-1) <= float64(r.Tolerance)
 	switch {
 	case w.Speed <= 0 && patient:
 		return rankUnknownFirst
@@ -89,26 +111,12 @@
 var (
 	anySpeed = speedRange{}
 	notSlow  = speedRange{from: slowBelow, below: math.Inf(1)}
-	onlySlow = speedRange{below: slowBelow}
 )
 
 func (s speedRange) admits(w *Worker) bool {
 	return s == anySpeed || (w.speed() >= s.from && w.speed() < s.below)
 }
 
-// speedRanges returns the ranges of speeds in which a request is placed, the preferred one
-// first. A gang is as fast as its slowest member, so it takes workers of like speed if it
-// can.
-func (p *Planner) speedRanges(r Request) []speedRange {
-	switch {
-	case !p.uneven || !r.Gang:
-		return []speedRange{anySpeed}
-	case r.inTimeOn(&Worker{Speed: p.slowest}):
-		return []speedRange{onlySlow, notSlow, anySpeed}
-	}
-	return []speedRange{notSlow, onlySlow, anySpeed}
-}
-
 // trimSlow removes workers from a choice that are too slow for the request, if a faster
 // worker is expected to be free early enough for the task to end earlier there.
 func (p *Planner) trimSlow(r Request, chosen []int) []int {
@@ -195,3 +203,14 @@
 		u.slowest = min(u.slowest, s)
 	}
 }
+
+// compareSlow orders slow workers after others.
+func compareSlow(a, b *Worker) int {
+	slow := func(w *Worker) int {
+		if w.speed() < slowBelow {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Compare(slow(a), slow(b))
+}
