workerspeed: a first sample without weight does not spoil the estimates

The averages of a queue became NaN, and no slow worker was found any more, if the first sample of the queue only added a run time to its group, as for a run whose progress counted in full before its worker changed services. A gang that began with a worker that is only doubtful was a sample of that worker.

Such samples do not enter the averages; the end of a gang is a sample only of a slow member.

TestOddSamples fails without the change and passes with it.

--- a/pkg/fleet/speed.go
+++ b/pkg/fleet/speed.go
@@ -96,7 +96,7 @@
 	if done < minSamplePercent || took < minSampleTime {
 		return
 	}
-	share := min(1, float64(done)/fullSamplePercent) - s.share
+	share := max(0, min(1, float64(done)/fullSamplePercent)-s.share)
 	s.share += share
 	o.observe(r.worker, r, time.Duration(float64(took)*completePercent/float64(done)), share)
 }
@@ -106,7 +106,7 @@
 // slow is found.
 func (o *Owner) observeGang(r *run, now time.Duration) {
 	took := r.runTime(now)
-	if !o.ruleEnabled(RuleWorkerSpeed) || r.speed.resumed || took < minSampleTime || r.group.gangSpeed == 0 || r.group.gangSpeed >= 1 {
+	if !o.ruleEnabled(RuleWorkerSpeed) || r.speed.resumed || took < minSampleTime || r.group.gangSpeed == 0 || r.group.gangSpeed >= workerspeed.SlowBelow {
 		return
 	}
 	number := r.number
@@ -234,10 +234,10 @@
 // tolerance returns how much longer than expected the tasks of a group may take before its
 // caller loses: until its job is late, or if it is late already, until it has no value.
 func (c *pendingGroup) tolerance() time.Duration {
-	switch {
-	case c.lateness == 0:
+	switch c.lateness {
+	case 0:
 		return c.slack
-	case c.lateness == 1:
+	case 1:
 		return c.lateSlack
 	}
 	return unlimitedTolerance
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -162,12 +162,12 @@
 	if p.slots != nil && p.slotsDemand == r.Demand && p.slotsLabel == r.RequiredLabel {
 		return p.slots
 	}
-	any := r
-	any.Count, any.MaxPerWorker, any.speeds = maxAwaitedPerWorker, 0, notSlow
+	one := r
+	one.Count, one.MaxPerWorker, one.speeds = maxAwaitedPerWorker, 0, notSlow
 	var all []slot
 	for _, i := range p.allWorkers {
-		if w := &p.workers[i]; p.usable(any, w) {
-			all = p.appendSlots(all, any, i)
+		if w := &p.workers[i]; p.usable(one, w) {
+			all = p.appendSlots(all, one, i)
 		}
 	}
 	slices.SortFunc(all, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
--- a/pkg/placement/speed_test.go
+++ b/pkg/placement/speed_test.go
@@ -32,23 +32,28 @@
 	}{
 		"fast first": {
 			"the fullest worker, although it is slow", speedsOf(slowFirst, 7, 0, 0, 6),
-			Request{Demand: gpus(8), Count: 2, Speed: FastFirst}, Outcome{Code: Placed, Workers: []int{2, 1}},
+			Request{Demand: gpus(8), Count: 2, Speed: FastFirst},
+			Outcome{Code: Placed, Workers: []int{2, 1}},
 		},
 		"best fit within a class": {
 			"an empty worker although one in use is as fast", speedsOf(slowFirst, 4, 0, 8, 6),
-			Request{Demand: gpus(1), Count: 3, Speed: FastFirst}, Outcome{Code: Placed, Workers: []int{3, 3, 1}},
+			Request{Demand: gpus(1), Count: 3, Speed: FastFirst},
+			Outcome{Code: Placed, Workers: []int{3, 3, 1}},
 		},
 		"slow when nothing else is free": {
 			"waiting although a slow worker is free", speedsOf(slowFirst, 0, 8, 8, 8),
-			Request{Demand: gpus(8), Count: 1, Speed: FastFirst}, Outcome{Code: Placed, Workers: []int{0}},
+			Request{Demand: gpus(8), Count: 1, Speed: FastFirst},
+			Outcome{Code: Placed, Workers: []int{0}},
 		},
 		"other work": {
 			"a change for work that is not urgent", speedsOf(slowFirst, 7, 0, 0, 6),
-			Request{Demand: gpus(1), Count: 1}, Outcome{Code: Placed, Workers: []int{0}},
+			Request{Demand: gpus(1), Count: 1},
+			Outcome{Code: Placed, Workers: []int{0}},
 		},
 		"gang": {
 			"a gang as slow as its slowest worker", speedsOf(slowFirst, 4, 0, 8, 0),
-			Request{Demand: gpus(4), Count: 2, Gang: true}, Outcome{Code: Placed, Workers: []int{1, 1}},
+			Request{Demand: gpus(4), Count: 2, Gang: true},
+			Outcome{Code: Placed, Workers: []int{1, 1}},
 		},
 		"gang in one rack": {
 			"a gang on several racks, as only there are enough workers not slow", speedsOf(twoRacks, 0, 0, 0, 0, 0, 0, 8, 8),
@@ -57,27 +62,33 @@
 		},
 		"data first": {
 			"running away from the data on a faster worker", speedsOf(twoRacks, 0, 8, 8, 8, 0, 0, 0, 0),
-			Request{Demand: gpus(8), Count: 1, AffinityRack: "A", Speed: FastFirst}, Outcome{Code: Placed, Workers: []int{0}},
+			Request{Demand: gpus(8), Count: 1, AffinityRack: "A", Speed: FastFirst},
+			Outcome{Code: Placed, Workers: []int{0}},
 		},
 		"slow in time": {
 			"a normal worker for work that is in time on a slow one", speedsOf(slowFirst, 0, 4, 0, 0),
-			Request{Demand: gpus(4), Count: 1, ExpectedDuration: time.Second, Speed: SlowInTimeFirst, Tolerance: 3 * time.Second}, Outcome{Code: Placed, Workers: []int{0}},
+			Request{Demand: gpus(4), Count: 1, ExpectedDuration: time.Second, Speed: SlowInTimeFirst, Tolerance: 3 * time.Second},
+			Outcome{Code: Placed, Workers: []int{0}},
 		},
 		"slow and late": {
 			"a slow worker for work that would be late there", speedsOf(slowFirst, 0, 4, 0, 0),
-			Request{Demand: gpus(4), Count: 1, ExpectedDuration: time.Second, Speed: SlowInTimeFirst, Tolerance: time.Second}, Outcome{Code: Placed, Workers: []int{1}},
+			Request{Demand: gpus(4), Count: 1, ExpectedDuration: time.Second, Speed: SlowInTimeFirst, Tolerance: time.Second},
+			Outcome{Code: Placed, Workers: []int{1}},
 		},
 		"a faster worker is free soon": {
 			"ending later on a slow worker than after a short wait", speedsOf(slowFirst, 0, 8, 8, 8),
-			Request{Demand: gpus(8), Count: 1, ExpectedDuration: 20 * time.Second, Speed: FastFirst, AwaitFaster: 11 * time.Second}, Outcome{Code: Blocked, Reason: SlowWorkers},
+			Request{Demand: gpus(8), Count: 1, ExpectedDuration: 20 * time.Second, Speed: FastFirst, AwaitFaster: 11 * time.Second},
+			Outcome{Code: Blocked, Reason: SlowWorkers},
 		},
 		"a faster worker is not free soon": {
 			"ending later after a wait than on a slow worker", speedsOf(slowFirst, 0, 8, 8, 8),
-			Request{Demand: gpus(8), Count: 1, ExpectedDuration: 2 * time.Second, Speed: FastFirst, AwaitFaster: 11 * time.Second}, Outcome{Code: Placed, Workers: []int{0}},
+			Request{Demand: gpus(8), Count: 1, ExpectedDuration: 2 * time.Second, Speed: FastFirst, AwaitFaster: 11 * time.Second},
+			Outcome{Code: Placed, Workers: []int{0}},
 		},
 		"the wait is bounded": {
 			"waiting for longer than allowed", speedsOf(slowFirst, 0, 8, 8, 8),
-			Request{Demand: gpus(8), Count: 1, ExpectedDuration: 20 * time.Second, Speed: FastFirst, AwaitFaster: 9 * time.Second}, Outcome{Code: Placed, Workers: []int{0}},
+			Request{Demand: gpus(8), Count: 1, ExpectedDuration: 20 * time.Second, Speed: FastFirst, AwaitFaster: 9 * time.Second},
+			Outcome{Code: Placed, Workers: []int{0}},
 		},
 	}
 	for name, tc := range tests {
--- a/pkg/workerspeed/queue.go
+++ b/pkg/workerspeed/queue.go
@@ -52,6 +52,9 @@
 
 // learn adds a run whose time is given as it would have been on a worker of normal speed.
 func (q *queue) learn(s Sample, normalTime, median float64, others int) {
+	if s.Share == 0 {
+		return // its weight among no runs is not defined
+	}
 	bound := func(x float64) float64 { return min(maxResidual, max(-maxResidual, x)) }
 	q.runs += s.Share
 	residual := normalTime - math.Log(s.Expected.Seconds()) - q.offset
--- a/pkg/workerspeed/workerspeed.go
+++ b/pkg/workerspeed/workerspeed.go
@@ -105,7 +105,7 @@
 
 // Observe adds a sample.
 func (e *Estimator) Observe(now time.Duration, s Sample) {
-	if s.RunTime <= 0 || s.Expected <= 0 || s.Share < 0 {
+	if s.RunTime <= 0 || s.Expected <= 0 || s.Share < 0 || math.IsNaN(s.Share) {
 		return
 	}
 	svc := e.service(s.Service)
--- a/pkg/workerspeed/workerspeed_test.go
+++ b/pkg/workerspeed/workerspeed_test.go
@@ -177,6 +177,21 @@
 	}
 }
 
+// Guards against estimates that are not numbers, after a first sample that only adds its run time
+// to its group, or with odd values.
+func TestOddSamples(t *testing.T) {
+	for _, share := range []float64{0, -1, math.NaN()} {
+		f := newFleet(slowAtQuarter())
+		for _, took := range []time.Duration{0, -time.Second, 1, time.Second, math.MaxInt64} {
+			f.e.Observe(0, Sample{Service: "s", Queue: "q", Worker: id(1), Incarnation: 1, Group: &Group{}, RunTime: took, Expected: time.Second, Share: share})
+		}
+		f.jobs(60, false)
+		if s := f.speed(4); s == 0 || s >= SlowBelow {
+			t.Errorf("share %v: the slow worker has speed %v", share, s)
+		}
+	}
+}
+
 // BenchmarkUpdate measures what the owner of the largest fleet spends twice a second.
 func BenchmarkUpdate(b *testing.B) {
 	e := New()
