--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -68,6 +68,7 @@
 		},
 	}
 	cmd.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port of the metrics at this VM's address; 0 serves none")
+	cmd.Flags().BoolVar(&options.WorkerSpeeds, "worker-speeds", false, "place urgent work and gangs by the estimated speeds of workers")
 	cmd.Flags().StringSliceVar(&disabled, "disable-rules", nil, "decision rules that are not applied, by name")
 	return cmd
 }
--- a/pkg/placement/headroom.go
+++ b/pkg/placement/headroom.go
@@ -47,7 +47,14 @@
 			h.workers = append(h.workers, i)
 		}
 	}
-	slices.SortStableFunc(h.workers, func(a, b int) int { return compareRoom(p.freeForHeadroom(b), p.freeForHeadroom(a)) })
+	slices.SortStableFunc(h.workers, func(a, b int) int {
+		if p.uneven {
+			if order := compareSlow(&p.workers[a], &p.workers[b]); order != 0 {
+				return order
+			}
+		}
+		return compareRoom(p.freeForHeadroom(b), p.freeForHeadroom(a))
+	})
 	return h
 }
 
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -112,7 +112,7 @@
 
 // without returns the worker once some of its runs have stopped.
 func (w *Worker) without(stopped func(Run) bool) Worker {
-	after := Worker{FreeAfterStops: w.FreeAfterStops, reservations: w.reservations}
+	after := Worker{Speed: w.Speed, FreeAfterStops: w.FreeAfterStops, reservations: w.reservations}
 	for _, run := range w.Runs {
 		if stopped(run) {
 			after.FreeAfterStops = after.FreeAfterStops.Add(run.Demand)
