--- a/cmd/carawayusher-node/main.go
+++ b/cmd/carawayusher-node/main.go
@@ -47,7 +47,7 @@
 
 func newFrontCommand() *cobra.Command {
 	var options platform.ServeOptions
-	var disabled []string
+	var disabled, enabled []string
 	cmd := &cobra.Command{
 		Use: "front", Short: "Serve callers and take part in scheduling", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -58,6 +58,9 @@
 			if options.DisabledRules, err = fleet.ParseRules(disabled); err != nil {
 				return err
 			}
+			if options.EnabledRules, err = fleet.ParseRules(enabled); err != nil {
+				return err
+			}
 			out := logging.NewAsyncWriter(os.Stdout)
 			defer out.Close()
 			log, _, err := logging.New(logging.Options{Writer: out})
@@ -68,7 +71,7 @@
 		},
 	}
 	cmd.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port of the metrics at this VM's address; 0 serves none")
-	cmd.Flags().BoolVar(&options.WorkerSpeeds, "worker-speeds", false, "place urgent work and gangs by the estimated speeds of workers")
+	cmd.Flags().StringSliceVar(&enabled, "enable-rules", nil, "optional decision rules that are applied: preemption-wait, victim-cost, shortage-order, admission, worker-speed")
 	cmd.Flags().StringSliceVar(&disabled, "disable-rules", nil, "decision rules that are not applied, by name")
 	return cmd
 }
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -79,5 +79,9 @@
 	return all, nil
 }
 
+// OptionalRules are the rules that the node applies only if its command line names them, since no
+// gain for callers was shown on every deployment.
+const OptionalRules = RulePreemptionWait | RuleVictimCost | RuleShortageOrder | RuleAdmission | RuleWorkerSpeed
+
 // ruleEnabled reports whether a rule is in force.
 func (o *Owner) ruleEnabled(r Rules) bool { return o.opts.DisabledRules&r == 0 }
