--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -119,6 +119,9 @@
 	EvacuationPrefix string
 	EvacuationBound  time.Duration
 	Metrics          *metrics.Set // nil disables metrics
+	// WorkerSpeeds makes the owner estimate the speeds of workers and place urgent work and gangs
+	// by them. It is off by default, as other work may lose by it.
+	WorkerSpeeds bool
 	// ProcessUsage returns the resources that this process uses; nil disables their report.
 	ProcessUsage  func() processusage.Usage
 	DisabledRules Rules // decision rules that are not applied
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -48,6 +48,7 @@
 	shortages       map[string]*serviceShortage // by service
 	arriving        map[servicePriority]*shortage.Rate
 	admission       atomic.Pointer[admissionTable]
+	speeds          speedState // estimates of the workers' speeds
 	nextCleanupAt   time.Duration
 	adviceRequests  chan adviceRequest
 	automationHold  atomic.Bool // operators have suspended all automatic actions
@@ -89,7 +90,7 @@
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
 		validity: newLeaseValidity(acquired.validUntil),
 		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{},
+		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{}, speeds: newSpeedState(),
 		kinds: map[string]*shortage.Kind{}, shortages: map[string]*serviceShortage{}, arriving: map[servicePriority]*shortage.Rate{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
 		evacuations: evacuationState{machineDomains: map[string]string{}}, waves: map[int64]*waveState{}, homePools: map[string]string{}, returning: map[string]bool{}, adviceRequests: make(chan adviceRequest, adviceQueueSize),
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -255,6 +255,7 @@
 			Schedulable: o.schedulable(w, now),
 			Ejected:     w.ejected || o.returnsLater(w, now),
 			Penalty:     o.penalty(w) + o.coldPenalty(w, now),
+			Speed:       w.speed,
 		}
 		if pw.Schedulable {
 			p.capacity, p.used = p.capacity.Add(w.Capacity), p.used.Add(all)
@@ -350,6 +351,7 @@
 		MayUseHeadroom: freeCapacityFirst || p.mayUseHeadroom(c),
 		MayUseEjected:  freeCapacityFirst,
 		MayUseReserved: freeCapacityFirst,
+		Speed:          o.speedPreference(c),
 		Reserve:        mayReserve && waited >= reservationDelay && o.ruleEnabled(RuleReservation),
 	}
 	if o.ruleEnabled(RuleMultiRack) {
@@ -497,6 +499,7 @@
 	}
 	number++
 	g.multiRack = outcome.MultiRack
+	g.gangSpeed = p.slowestSpeed(outcome.Workers)
 	var started []*run
 	for n, chosen := range outcome.Workers {
 		i, w := c.pending[n], p.workers[chosen]
@@ -506,6 +509,7 @@
 		}
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine, Address: w.Address}
 		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
+		r.speed.resumed = t.Checkpoint != ""
 		g.runs[i], w.runs[r] = r, struct{}{}
 		started = append(started, r)
 	}
--- a/pkg/fleet/rules.go
+++ b/pkg/fleet/rules.go
@@ -54,6 +54,8 @@
 	// RuleAdmission refuses jobs that cannot complete while they are of value, in a lasting
 	// shortage.
 	RuleAdmission
+	// RuleWorkerSpeed places work by the speeds of workers where these differ materially.
+	RuleWorkerSpeed
 )
 
 // ruleNames are the names by which operators disable rules.
@@ -61,7 +63,7 @@
 	"headroom": RuleHeadroom, "preemption": RulePreemption, "guarantee": RuleGuarantee, "reservation": RuleReservation, "slack-order": RuleSlackOrder,
 	"drain-eviction": RuleDrainEviction, "stall-eviction": RuleStallEviction, "multi-rack": RuleMultiRack, "failed-workers-last": RuleFailedWorkersLast,
 	"learned-run-times": RuleLearnedRunTimes, "evacuation-move": RuleEvacuationMove, "cold-workers-last": RuleColdWorkersLast,
-	"preemption-wait": RulePreemptionWait, "victim-cost": RuleVictimCost, "shortage-order": RuleShortageOrder, "admission": RuleAdmission,
+	"preemption-wait": RulePreemptionWait, "victim-cost": RuleVictimCost, "shortage-order": RuleShortageOrder, "admission": RuleAdmission, "worker-speed": RuleWorkerSpeed,
 }
 
 // ParseRules returns the rules with the given names; an unknown name has kind invalid_config.
@@ -77,5 +79,9 @@
 	return all, nil
 }
 
+// OptionalRules are the rules that the node applies only if its command line names them, since no
+// gain for callers was shown on every deployment.
+const OptionalRules = RulePreemptionWait | RuleVictimCost | RuleShortageOrder | RuleAdmission | RuleWorkerSpeed
+
 // ruleEnabled reports whether a rule is in force.
 func (o *Owner) ruleEnabled(r Rules) bool { return o.opts.DisabledRules&r == 0 }
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -179,6 +179,7 @@
 	}
 	w.removed = true
 	delete(o.workers, w.ID)
+	o.speeds.estimator.Forget(w.ID)
 	o.workersByID = nil
 	o.limitCalls()
 	close(w.orders)
@@ -213,6 +214,7 @@
 	w.incarnationSince = o.opts.Clock()
 	w.incarnationState = incarnationState{priorExpiry: o.opts.Clock() + maxOrderDelay}
 	w.resetEjection()
+	w.speed = 0
 	o.stopGivenUpRuns(w)
 	for r := range w.runs {
 		if r.phase != phasePlanned {
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -66,6 +66,9 @@
 	Ejected bool
 	// Penalty makes a worker less preferred; workers with the lowest penalty come first.
 	Penalty int
+	// Speed is the speed relative to the other workers, 1 for a normal one; 0 if unknown. It
+	// takes few different values.
+	Speed float64
 
 	reservations []reservation
 	headroom     bool               // kept for urgent work
@@ -99,7 +102,7 @@
 	ExcludedWorkers   map[string]bool // workers on which tasks of the step failed
 	EligibleWorkers   map[string]bool // if not nil, only these workers may be used
 	Priority          int
-	ExpectedDuration  time.Duration // run time of a task
+	ExpectedDuration  time.Duration // run time of a task on a worker of normal speed
 	MayUseHeadroom    bool          // see Planner.KeepHeadroom
 	MayUseEjected     bool          // ejected workers may be used if the request is blocked otherwise
 	MayPreempt        bool
@@ -125,6 +128,8 @@
 	// Explain asks for the Reason of a blocked request, which costs several passes over
 	// the workers. It does not affect the decision.
 	Explain bool
+	// Speed is the order in which workers of different speeds are taken.
+	Speed SpeedPreference
 }
 
 // Outcome is the answer to a Request. Workers holds an index into
@@ -150,6 +155,7 @@
 	candidates []candidate // reused by fit
 	slots      []slot      // reused by earliestFit
 	evictor    evictor
+	unevenness
 }
 
 // New returns a Planner. It takes ownership of the snapshot and changes it.
@@ -162,6 +168,7 @@
 	for i := range p.workers {
 		p.allWorkers[i] = i
 		p.anyEjected = p.anyEjected || p.workers[i].Ejected
+		p.note(&p.workers[i])
 		n, ok := byRack[p.workers[i].Rack]
 		if !ok {
 			n = len(p.racks)
@@ -360,17 +367,18 @@
 	key    fitKey
 }
 
-// fitKey orders workers: those in the rack of the data first, then by penalty, then by
-// the least free capacity, so that whole workers stay free for large tasks.
+// fitKey orders workers: those in the rack of the data first, then by penalty, then by speed
+// where speeds differ, then by the least free capacity, so that whole workers stay free for large tasks.
 type fitKey struct {
 	remote, penalty int
+	speed           float64
 	accelerators    int64
 	memory          int64
 	cpu             int64
 }
 
 func (a fitKey) compare(b fitKey) int {
-	return cmp.Or(cmp.Compare(a.remote, b.remote), cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.accelerators, b.accelerators),
+	return cmp.Or(cmp.Compare(a.remote, b.remote), cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.speed, b.speed), cmp.Compare(a.accelerators, b.accelerators),
 		cmp.Compare(a.memory, b.memory), cmp.Compare(a.cpu, b.cpu))
 }
 
@@ -379,6 +387,9 @@
 	if r.AffinityRack != "" && w.Rack != r.AffinityRack {
 		k.remote = 1
 	}
+	if p.uneven {
+		k.speed = p.speedRank(r, w)
+	}
 	return k
 }
 
@@ -389,7 +400,7 @@
 		return free
 	}
 	for _, c := range w.reservations {
-		if r.ExpectedDuration <= c.from {
+		if r.durationOn(w) <= c.from {
 			continue
 		}
 		freeThen := w.FreeAfterStops
@@ -454,7 +465,7 @@
 		// that no later request uses it.
 		w.Free = w.Free.Sub(r.Demand)
 		if now {
-			w.Runs = append(w.Runs, Run{Group: -1, Demand: r.Demand, EndsIn: r.ExpectedDuration})
+			w.Runs = append(w.Runs, Run{Group: -1, Demand: r.Demand, EndsIn: r.durationOn(w)})
 		} else {
 			w.keptForStops = w.keptForStops.Add(r.Demand)
 		}
