fleet: compare and set the owner hint under one lock

Two hints that arrive at the same time could leave the older one. Only one goroutine adds hints today, so no caller has seen it.

--- a/pkg/fleet/ownerhint.go
+++ b/pkg/fleet/ownerhint.go
@@ -31,6 +31,11 @@
 func (e *Elector) OwnerHint() OwnerHint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.newestHint()
+}
+
+// newestHint is OwnerHint with the lock held.
+func (e *Elector) newestHint() OwnerHint {
 	if e.hint.Token > e.ownerToken {
 		return e.hint
 	}
@@ -39,13 +44,13 @@
 
 // AddOwnerHint applies what another VM knows of the owner.
 func (e *Elector) AddOwnerHint(h OwnerHint) {
-	known := e.OwnerHint()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.newestHint()
 	if h.Address == "" || h.Token <= known.Token {
 		return
 	}
-	e.mu.Lock()
 	e.hint = h
-	e.mu.Unlock()
 	e.opts.Metrics.Event("owner_learned_from_vm")
 	e.opts.Log.Info("learned of the owner of the fleet from another VM", "address", h.Address, "token", h.Token, "before", known.Address)
 }
