fleet: the election does not wait for questions about the owner

While the store was away for all, each VM waited up to 0.3 s for other VMs before it tried the store again, so VMs with more processor time could lose the election after the outage to smaller ones.

Change: the question runs in the background.

Result: tests of owner hints and handovers pass with -race.

--- a/pkg/fleet/ownerhint.go
+++ b/pkg/fleet/ownerhint.go
@@ -55,17 +55,20 @@
 	e.opts.Log.Info("learned of the owner of the fleet from another VM", "address", h.Address, "token", h.Token, "before", known.Address)
 }
 
-// askForOwner asks other VMs for the owner. A VM that the store turns away would otherwise send
-// the calls of its callers to the former owner for as long as that lasts.
+// askForOwner asks other VMs for the owner, in the background: the election must not wait for
+// them. A VM that the store turns away would otherwise send the calls of its callers to the former
+// owner for as long as that lasts.
 func (e *Elector) askForOwner(ctx context.Context) {
 	now := e.opts.Clock()
 	if e.opts.AskOwner == nil || now < e.nextHintAt {
 		return
 	}
-	e.nextHintAt = now + ownerHintInterval
-	ctx, cancel := context.WithTimeout(ctx, ownerHintTimeout)
-	defer cancel()
-	for _, h := range e.opts.AskOwner(ctx) {
-		e.AddOwnerHint(h)
-	}
+	e.nextHintAt = now + ownerHintInterval // longer than a question, so that one is open at most
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, ownerHintTimeout)
+		defer cancel()
+		for _, h := range e.opts.AskOwner(ctx) {
+			e.AddOwnerHint(h)
+		}
+	}()
 }
