review: case 7, two holders after an unanswered release of the owner's key

Cause: an owner that asks another VM to delete its key takes a renewed lease for ownership, though the delete may have been carried out without an answer.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -36,6 +36,10 @@
 	startTimeout = 30 * time.Second
 
 	maxShown = 160 // bytes of a body in the record
+
+	// storeSide plus its number is the last number of the address from which the calls of a
+	// machine reach the store.
+	storeSide = 100
 )
 
 // deployment is a store, workers, a machine API and the processes of the system.
@@ -52,6 +56,8 @@
 	args    []string
 
 	storeAddress, cloudAddress string
+	slow                       *slowHandler
+	cloud                      *switchHandler
 	stop                       context.CancelFunc
 	ctx                        context.Context
 }
@@ -117,7 +123,8 @@
 	d.network = network
 	r.linef("disruption: %v; loopback network %s.0", trouble, network)
 	d.store = memory.NewStore(memory.Options{WritesPerSecond: 400, ReadsPerSecond: 2000})
-	if d.storeAddress, err = d.serve(network+".250:0", platformtest.StoreHandler(d.store)); err != nil {
+	d.slow = &slowHandler{next: platformtest.StoreHandler(d.store)}
+	if d.storeAddress, err = d.serve(network+".250:0", d.slow); err != nil {
 		return nil, err
 	}
 	d.pool = &pool{record: r, gangSize: map[string]int{}, outcome: func(string, string, int64) outcome { return outcome{time.Second, "done"} }}
@@ -126,7 +133,9 @@
 			return nil, err
 		}
 	}
-	if d.cloudAddress, err = d.serve(network+".252:0", http.HandlerFunc(d.machines)); err != nil {
+	d.cloud = &switchHandler{}
+	d.cloud.set(http.HandlerFunc(d.machines))
+	if d.cloudAddress, err = d.serve(network+".252:0", d.cloud); err != nil {
 		return nil, err
 	}
 	if err := d.writeConfig(); err != nil {
@@ -148,9 +157,12 @@
 // addNode adds a machine at a new address and starts its process.
 func (d *deployment) addNode(m machine) (*node, error) {
 	number := len(d.nodes) + 1
-	store := d.storeAddress
+	gate := newGate()
+	store, err := serveGate(d.ctx, fmt.Sprintf("%s.%d:0", d.network, storeSide+number), d.storeAddress, gate)
+	if err != nil {
+		return nil, err
+	}
 	if m.linkMbps < smallDeployment.linkMbps {
-		var err error
 		if store, err = serveLink(d.ctx, d.network+".253:0", d.storeAddress, m.linkMbps); err != nil {
 			return nil, err
 		}
@@ -159,6 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.gate, n.number = gate, number
 	d.nodes = append(d.nodes, n)
 	return n, n.start()
 }
@@ -240,6 +253,17 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"machines": list, "next_token": nil}) // the caller may have left
 }
 
+// nodeOf returns the name of the machine that calls the store.
+func (d *deployment) nodeOf(r *http.Request) string {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr) // it is an address
+	for _, n := range d.nodes {
+		if strings.TrimPrefix(host, d.network+".") == fmt.Sprint(storeSide+n.number) {
+			return n.name
+		}
+	}
+	return ""
+}
+
 // idle reports whether no worker runs anything.
 func (p *pool) idle() bool {
 	p.mu.Lock()
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -106,6 +106,8 @@
 	binary        string
 	args          []string
 	record        *record
+	number        int
+	gate          *gate // between it and the store
 
 	mu      sync.Mutex
 	process *os.Process
