--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -221,16 +221,32 @@
 	return err
 }
 
-// beat writes the workers' entries as the workers do.
+// entryLifetime is how long an entry of a silent worker stays: three heartbeat intervals.
+const entryLifetime = 4500 * time.Millisecond
+
+// beat writes the workers' entries as the workers do, and removes those of silent ones.
 func (d *deployment) beat() {
+	written := map[*worker]time.Time{}
 	for sequence := 1; d.ctx.Err() == nil; sequence++ {
 		for _, w := range d.pool.workers {
-			if _, err := d.store.Put(d.ctx, "servers/"+w.id, w.entry(sequence), platform.AnyVersion, 0); err != nil && d.ctx.Err() == nil {
-				d.record.linef("worker %s could not write its entry: %v", w.id, err)
+			d.pool.mu.Lock()
+			silent, value := w.silent, w.entry(sequence)
+			d.pool.mu.Unlock()
+			key := "servers/" + w.id
+			switch {
+			case !silent && time.Since(written[w]) >= 1500*time.Millisecond:
+				written[w] = time.Now()
+				if _, err := d.store.Put(d.ctx, key, value, platform.AnyVersion, 0); err != nil && d.ctx.Err() == nil {
+					d.record.linef("worker %s could not write its entry: %v", w.id, err)
+				}
+			case silent && !written[w].IsZero() && time.Since(written[w]) >= entryLifetime:
+				written[w] = time.Time{}
+				d.record.linef("platform: entry of %s removed, after three heartbeat intervals of silence", w.id)
+				_ = d.store.Delete(d.ctx, key, platform.AnyVersion) // it is there
 			}
 		}
 		select {
-		case <-time.After(1500 * time.Millisecond):
+		case <-time.After(100 * time.Millisecond):
 		case <-d.ctx.Done():
 		}
 	}
@@ -245,7 +261,7 @@
 	list := []any{}
 	for _, k := range d.pool.workers {
 		list = append(list, map[string]any{
-			"machine": k.machine, "pool": serviceName, "state": "up", "zone": "z", "labels": []string{"a", k.rack},
+			"machine": k.machine, "pool": serviceName, "state": "up", "zone": "z", "labels": []string{k.kind, k.rack},
 			"capacity": map[string]int{"cpu": 64000, "mem_mb": 262144, "gpu": 8}, "id": k.id,
 		})
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -46,6 +46,8 @@
 // worker is a server of the platform, as the page PROTOCOL describes it.
 type worker struct {
 	id, address, machine, rack string
+	kind                       string // its first label
+	silent                     bool   // it doesn't reach the store
 	born                       int64
 	started                    time.Time
 	pool                       *pool
@@ -62,6 +64,9 @@
 	cutBegan chan struct{}
 }
 
+// begunRun is a start: a task that a worker of a kind has begun.
+type begunRun struct{ task, worker, kind string }
+
 // pool holds the workers of a deployment under one lock; members of a gang need each other.
 type pool struct {
 	mu       sync.Mutex
@@ -71,6 +76,7 @@
 	gangSize map[string]int // by job.occurrence.step; absent: separate tasks
 
 	allEnds, notedEnds []endRow
+	begun              []begunRun
 }
 
 func newWorker(p *pool, id, ip, rack string) (*worker, error) {
@@ -79,7 +85,7 @@
 		return nil, err
 	}
 	w := &worker{
-		id: id, address: l.Addr().String(), machine: "m-" + id, rack: rack, born: time.Now().UnixMilli(), started: time.Now(), pool: p,
+		id: id, address: l.Addr().String(), machine: "m-" + id, rack: rack, kind: "a", born: time.Now().UnixMilli(), started: time.Now(), pool: p,
 		runs: map[string]*taskRun{}, newest: map[string]int64{}, changed: make(chan struct{}), cutBegan: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w}
@@ -92,7 +98,7 @@
 func (w *worker) entry(sequence int) []byte {
 	data, _ := json.Marshal(map[string]any{ // plain data
 		"service": serviceName, "address": w.address, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": map[string]int{"cpu": 64000, "mem_mb": 262144, "gpu": 8}, "labels": []string{"a", w.rack},
+		"capacity": map[string]int{"cpu": 64000, "mem_mb": 262144, "gpu": 8}, "labels": []string{w.kind, w.rack},
 		"clock_ms": w.clock(), "sequence": sequence, "born": w.born, "machine": w.machine,
 	})
 	return data
@@ -100,6 +106,37 @@
 
 func (w *worker) clock() int64 { return time.Since(w.started).Milliseconds() }
 
+// crash ends the worker with all that it runs and knows, and starts it again under its id and
+// address after a pause, as a worker of a kind.
+func (w *worker) crash(pause time.Duration, kind string) error {
+	p := w.pool
+	p.mu.Lock()
+	p.record.linef("worker %s: crashes; what ran there: %d", w.id, len(w.runs))
+	w.runs, w.newest, w.ended, w.seq, w.token, w.lease = map[string]*taskRun{}, map[string]int64{}, nil, 0, 0, 0
+	server := w.server
+	p.mu.Unlock()
+	_ = server.Close() // resets the connections
+	time.Sleep(pause)
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.kind, w.born, w.started, w.server = kind, time.Now().UnixMilli(), time.Now(), &http.Server{Handler: w}
+	p.record.linef("worker %s: starts again at %s as kind %s, born %d", w.id, w.address, kind, w.born)
+	go func(s *http.Server) { _ = s.Serve(l) }(w.server) // ends with the process
+	return nil
+}
+
+// setSilent cuts the worker off from the store, or heals that cut.
+func (w *worker) setSilent(on bool) {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.pool.record.linef("worker %s: cut off from the store: %v", w.id, on)
+	w.silent = on
+}
+
 // setCut cuts the worker off from all machines of the system, or heals the cut. It runs on.
 func (w *worker) setCut(on bool) {
 	w.pool.mu.Lock()
@@ -199,7 +236,8 @@
 	w.extend(o.Deadline)
 	r := &taskRun{task: o.Task, run: o.Run, startedAt: time.Now(), checkpoint: o.Checkpoint}
 	w.runs[o.Task] = r
-	p.record.linef("worker %s: RUN BEGINS task %s run %d token %d", w.id, o.Task, o.Run, o.Token)
+	p.begun = append(p.begun, begunRun{o.Task, w.id, w.kind})
+	p.record.linef("worker %s (kind %s): RUN BEGINS task %s run %d token %d", w.id, w.kind, o.Task, o.Run, o.Token)
 	p.beginWork(w, r)
 	time.AfterFunc(time.Duration(w.lease-w.clock()+1)*time.Millisecond, w.checkLease)
 	return ""
