--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -127,7 +127,7 @@
 	if d.storeAddress, err = d.serve(network+".250:0", d.slow); err != nil {
 		return nil, err
 	}
-	d.pool = &pool{record: r, gangSize: map[string]int{}, outcome: func(string, string, int64) outcome { return outcome{time.Second, "done"} }}
+	d.pool = &pool{record: r, gangSize: map[string]int{}, tail: map[string]int{}, outcome: func(string, string, int64) outcome { return outcome{time.Second, "done"} }}
 	for i := range workerCount {
 		if _, err := newWorker(d.pool, fmt.Sprintf("i-%02d", i+1), network+".251", fmt.Sprintf("r1-%d", i/3)); err != nil {
 			return nil, err
