--- a/review/standin-2/case_cancel_test.go
+++ b/review/standin-2/case_cancel_test.go
@@ -21,6 +21,21 @@
 	cancelBound    = 3 * time.Second        // cancel_ms
 )
 
+// awaitSilence waits until the machine does not answer the platform's probe, as a signal may take
+// effect late beside other load.
+func (n *node) awaitSilence() bool {
+	probe := http.Client{Timeout: 100 * time.Millisecond}
+	for range 10 {
+		resp, err := probe.Get("http://" + n.ready() + "/ready")
+		if err != nil {
+			return true
+		}
+		_ = resp.Body.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
 // cancelledBeforeStored hands a job in at a machine that stands still, leaves, and cancels the
 // job at another machine, which answers 410. Rule UNASKED: no machine in touch starts a task of
 // it later than cancel_ms after that answer.
@@ -41,7 +56,9 @@
 		frozen.signal(syscall.SIGSTOP)
 		thaw = time.AfterFunc(freeze, func() { frozen.signal(syscall.SIGCONT) })
 		defer thaw.Stop()
-		time.Sleep(50 * time.Millisecond)
+		if !frozen.awaitSilence() {
+			return errors.New("the machine did not stand still")
+		}
 	}
 	status, _ := d.call(frozen, http.MethodPost, id, body, clientPatience)
 	if d.trouble && status != 0 {
--- a/review/standin-2/case_gang_test.go
+++ b/review/standin-2/case_gang_test.go
@@ -56,7 +56,7 @@
 		}
 		owner.kill()
 		time.Sleep(500 * time.Millisecond) // the platform starts a killed process again after a short delay
-		if err := owner.start(); err != nil {
+		if err := owner.start(false); err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/case_holders_test.go
+++ b/review/standin-2/case_holders_test.go
@@ -55,15 +55,18 @@
 	now := time.Now()
 	if r.URL.Path == "/machines" {
 		list := []any{}
-		for _, k := range u.d.pool.workers {
-			state := "up"
-			if now.Before(u.downTo[k.machine]) {
-				state = "upkeep"
-			}
-			list = append(list, map[string]any{
-				"machine": k.machine, "pool": serviceName, "state": state, "zone": "z", "labels": []string{"a", k.rack},
+		for _, k := range u.d.pool.all() {
+			row := map[string]any{
+				"machine": k.machine, "pool": serviceName, "state": "up", "zone": "z", "labels": []string{"a", k.rack},
 				"capacity": map[string]int{"cpu": 64000, "mem_mb": 262144, "gpu": 8}, "id": k.id,
-			})
+			}
+			switch {
+			case k.gone && now.Before(u.downTo[k.machine]):
+				row["state"], row["id"] = "upkeep", nil
+			case k.gone:
+				continue // its machine has another worker
+			}
+			list = append(list, row)
 		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"machines": list, "next_token": nil}) // the caller may have left
 		return
@@ -86,6 +89,11 @@
 		u.tokens[b.Machine] = token
 		if !u.begun[b.Machine] {
 			u.begun[b.Machine], u.downTo[b.Machine] = true, now.Add(upkeepTime)
+			for _, k := range u.d.pool.all() {
+				if k.machine == b.Machine && !k.gone {
+					u.d.pool.replace(k, upkeepTime)
+				}
+			}
 			down := 0
 			for _, until := range u.downTo {
 				if now.Before(until) {
@@ -168,7 +176,7 @@
 		}
 	}
 	names := []string{}
-	for _, k := range d.pool.workers {
+	for _, k := range d.pool.all() {
 		names = append(names, k.machine)
 	}
 	value, _ := json.Marshal(map[string]any{"wave": 1, "machines": names, "duration_s": 60, "max_count": 1}) // plain data
--- a/review/standin-2/case_link_test.go
+++ b/review/standin-2/case_link_test.go
@@ -50,7 +50,7 @@
 	if d.trouble {
 		large.signal(syscall.SIGKILL)
 		time.Sleep(replaceAfter)
-		if _, err := d.addNode(grownLarge); err != nil {
+		if _, err := d.addNode(grownLarge, false); err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/deployment_test.go
+++ b/review/standin-2/deployment_test.go
@@ -21,7 +21,6 @@
 
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/platform/memory"
-	"github.com/carawayusher/carawayusher/platform/platformtest"
 )
 
 const (
@@ -34,6 +33,8 @@
 	workerCount = 6
 
 	startTimeout = 30 * time.Second
+	// trafficDelay is the time from the start of the machines to the first call of a client.
+	trafficDelay = 10 * time.Second
 
 	maxShown = 160 // bytes of a body in the record
 
@@ -62,10 +63,15 @@
 	ctx                        context.Context
 }
 
-// loopbackNetwork returns the first three numbers of loopback addresses that are free.
-func loopbackNetwork() (string, error) {
+// loopbackNetwork returns the first three numbers of loopback addresses that are free, and a
+// listener that keeps other runs of this program off them.
+func loopbackNetwork() (string, net.Listener, error) {
 	for range 100 {
 		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
+		reservation, err := net.Listen("tcp", fmt.Sprintf("%s.254:%d", network, internalPort))
+		if err != nil {
+			continue
+		}
 		free := true
 		for i := 1; i <= maxNodes && free; i++ {
 			for _, port := range []int{frontPort, readyPort, internalPort, 9464} {
@@ -78,10 +84,11 @@
 			}
 		}
 		if free {
-			return network, nil
+			return network, reservation, nil
 		}
+		_ = reservation.Close()
 	}
-	return "", errors.New("no network of loopback addresses is free")
+	return "", nil, errors.New("no network of loopback addresses is free")
 }
 
 // deployCommand returns the command of the only role in the deploy file.
@@ -116,14 +123,15 @@
 	if d.dir, err = os.MkdirTemp("", "standin-2-"); err != nil {
 		return nil, err
 	}
-	network, err := loopbackNetwork()
+	network, reservation, err := loopbackNetwork()
 	if err != nil {
 		return nil, err
 	}
+	context.AfterFunc(d.ctx, func() { _ = reservation.Close() })
 	d.network = network
 	r.linef("disruption: %v; loopback network %s.0", trouble, network)
 	d.store = memory.NewStore(memory.Options{WritesPerSecond: 400, ReadsPerSecond: 2000})
-	d.slow = &slowHandler{next: platformtest.StoreHandler(d.store)}
+	d.slow = &slowHandler{next: newStorePage(d.store)}
 	if d.storeAddress, err = d.serve(network+".250:0", d.slow); err != nil {
 		return nil, err
 	}
@@ -143,7 +151,7 @@
 	}
 	go d.beat()
 	for _, m := range machines {
-		if _, err := d.addNode(m); err != nil {
+		if _, err := d.addNode(m, true); err != nil {
 			return nil, err
 		}
 	}
@@ -155,7 +163,7 @@
 }
 
 // addNode adds a machine at a new address and starts its process.
-func (d *deployment) addNode(m machine) (*node, error) {
+func (d *deployment) addNode(m machine, bootstrap bool) (*node, error) {
 	number := len(d.nodes) + 1
 	gate := newGate()
 	store, err := serveGate(d.ctx, fmt.Sprintf("%s.%d:0", d.network, storeSide+number), d.storeAddress, gate)
@@ -173,7 +181,7 @@
 	}
 	n.gate, n.number = gate, number
 	d.nodes = append(d.nodes, n)
-	return n, n.start()
+	return n, n.start(bootstrap)
 }
 
 func (d *deployment) serve(address string, h http.Handler) (string, error) {
@@ -228,12 +236,18 @@
 func (d *deployment) beat() {
 	written := map[*worker]time.Time{}
 	for sequence := 1; d.ctx.Err() == nil; sequence++ {
-		for _, w := range d.pool.workers {
+		for _, w := range d.pool.all() {
 			d.pool.mu.Lock()
-			silent, value := w.silent, w.entry(sequence)
+			silent, gone, value := w.silent, w.gone, w.entry(sequence)
 			d.pool.mu.Unlock()
 			key := "servers/" + w.id
 			switch {
+			case gone:
+				if !written[w].IsZero() {
+					written[w] = time.Time{}
+					d.record.linef("platform: entry of %s removed, as the worker has left", w.id)
+					_ = d.store.Delete(d.ctx, key, platform.AnyVersion) // it is there
+				}
 			case !silent && time.Since(written[w]) >= 1500*time.Millisecond:
 				written[w] = time.Now()
 				if _, err := d.store.Put(d.ctx, key, value, platform.AnyVersion, 0); err != nil && d.ctx.Err() == nil {
@@ -259,7 +273,10 @@
 		return
 	}
 	list := []any{}
-	for _, k := range d.pool.workers {
+	for _, k := range d.pool.all() {
+		if k.gone {
+			continue
+		}
 		list = append(list, map[string]any{
 			"machine": k.machine, "pool": serviceName, "state": "up", "zone": "z", "labels": []string{k.kind, k.rack},
 			"capacity": map[string]int{"cpu": 64000, "mem_mb": 262144, "gpu": 8}, "id": k.id,
@@ -294,10 +311,13 @@
 
 // awaitReady waits until all processes are ready and one of them owns the fleet.
 func (d *deployment) awaitReady() error {
-	deadline := time.Now().Add(startTimeout)
-	for time.Now().Before(deadline) {
+	started := time.Now()
+	for time.Since(started) < startTimeout {
 		ready := 0
 		for _, n := range d.nodes {
+			if n.hasEnded() {
+				return fmt.Errorf("the process of %s has ended", n.name)
+			}
 			resp, err := http.Get("http://" + n.ready() + "/ready")
 			if err == nil {
 				_ = resp.Body.Close()
@@ -307,7 +327,7 @@
 			}
 		}
 		if ready == len(d.nodes) && d.owner() != nil {
-			time.Sleep(2 * time.Second) // the owner has read the workers' entries by then
+			time.Sleep(time.Until(started.Add(trafficDelay)))
 			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -14,11 +14,14 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
 
-// caseTimeout ends a case that hangs; a script may run for 120 s.
+// caseTimeout ends a case that hangs, with the start of its processes; a script may run for 120 s.
 const caseTimeout = 110 * time.Second
 
 // errBroken is returned by a case whose rule was broken.
@@ -41,13 +44,20 @@
 
 // TestMain runs the case that the arguments name, or else the tests.
 func TestMain(m *testing.M) {
-	if len(os.Args) == expectedArgs && cases[os.Args[1]].run != nil {
+	switch {
+	case len(os.Args) == expectedArgs && cases[os.Args[1]].run != nil:
 		os.Exit(run())
+	case len(os.Args) > 1 && !strings.HasPrefix(os.Args[1], "-test."):
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
+		os.Exit(exitNotRun)
 	}
 	os.Exit(m.Run())
 }
 
 func run() int {
+	deadline := time.After(caseTimeout)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	record, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -64,8 +74,10 @@
 	go func() { outcome <- cases[os.Args[1]].run(d) }()
 	select {
 	case err = <-outcome:
-	case <-time.After(caseTimeout):
+	case <-deadline:
 		err = errors.New("the case did not end in time")
+	case got := <-signals:
+		err = fmt.Errorf("ended by %v", got)
 	}
 	switch {
 	case err == nil:
--- a/review/standin-2/node_test.go
+++ b/review/standin-2/node_test.go
@@ -28,7 +28,7 @@
 zone = "z"
 region = "r"
 internal_port_range = [%d, %d]
-bootstrap = true
+bootstrap = %t
 discovery = "platform"
 entry = "vip"
 heartbeat_ms = 1500
@@ -106,6 +106,7 @@
 	binary        string
 	args          []string
 	record        *record
+	settingsFor   func(bootstrap bool) string
 	number        int
 	gate          *gate // between it and the store
 
@@ -116,8 +117,10 @@
 
 func newNode(r *record, dir, name, ip, binary string, args []string, m machine, store, cloud string) (*node, error) {
 	n := &node{name: name, ip: ip, dir: dir, binary: binary, args: args, record: r}
-	text := fmt.Sprintf(settingsText, name, ip, internalPort, internalPort+15, ip, frontPort, ip, readyPort, m.cpuShare, m.memoryMB, m.linkMbps, store, cloud)
-	return n, os.WriteFile(n.settings(), []byte(text), 0o600)
+	n.settingsFor = func(bootstrap bool) string {
+		return fmt.Sprintf(settingsText, name, ip, internalPort, internalPort+15, bootstrap, ip, frontPort, ip, readyPort, m.cpuShare, m.memoryMB, m.linkMbps, store, cloud)
+	}
+	return n, nil
 }
 
 func (n *node) settings() string { return filepath.Join(n.dir, n.name+".toml") }
@@ -126,8 +129,12 @@
 
 func (n *node) ready() string { return fmt.Sprintf("%s:%d", n.ip, readyPort) }
 
-// start starts the program with the command of the deploy file.
-func (n *node) start() error {
+// start starts the program with the command of the deploy file. bootstrap is true only when the
+// whole system starts for the first time.
+func (n *node) start(bootstrap bool) error {
+	if err := os.WriteFile(n.settings(), []byte(n.settingsFor(bootstrap)), 0o600); err != nil {
+		return err
+	}
 	log, err := os.OpenFile(filepath.Join(n.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -174,3 +181,15 @@
 		<-ended
 	}
 }
+
+// hasEnded reports whether the process has ended.
+func (n *node) hasEnded() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/review/standin-2/worker_test.go
+++ b/review/standin-2/worker_test.go
@@ -50,6 +50,7 @@
 	id, address, machine, rack string
 	kind                       string // its first label
 	silent                     bool   // it doesn't reach the store
+	gone                       bool   // it has left for good
 	born                       int64
 	started                    time.Time
 	pool                       *pool
@@ -92,11 +93,40 @@
 		runs: map[string]*taskRun{}, newest: map[string]int64{}, changed: make(chan struct{}), cutBegan: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.workers = append(p.workers, w)
 	go func() { _ = w.server.Serve(l) }() // ends with the process
 	return w, nil
 }
 
+// all returns the workers, also those that have left.
+func (p *pool) all() []*worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]*worker(nil), p.workers...)
+}
+
+// replace ends a worker with all that it runs; a new worker of its machine joins after a pause.
+func (p *pool) replace(old *worker, pause time.Duration) {
+	p.mu.Lock()
+	old.gone, old.runs = true, map[string]*taskRun{}
+	p.mu.Unlock()
+	_ = old.server.Close() // resets the connections
+	time.AfterFunc(pause, func() {
+		host, _, _ := net.SplitHostPort(old.address) // it is an address
+		w, err := newWorker(p, old.id+"n", host, old.rack)
+		if err != nil {
+			p.record.linef("machine %s: no new worker: %v", old.machine, err)
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		w.machine, w.kind = old.machine, old.kind
+		p.record.linef("machine %s: worker %s joins", w.machine, w.id)
+	})
+}
+
 // entry is what the worker writes below servers/.
 func (w *worker) entry(sequence int) []byte {
 	data, _ := json.Marshal(map[string]any{ // plain data
