fleet: count a failed run of a gang once over takeovers

Cause: which run was counted last was kept in the owner's memory only (taskGroup.lastFailedRun). A successor read the number of failures, got the end of the other member, and counted the same run again.

Change: Task.LastFailedRun is part of the progress record, written in one transaction with the failure and the phase of the task. It works because a successor reads either all three or none. The field stands beside the task rows, as the former version refuses rows of another length; records without it count the newest run as counted if as many runs have failed as were started.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -243,21 +243,18 @@
 }
 
 // countTaskFailure counts a failed run against its task; a gang counts one failure
-// per run number, however many members fail. The lock is held.
+// per run number, however many members fail and whichever owner learns of it. The lock is held.
 func (o *Owner) countTaskFailure(w *worker, g *taskGroup, t *workload.Task, number int64) {
 	g.exclude(w, o.opts.Clock())
 	o.recordWorkerFailure(w, g)
+	if !t.CountFailure(number) {
+		return // with the end of another member
+	}
 	if g.spec().Gang {
-		if g.lastFailedRun == number {
-			return
-		}
-		g.lastFailedRun = number
 		tasks := g.tasks()
 		for i := range tasks {
-			tasks[i].Failures++
+			tasks[i].CountFailure(number)
 		}
-	} else {
-		t.Failures++
 	}
 	if g.attemptsExhausted(t.Failures) {
 		o.opts.Log.Info("job has failed", "job", g.job.ID, "step", g.step, "attempts", t.Failures)
--- a/pkg/fleet/ends_test.go
+++ b/pkg/fleet/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,3 +178,51 @@
 		b.wantState(failing, workload.Completed)
 	})
 }
+
+// Guards against counting one failed run of a gang for each owner that learns of a member's end,
+// and against a job that is failed with attempts left.
+func TestFailedRunOfAGangCountsOnceOverTakeovers(t *testing.T) {
+	const cutOff, ends = time.Second, 2 * time.Second
+	tests := map[string]func(b *testbed, owner int){
+		"takeover between the ends": func(b *testbed, owner int) {
+			b.sleep(ends + 500*time.Millisecond)
+			b.killVM(owner)
+		},
+		"two takeovers between the ends": func(b *testbed, owner int) {
+			b.sleep(ends + 500*time.Millisecond)
+			b.killVM(owner)
+			b.sleep(2 * time.Second)
+			b.killVM(b.ownerIndex())
+		},
+		"first end stored without an answer": func(b *testbed, owner int) {
+			b.sleep(ends - 100*time.Millisecond)
+			b.vmStores[owner].loseCommitAnswers.Store(true)
+			b.sleep(600 * time.Millisecond)
+			b.killVM(owner)
+		},
+	}
+	for name, takeover := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, _ := newPerVMStoreTestbed(t, 3, 4)
+				b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
+					return fleettest.Outcome{Duration: ends, Fails: run == 1, GangFails: true}
+				})
+				j := b.buildJob(gangStep(2, 8))
+				j.Class.MaxAttempts = 2
+				b.storeJob(j)
+				b.sleep(cutOff)
+				second := slices.IndexFunc([]int{0, 1, 2, 3}, b.workers.Busy)
+				b.workers.UpdateFaults(second, func(f *fleettest.Faults) { f.Unreachable = true })
+				takeover(b, b.ownerIndex())
+				b.sleep(2 * time.Second)
+				b.workers.UpdateFaults(second, func(f *fleettest.Faults) { f.Unreachable = false })
+				b.sleep(30 * time.Second)
+				b.wantState(j, workload.Completed)
+				if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 2 {
+					t.Errorf("the gang started %d times, want 2", n)
+				}
+			})
+		})
+	}
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -194,7 +194,7 @@
 	for _, r := range w.runs {
 		f.running[r.task]--
 		f.removeFromGang(r)
-		f.breakGang(r)
+		f.endMembers(r, fleet.EndGangBroken)
 	}
 	f.ledger.recordCrash(w, f.doneAcked)
 	w.runs, w.newestEndedRun = map[workload.TaskID]*activeRun{}, map[workload.TaskID]int64{}
@@ -555,19 +555,18 @@
 	if r.gangSize <= 1 {
 		return
 	}
-	if reason != fleet.EndDone {
-		f.breakGang(r)
-		return
-	}
-	for m, other := range f.gangs[r.gangRun()] {
-		other.end(m, fleet.EndDone)
+	switch {
+	case reason == fleet.EndDone, reason == fleet.EndFailed && r.outcome.GangFails:
+		f.endMembers(r, reason)
+	default:
+		f.endMembers(r, fleet.EndGangBroken)
 	}
 }
 
-// breakGang ends the current members of a gang of which a member has ended.
-func (f *Fleet) breakGang(r *activeRun) {
+// endMembers ends the current members of a gang of which a member has ended.
+func (f *Fleet) endMembers(r *activeRun, reason fleet.EndReason) {
 	for m, w := range f.gangs[r.gangRun()] {
-		w.end(m, fleet.EndGangBroken)
+		w.end(m, reason)
 	}
 }
 
--- a/pkg/fleet/fleettest/worker.go
+++ b/pkg/fleet/fleettest/worker.go
@@ -30,6 +30,9 @@
 type Outcome struct {
 	Duration time.Duration
 	Fails    bool
+	// GangFails means that the other members of the gang end as failed together with this
+	// one, and not as broken.
+	GangFails bool
 }
 
 // activeRun is a run on a worker that has not ended.
--- a/pkg/fleet/handover_test.go
+++ b/pkg/fleet/handover_test.go
@@ -20,6 +20,7 @@
 	platform.Transactor
 	unreachable          atomic.Bool
 	loseKeepAliveAnswers atomic.Bool // lease renewals are applied but not answered
+	loseCommitAnswers    atomic.Bool // transactions are applied but not answered
 	lastAnswer           atomic.Int64
 	started              time.Time
 }
@@ -54,6 +55,11 @@
 }
 
 func (s *vmStore) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if s.loseCommitAnswers.Load() {
+		_, err := s.Transactor.Commit(ctx, txn)
+		<-ctx.Done()
+		return platform.TxnResult{}, errkind.Wrap(err, errkind.StoreUnavailable, "answer lost")
+	}
 	return callStore(ctx, s, func() (platform.TxnResult, error) { return s.Transactor.Commit(ctx, txn) })
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -56,7 +56,6 @@
 	step            int
 	runs            map[int]*run // by task index
 	doneTasks       int
-	lastFailedRun   int64             // highest run number whose failure was counted
 	excludedWorkers map[string]bool   // workers on which a task of the group failed
 	waitLoggedAt    time.Duration     // when its wait for capacity was last logged
 	excludedAt      time.Duration     // when a worker was last added to excludedWorkers
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -47,13 +47,25 @@
 	Address string `cbor:"6,keyasint,omitempty"`
 }
 
-// Task is the stored progress of a task. Run and Failures never decrease.
+// Task is the stored progress of a task. Run, Failures and LastFailedRun never decrease.
 type Task struct {
-	Phase      Phase
-	Run        int64 // number of the newest run; 0 if the task was never assigned
-	Failures   int   // number of failed runs
-	Assigned   Assignment
-	Checkpoint string // newest checkpoint; empty if there is none
+	Phase         Phase
+	Run           int64 // number of the newest run; 0 if the task was never assigned
+	Failures      int   // number of failed runs
+	LastFailedRun int64 // number of the newest run that Failures counts; 0 if there is none
+	Assigned      Assignment
+	Checkpoint    string // newest checkpoint; empty if there is none
+}
+
+// CountFailure counts a failed run, and reports whether it was not counted before. Several
+// members of a gang may report the failure of their common run, to successive owners.
+func (t *Task) CountFailure(run int64) bool {
+	if run <= t.LastFailedRun {
+		return false
+	}
+	t.Failures++
+	t.LastFailedRun = run
+	return true
 }
 
 // Progress is the stored progress of a job. Only the owner of the fleet writes it.
@@ -138,6 +150,15 @@
 	Workers        []Assignment `cbor:"3,keyasint,omitempty"`
 	Tasks          []taskRecord `cbor:"4,keyasint,omitempty"`
 	Begun          bool         `cbor:"5,keyasint,omitempty"`
+	// FailedRuns is not a part of Tasks, as earlier versions do not accept rows of another length.
+	FailedRuns []failedRunRecord `cbor:"6,keyasint,omitempty"`
+}
+
+// failedRunRecord is the newest failed run of a task.
+type failedRunRecord struct {
+	_        struct{} `cbor:",toarray"`
+	Position int
+	Run      int64
 }
 
 // taskRecord is one task. Worker is an index into progressRecord.Workers, or -1.
@@ -174,6 +195,9 @@
 			row.Worker = n
 		}
 		r.Tasks = append(r.Tasks, row)
+		if t.LastFailedRun > 0 {
+			r.FailedRuns = append(r.FailedRuns, failedRunRecord{Position: i, Run: t.LastFailedRun})
+		}
 	}
 	data, err := cbor.Marshal(r)
 	if err != nil {
@@ -195,11 +219,20 @@
 			return nil, errkind.New(errkind.Internal, "progress record of job %s: task %d of worker %d is out of range", j.ID, row.Position, row.Worker)
 		}
 		t := Task{Phase: row.Phase, Run: row.Run, Failures: row.Failures, Checkpoint: row.Checkpoint}
+		if int64(t.Failures) >= t.Run {
+			t.LastFailedRun = t.Run // all its runs have failed; records of earlier versions have no FailedRuns
+		}
 		if row.Worker >= 0 {
 			t.Assigned = r.Workers[row.Worker]
 		}
 		p.tasks[row.Position] = t
 	}
+	for _, row := range r.FailedRuns {
+		if row.Position < 0 || row.Position >= len(p.tasks) {
+			return nil, errkind.New(errkind.Internal, "progress record of job %s: failed run of task %d is out of range", j.ID, row.Position)
+		}
+		p.tasks[row.Position].LastFailedRun = row.Run
+	}
 	return p, nil
 }
 
--- a/pkg/workload/progress_test.go
+++ b/pkg/workload/progress_test.go
@@ -50,3 +50,43 @@
 		}
 	}
 }
+
+// Guards against counting a failed run of a gang again after its record has passed an owner of
+// a former version, and against a record that such an owner cannot read.
+func TestCountedFailuresAreExchangedWithFormerVersions(t *testing.T) {
+	type formerRecord struct {
+		State State        `cbor:"1,keyasint"`
+		Tasks []taskRecord `cbor:"4,keyasint,omitempty"`
+	}
+	j := &Job{ID: "0123456789abcdef", Queue: "q", Steps: []Step{{Tasks: 3, Gang: true}}}
+	p := NewProgress(j)
+	*p.Task(0, 0, 0) = Task{Phase: Pending, Run: 2, Failures: 2, LastFailedRun: 2}
+	*p.Task(0, 0, 1) = Task{Phase: Pending, Run: 3, Failures: 1, LastFailedRun: 3}
+	*p.Task(0, 0, 2) = Task{Phase: Pending, Run: 3}
+	data, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(version string, data []byte, want [3]int64) {
+		t.Helper()
+		back, err := DecodeProgress(j, data)
+		if err != nil {
+			t.Fatalf("record of %s: %v", version, err)
+		}
+		for i, run := range want {
+			if got := back.Task(0, 0, i).LastFailedRun; got != run {
+				t.Errorf("record of %s: task %d counts run %d last, want %d", version, i, got, run)
+			}
+		}
+	}
+	check("this version", data, [3]int64{2, 3, 0})
+	var former formerRecord
+	if err := cbor.Unmarshal(data, &former); err != nil {
+		t.Fatalf("a former version cannot read the record: %v", err)
+	}
+	if data, err = cbor.Marshal(former); err != nil {
+		t.Fatal(err)
+	}
+	// The record of a former version does not tell which of the runs of task 1 has failed.
+	check("a former version", data, [3]int64{2, 0, 0})
+}
