fleet: a release of the owner key revokes the owner's lease

Cause: an owner that has lost the store asks another VM to free its key. That VM deleted the key and left the lease alive. The owner, which got no answer and reached the store again, went on renewing the lease of a key that was gone.

Change: ReleaseOwnerKey revokes the lease, and the store removes the key with it. It works because the owner watches its lease: its next renewal is answered with 404 and ends its ownership, however late the store carries out the call and whoever learns of it.

Race tests of pkg/fleet pass.

--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -83,13 +83,16 @@
 	}
 }
 
-// releaseKeyTimeout bounds the calls that delete another VM's owner key. It is
+// releaseKeyTimeout bounds the calls that free another VM's owner key. It is
 // short, so that only a VM with normal access to the store does so.
 const releaseKeyTimeout = 200 * time.Millisecond
 
-// ReleaseOwnerKey deletes the owner key on behalf of the owner with the given token,
+// ReleaseOwnerKey frees the owner key on behalf of the owner with the given token,
 // which cannot reach the store, so that the VMs elect a new owner with their usual
 // campaign delays. It returns kind conflict if the key is gone or another VM owns it.
+//
+// It revokes the lease rather than deleting the key: an owner that does not learn of the
+// outcome ends with its next renewal, whenever the store carries out the call.
 func (e *Elector) ReleaseOwnerKey(ctx context.Context, token int64) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseKeyTimeout)
 	defer cancel()
@@ -100,9 +103,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.opts.Store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: OwnerKey, Version: token}}, Deletes: []string{OwnerKey},
-	})
+	err = e.opts.Store.Revoke(ctx, entry.Lease)
+	if errkind.Is(err, errkind.NotFound) {
+		err = errkind.Wrap(err, errkind.Conflict, "the lease of the owner key has ended")
+	}
 	e.opts.Log.Info("owner key freed for an owner without the store", "token", token, "outcome", errorText(err))
 	return err
 }
--- a/pkg/fleet/handover_test.go
+++ b/pkg/fleet/handover_test.go
@@ -277,3 +277,40 @@
 		b.reconnectStores()
 	})
 }
+
+// Guards against two owners for as long as the fleet is idle: the owner has asked for the release
+// of its key, has no answer, and reaches the store again.
+func TestOwnerWhoseKeyWasReleasedWithoutAnAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stores := newPerVMStoreTestbed(t, 0, 2)
+		adjust := b.adjustOptions
+		b.adjustOptions = func(o *fleet.Options) {
+			adjust(o)
+			release, store := o.ReleaseOwnerKey, (*stores)[len(*stores)-1]
+			o.ReleaseOwnerKey = func(ctx context.Context, token int64) error {
+				err := release(ctx, token)
+				store.unreachable.Store(false)
+				return errkind.Wrap(err, errkind.Unavailable, "the answer was lost")
+			}
+		}
+		for range 3 {
+			b.startVM()
+		}
+		b.sleep(time.Second)
+		first := b.ownerIndex()
+		(*stores)[first].unreachable.Store(true)
+		b.sleep(5 * time.Second)
+		owners := 0
+		for i, v := range b.vms {
+			if _, local := v.elector.Owner(); local != nil {
+				owners++
+				if i == first {
+					t.Errorf("VM %d still considers itself the owner", i)
+				}
+			}
+		}
+		if owners != 1 {
+			t.Errorf("%d VMs consider themselves the owner", owners)
+		}
+	})
+}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -90,7 +90,7 @@
 	Now           func() time.Time
 	Log           logr.Logger
 	Address       string // where other VMs reach this one
-	// ReleaseOwnerKey makes another VM delete the owner key of the owner with a
+	// ReleaseOwnerKey makes another VM free the owner key of the owner with a
 	// token; kind conflict means that there is another owner. LastStoreAnswer
 	// returns the time of the store's last answer to this VM. Without these two a
 	// successor waits for the lease to expire.
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -184,8 +184,8 @@
 	return now-renewedAt >= cutOffThreshold && now-o.opts.LastStoreAnswer() >= cutOffThreshold
 }
 
-// requestKeyRelease asks another VM to delete the owner key, which is faster than
-// waiting for the lease to expire. Until the key is deleted, this owner keeps
+// requestKeyRelease asks another VM to free the owner key, which is faster than
+// waiting for the lease to expire. Until the key is free, this owner keeps
 // working: it sends only orders that are already stored, so the successor knows
 // of them.
 func (o *Owner) requestKeyRelease() {
