storecall: do not give up an answer of the store that keeps arriving

Cause: each call to the store had 1 s in all. A page of 1.4 MB takes 1.1 s on such a link, and the owner reads three lists at a time, so it began the load of its state anew for ever and renewed its lease meanwhile.

Change: WithProgressTimeout ends a call when no part of its answer has arrived for the timeout; the adapter reports the parts. The lists and watches of the owner, the lists of the gateway and the reads of the configuration use it.

Race tests of fleet, gateway, configsource, storecall and platform pass.

--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -232,7 +232,7 @@
 // read lists the configuration key.
 func (s *Source) read(ctx context.Context) error {
 	sentAt, sentTime := s.opts.Clock(), time.Now()
-	ctx, cancel := context.WithTimeout(ctx, s.readTimeout.Next())
+	ctx, cancel := storecall.WithProgressTimeout(ctx, s.readTimeout.Next())
 	defer cancel()
 	list, err := s.opts.Store.List(ctx, s.opts.Key, "", 0)
 	s.readTimeout.RecordCall(sentTime, !errkind.Is(err, errkind.StoreUnavailable))
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"maps"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/carawayusher/carawayusher/internal/wait"
 	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -70,7 +70,7 @@
 func (o *Owner) listPrefix(prefix string, visit func(platform.Entry)) (int64, error) {
 	first, after := int64(0), ""
 	for {
-		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		ctx, cancel := storecall.WithProgressTimeout(o.ctx, storeTimeout)
 		page, err := o.opts.Store.List(ctx, prefix, after, 0)
 		cancel()
 		if err != nil {
@@ -244,7 +244,7 @@
 // pollWatch polls a watch once and returns the revision to continue from.
 func (o *Owner) pollWatch(w storeWatch, after int64) (int64, error) {
 	d, expected := w.pollWait()
-	ctx, cancel := context.WithTimeout(o.ctx, d+storeTimeout)
+	ctx, cancel := storecall.WithProgressTimeout(o.ctx, d+storeTimeout)
 	defer cancel()
 	changes, err := o.opts.Store.Poll(ctx, w.prefix, after, d)
 	if err == nil {
--- a/pkg/fleet/store_test.go
+++ b/pkg/fleet/store_test.go
@@ -14,6 +14,7 @@
 	"github.com/carawayusher/carawayusher/pkg/fleet"
 	"github.com/carawayusher/carawayusher/pkg/fleet/fleettest"
 	"github.com/carawayusher/carawayusher/pkg/platform"
+	"github.com/carawayusher/carawayusher/pkg/storecall"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -260,3 +261,41 @@
 		})
 	}
 }
+
+// slowLinkStore delivers each page of jobs, progress and workers within pageTime, a part of it
+// every partTime.
+type slowLinkStore struct {
+	platform.Transactor
+	pageTime, partTime time.Duration
+}
+
+func (s *slowLinkStore) List(ctx context.Context, prefix, after string, limit int) (platform.ListResult, error) {
+	if prefix == fleet.OwnerKey {
+		return s.Transactor.List(ctx, prefix, after, limit)
+	}
+	part := storecall.ProgressReader(ctx, strings.NewReader(strings.Repeat("x", int(s.pageTime/s.partTime))))
+	for {
+		time.Sleep(s.partTime)
+		if ctx.Err() != nil {
+			return platform.ListResult{}, errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "the page did not arrive in time")
+		}
+		if _, err := part.Read(make([]byte, 1)); err != nil {
+			return s.Transactor.List(ctx, prefix, after, limit)
+		}
+	}
+}
+
+// Guards against an owner on a slow link that never loads its state, as it gives up each page
+// after a fixed time, and keeps the ownership: nothing is started any more.
+func TestOwnerLoadsItsStateOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 2)
+		b.adjustOptions = func(o *fleet.Options) {
+			o.Store = &slowLinkStore{Transactor: b.store, pageTime: 3 * time.Second, partTime: 500 * time.Millisecond}
+		}
+		j := b.submit(smallStep(2))
+		b.startVM()
+		b.sleep(15 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -421,7 +421,7 @@
 	after := ""
 	for {
 		sentAt := time.Now()
-		tryCtx, cancel := context.WithTimeout(ctx, g.timeout.Next())
+		tryCtx, cancel := storecall.WithProgressTimeout(ctx, g.timeout.Next())
 		page, err := g.opts.Store.List(tryCtx, prefix, after, 0)
 		cancel()
 		g.timeout.RecordCall(sentAt, !errkind.Is(err, errkind.StoreUnavailable))
