fleet: ask an idle worker before a start that needs its label

Cause: executeStart makes no call to a worker whose clock was read within 15 s, a bound for the drift of the clock, and idle workers are not polled. So the start was the first call to the new process, and nothing in it names the process that is meant.

Change: before the start of a task that requires a label, the worker is asked unless it has answered within 0.5 s. It works because the answer names its process, and a worker whose entry is that of another process gets no starts.

--- a/pkg/fleet/entry_test.go
+++ b/pkg/fleet/entry_test.go
@@ -180,3 +180,26 @@
 		}
 	})
 }
+
+// Guards against a start as the first call to a worker that has been idle and has started anew
+// as another kind since: its entry still names the labels of before.
+func TestIdleWorkerIsAskedBeforeATaskThatNeedsItsLabel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 1)
+		step := smallStep(1)
+		step.RequiredLabel = "a"
+		b.wantState(b.submitAndWait(step, 10*time.Second), workload.Completed)
+		b.sleep(4 * time.Second)
+		b.workers.RestartCutOff(0, "b")
+		b.sleep(2 * time.Second)
+		j := b.submit(step)
+		b.sleep(6 * time.Second)
+		if n := b.workers.Starts(workload.TaskID{Job: j.ID}); n != 0 {
+			t.Errorf("the task was started %d times on a worker without its label", n)
+		}
+		b.workers.RestartCutOff(0, "a")
+		b.workers.Heartbeat(0)
+		b.sleep(20 * time.Second)
+		b.wantState(j, workload.Completed)
+	})
+}
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -26,7 +26,7 @@
 		if !o.awaitOwnership() {
 			return
 		}
-		if !state.contacted && state.unanswered == 0 && !o.ensureContact(w) {
+		if !state.contacted && state.unanswered == 0 && !o.ensureContact(w, maxClockReadingAge) {
 			wait.Sleep(o.ctx, o.probeInterval(w))
 			continue
 		}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -70,6 +70,9 @@
 	// maxClockReadingAge is the age of a clock reading after which a worker is called
 	// again before a start; a drift of 2% over it stays below startOrderTTL.
 	maxClockReadingAge = 15 * time.Second
+	// maxLabelAge is the age of an answer up to which a worker is taken to have the labels of
+	// its entry, for a task that requires one.
+	maxLabelAge = 500 * time.Millisecond
 
 	// retentionMargin is added to the retention of ended jobs.
 	retentionMargin       = 20 * time.Second
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -93,10 +93,10 @@
 }
 
 // ensureContact reports whether the current incarnation of a worker has answered
-// under the current fencing token and its clock is known; it polls the worker if
-// needed.
-func (o *Owner) ensureContact(w *worker) bool {
-	if o.inContact(w) {
+// under the current fencing token, within maxAge, and its clock is known; it polls the worker
+// if needed.
+func (o *Owner) ensureContact(w *worker, maxAge time.Duration) bool {
+	if o.inContact(w, maxAge) {
 		return true
 	}
 	before := o.unansweredCallsOf(w)
@@ -108,7 +108,7 @@
 		return false
 	}
 	defer func() { <-w.contacting }()
-	if o.inContact(w) {
+	if o.inContact(w, maxAge) {
 		return true
 	}
 	if o.unansweredCallsOf(w) > before {
@@ -121,7 +121,7 @@
 	}
 	release := sync.OnceFunc(func() { <-o.contactSlots })
 	defer release()
-	if o.inContact(w) {
+	if o.inContact(w, maxAge) {
 		return true
 	}
 	// Workers that answer do not wait for those that do not.
@@ -135,10 +135,10 @@
 	return answered
 }
 
-func (o *Owner) inContact(w *worker) bool {
+func (o *Owner) inContact(w *worker, maxAge time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.contacted && o.opts.Clock()-w.clockReadAt < maxClockReadingAge
+	return w.contacted && o.opts.Clock()-w.clockReadAt < maxAge
 }
 
 // unansweredCallsOf returns the number of consecutive calls that a worker did not answer.
@@ -148,9 +148,18 @@
 	return w.unansweredCalls
 }
 
+// maxContactAge returns the age of the worker's last answer from which it is asked again before
+// a start. An idle worker is not polled, and may have started anew as another kind.
+func maxContactAge(r *run) time.Duration {
+	if r.group.spec().RequiredLabel != "" {
+		return maxLabelAge
+	}
+	return maxClockReadingAge
+}
+
 // executeStart sends a start order, with retries, and handles its outcome.
 func (o *Owner) executeStart(w *worker, r *run) {
-	if !o.ensureContact(w) {
+	if !o.ensureContact(w, maxContactAge(r)) {
 		o.handleStartFailure(w, r, NotSent)
 		return
 	}
@@ -641,7 +650,7 @@
 	if o.awaitAnswer(w, order{kind: orderAdopt, run: r}) {
 		return
 	}
-	if !o.ensureContact(w) {
+	if !o.ensureContact(w, maxClockReadingAge) {
 		o.repeatOrder(w, order{kind: orderAdopt, run: r})
 		return
 	}
