peer: test of a replaced connection without an answer at the deadline

Cause: its handler answered when the deadline of the call passed, at the moment at which the caller gave up. A frame that arrives first shows that the connection is not silent, so no other one is dialed, as intended.

Change: the handler answers only once it is released, so that the connection is silent as the test means it; waits for a number of connections are bounded and exact. It checks as much as before.

--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -115,46 +115,51 @@
 // TestReplacedConnectionEndsItsCalls guards against ending the calls over a connection that
 // is only slow when later calls use a new one.
 func TestReplacedConnectionEndsItsCalls(t *testing.T) {
-	release := make(chan struct{})
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
 	b, address := start(t, Options{Token: token})
-	b.Handle("slow", func(ctx context.Context, _ func(any) error) (any, error) {
-		select {
-		case <-release:
-			return "done", nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+	t.Cleanup(release)
+	// It does not answer at the deadline of the call: a frame that arrives just before the
+	// caller's own deadline shows that the connection is not silent.
+	b.Handle("slow", func(context.Context, func(any) error) (any, error) {
+		<-released
+		return "done", nil
 	})
 	a := NewNode(Options{Token: token})
 	t.Cleanup(func() { _ = a.Close() })
 	slow := make(chan error, 1)
 	go func() { slow <- a.Call(limited(t), address, "slow", "x", nil) }()
-	for a.openConns() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	a.awaitConns(t, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), shortCallTimeout)
 	defer cancel()
 	if err := a.Call(ctx, address, "slow", "y", nil); !errkind.Is(err, errkind.Timeout) {
 		t.Fatalf("call that is not answered: %v", err)
 	}
-	for a.openConns() < 2 {
-		time.Sleep(time.Millisecond)
-	}
+	a.awaitConns(t, 2)
 	if err := a.Call(limited(t), address, "echo", "x", nil); err != nil {
 		t.Errorf("call over the new connection: %v", err)
 	}
-	close(release)
+	release()
 	if err := <-slow; err != nil {
 		t.Errorf("call over the replaced connection: %v", err)
 	}
-	for a.openConns() > 1 {
-		time.Sleep(time.Millisecond)
-	}
+	a.awaitConns(t, 1)
 }
 
-// openConns returns the number of open connections.
-func (n *Node) openConns() int {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return len(n.conns)
+// awaitConns waits until the node has a number of open connections.
+func (n *Node) awaitConns(t *testing.T, want int) {
+	t.Helper()
+	ctx := limited(t)
+	for {
+		n.mu.RLock()
+		open := len(n.conns)
+		n.mu.RUnlock()
+		switch {
+		case open == want:
+			return
+		case ctx.Err() != nil:
+			t.Fatalf("%d connections are open, want %d", open, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
 }
