--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -248,7 +248,7 @@
 	g.exclude(w, o.opts.Clock())
 	o.recordWorkerFailure(w, g)
 	if !t.CountFailure(number) {
-		return // with the end of another member
+		return // counted with the end of another member of the gang
 	}
 	if g.spec().Gang {
 		tasks := g.tasks()
--- a/pkg/gateway/tombstone.go
+++ b/pkg/gateway/tombstone.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// minTombstoneLifetime is how long a cancelled job cannot be stored at least. A submission
-	// is late by seconds: the calls of a client, a VM that stands still, and a store that
-	// carries out a write late.
+	// minTombstoneLifetime is the minimum time, from the call that writes it, for which a
+	// tombstone keeps a job from being stored. A submission is late by seconds: by the retries
+	// of a client, a VM that stands still, and a store that carries out a write late.
 	minTombstoneLifetime = 2 * time.Minute
 	// tombstoneLeaseTTL lets the tombstones of two minutes share a lease. The platform's store
 	// grants ten minutes at most.
--- a/pkg/gateway/tombstone_test.go
+++ b/pkg/gateway/tombstone_test.go
@@ -149,7 +149,7 @@
 }
 
 // Guards against answering "no such job" while nothing keeps the job from being stored later.
-func TestCancelOfUnknownJobIsNotAnsweredBeforeItIsStored(t *testing.T) {
+func TestCancelOfUnknownJobIsNotAnsweredWithoutItsTombstone(t *testing.T) {
 	refused, lost := errkind.New(errkind.Overloaded, "503"), errkind.New(errkind.StoreUnavailable, "no answer")
 	for kind, commitErr := range map[errkind.Kind]error{errkind.Unavailable: refused, errkind.Timeout: lost} {
 		t.Run(string(kind), func(t *testing.T) {
