storecall: measure the time without data, not that of a full buffer

Cause: progress was reported for each read of the body. Within a chunk of an HTTP response, a read returns only when its buffer is full, and io.ReadAll offers buffers of up to a fifth of the page. A page of one chunk therefore had to arrive at 280 KB a second, whatever its parts did.

Change: an answer is read in parts of at most 4 KB.

--- a/pkg/storecall/progress.go
+++ b/pkg/storecall/progress.go
@@ -28,6 +28,10 @@
 	}
 }
 
+// maxPartBytes bounds a part that is reported. The body of an HTTP response may return only when
+// the buffer that it reads into is full, and io.ReadAll offers ever larger ones.
+const maxPartBytes = 4 << 10
+
 // ProgressReader returns a reader of an answer that reports its progress to the context of the
 // call.
 func ProgressReader(ctx context.Context, r io.Reader) io.Reader {
@@ -45,7 +49,7 @@
 
 // Read implements io.Reader.
 func (r progressReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
+	n, err := r.Reader.Read(p[:min(len(p), maxPartBytes)])
 	if n > 0 {
 		r.report()
 	}
