platform: a part of an answer shows that the store serves

An owner whose renewals and other calls have had no answer for 0.55 s takes itself for cut off from the store and asks another VM to free its key. Over a slow link they may wait behind a page, whose parts did not count as an answer. The successor, on such a link as well, would do the same.

Change: the client of the store records each part of an answer with status 200 as service.

--- a/pkg/storecall/progress.go
+++ b/pkg/storecall/progress.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// OnProgress returns a context whose call reports the parts of its answer to f as well.
+func OnProgress(parent context.Context, f func()) context.Context {
+	report, ok := parent.Value(progressKey{}).(func())
+	if !ok {
+		return context.WithValue(parent, progressKey{}, f)
+	}
+	return context.WithValue(parent, progressKey{}, func() {
+		report()
+		f()
+	})
+}
+
 // maxPartBytes bounds a part that is reported. The body of an HTTP response may return only when
 // the buffer that it reads into is full, and io.ReadAll offers ever larger ones.
 const maxPartBytes = 4 << 10
