fleet: drop the payload of an ended job from its record

Cause: the records of ended jobs are kept for clients that ask, with payloads that only starts need, and the store has no way to list keys or to filter by state.

Change: the transaction that ends a job also stores its record without its payload, if that has 512 bytes or more; smaller ones cost more to write than to load. The write is conditional on the owner key and the version of the progress, as before, so a late copy changes nothing. What clients are answered does not depend on the payload.

--- a/pkg/fleet/store_test.go
+++ b/pkg/fleet/store_test.go
@@ -299,3 +299,70 @@
 		b.wantState(j, workload.Completed)
 	})
 }
+
+// Guards against a takeover that has to read the payloads of all jobs that have ended lately, and
+// against losing that of a job that still has to run.
+func TestPayloadsOfEndedJobsAreNotKept(t *testing.T) {
+	const payloadBytes, maxRecordBytes = workload.MaxPayloadBytes, 400
+	faults := map[string]func(*vmStore, bool){
+		"none":                       func(*vmStore, bool) {},
+		"last write is not answered": func(s *vmStore, on bool) { s.loseCommitAnswers.Store(on) },
+	}
+	for name, setFault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, stores := newPerVMStoreTestbed(t, 2, 2)
+				b.workers.SetOutcome(func(task workload.TaskID, _ int64) fleettest.Outcome {
+					if task.Step == 0 {
+						return fleettest.Outcome{Duration: time.Second}
+					}
+					return fleettest.Outcome{Duration: 20 * time.Second}
+				})
+				recordOf := func(j *workload.Job) (*workload.Job, int) {
+					entry, err := b.store.Get(t.Context(), fleet.JobKey(j.ID))
+					if err != nil {
+						t.Fatal(err)
+					}
+					record, err := workload.DecodeJob(entry.Value)
+					if err != nil {
+						t.Fatal(err)
+					}
+					return record, len(entry.Value)
+				}
+				var ending []*workload.Job
+				for range 40 { // more than fit into a transaction
+					j := b.buildJob(smallStep(1))
+					j.Payload = strings.Repeat("p", payloadBytes)
+					b.storeJob(j)
+					ending = append(ending, j)
+				}
+				second := smallStep(1)
+				second.After = []int{0}
+				running := b.buildJob(smallStep(1))
+				running.Payload = strings.Repeat("p", payloadBytes)
+				running.Steps = append(running.Steps, second)
+				b.storeJob(running)
+				owner := b.ownerIndex()
+				b.sleep(900 * time.Millisecond)
+				setFault((*stores)[owner], true)
+				b.sleep(2 * time.Second)
+				setFault((*stores)[owner], false)
+				b.sleep(3 * time.Second)
+				for _, j := range ending {
+					b.wantState(j, workload.Completed)
+					if record, size := recordOf(j); size > maxRecordBytes || !record.In(j.QueueRef()) {
+						t.Errorf("the record of job %s has %d bytes, queue %v", j.ID, size, record.QueueRef())
+					}
+				}
+				if record, _ := recordOf(running); record.Payload != running.Payload {
+					t.Errorf("the payload of a running job has %d bytes, want %d", len(record.Payload), payloadBytes)
+				}
+				b.killVM(b.ownerIndex())
+				b.sleep(30 * time.Second)
+				for _, j := range append(ending, running) {
+					b.wantState(j, workload.Completed)
+				}
+			})
+		})
+	}
+}
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -12,13 +12,20 @@
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
-// maxBatchJobs is the maximum number of jobs in one transaction: a condition and a
-// write for each job, and the condition on the owner key.
-const maxBatchJobs = (platform.MaxTxnEntries - 1) / 2
+const (
+	// entriesPerJob is the largest number of entries of a job in a transaction: a condition and a
+	// write for its progress, and a write for its record.
+	entriesPerJob = 3
+	// minDroppedPayload is the size from which the payload of an ended job is dropped from its
+	// record. A smaller one costs more to write than to load.
+	minDroppedPayload = 512
+)
 
 // progressBatch is a set of progress records that one transaction writes.
 type progressBatch struct {
 	jobs       []*job
+	endedJobs  []*job           // of jobs, those whose records are written without their payload
+	jobRecords []platform.Write // the records of endedJobs, which follow the progress in txn
 	changeSeqs []int64
 	afterWrite [][]func()
 	txn        platform.Txn
@@ -90,7 +97,7 @@
 	b := &progressBatch{txn: platform.Txn{Conditions: []platform.Condition{{Key: OwnerKey, Version: o.ownership.token}}}}
 	for _, ordersWait := range []bool{true, false} {
 		for j := range o.dirty {
-			if len(b.jobs) == maxBatchJobs {
+			if !b.hasRoom() {
 				break
 			}
 			// The next write of a job is conditional on the version of the open one.
@@ -108,11 +115,18 @@
 	if len(b.jobs) == 0 {
 		return nil
 	}
+	b.txn.Writes = append(b.txn.Writes, b.jobRecords...)
 	b.takenAt = o.opts.Clock()
 	o.batches[b] = struct{}{}
 	return b
 }
 
+// hasRoom reports whether another job fits into the transaction of the batch.
+func (b *progressBatch) hasRoom() bool {
+	entries := len(b.txn.Conditions) + len(b.txn.Writes) + len(b.jobRecords)
+	return entries+entriesPerJob <= platform.MaxTxnEntries
+}
+
 const (
 	// settledWriteDelay lets the settled starts of a job, and their ages, share one write.
 	settledWriteDelay = 300 * time.Millisecond
@@ -175,6 +189,25 @@
 	b.changeSeqs = append(b.changeSeqs, j.changeSeq)
 	b.afterWrite = append(b.afterWrite, j.afterCommit)
 	j.afterCommit, j.writeInFlight, j.unwrittenSince, j.unsavedSince = nil, true, 0, 0
+	o.dropPayload(b, j)
+}
+
+// dropPayload adds the record of an ended job without its payload to a batch. The record is kept
+// for as long as clients may ask for the job, and a successor loads it; only starts need the
+// payload. The lock is held.
+func (o *Owner) dropPayload(b *progressBatch, j *job) {
+	if !j.progress.State.Final() || j.payloadDropped || len(j.Payload) < minDroppedPayload {
+		return
+	}
+	ended := *j.Job
+	ended.Payload = ""
+	record, err := workload.EncodeJob(&ended)
+	if err != nil {
+		o.opts.Log.Error(err, "cannot encode the record of an ended job", "job", j.ID)
+		return
+	}
+	b.endedJobs = append(b.endedJobs, j)
+	b.jobRecords = append(b.jobRecords, platform.Write{Key: JobKey(j.ID), Value: record})
 }
 
 // recordStored records that a batch is durable and runs the actions that depend on
@@ -202,6 +235,9 @@
 			f()
 		}
 	}
+	for _, j := range b.endedJobs {
+		j.payloadDropped = true
+	}
 	for _, w := range o.sortedWorkers() {
 		if len(w.unackedEnds) > 0 {
 			o.advanceAck(w)
@@ -248,14 +284,14 @@
 	return true
 }
 
-// storedIn reports whether the store holds exactly the records of the batch: its answer
+// storedIn reports whether the store holds exactly the progress of the batch: its answer
 // was lost, or it was sent twice.
 func (b *progressBatch) storedIn(current []platform.Entry) bool {
 	values := map[string][]byte{}
 	for _, e := range current {
 		values[e.Key] = e.Value
 	}
-	for _, w := range b.txn.Writes {
+	for _, w := range b.txn.Writes[:len(b.jobs)] {
 		if value, ok := values[w.Key]; !ok || !bytes.Equal(value, w.Value) {
 			return false
 		}
