--- a/pkg/configsource/confirm_test.go
+++ b/pkg/configsource/confirm_test.go
@@ -29,10 +29,17 @@
 	loseHistory           bool // the next watch is refused
 }
 
-func (s *slowStore) setDelays(read, watch time.Duration) {
+func (s *slowStore) setReadDelay(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readDelay, s.watchDelay = read, watch
+	s.readDelay = d
+}
+
+// delayWatch delays the answers to watches for longer than any test takes.
+func (s *slowStore) delayWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchDelay = time.Minute
 }
 
 func (s *slowStore) setLink(bytesPerSecond int) {
@@ -205,14 +212,14 @@
 		prepare func(s *slowStore)
 		confirm bool // or the change has to come by the watch
 	}{
-		"watch is late": {func(s *slowStore) { s.setDelays(0, time.Minute) }, true},
+		"watch is late": {(*slowStore).delayWatch, true},
 		"history is lost": {func(s *slowStore) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.loseHistory = true
 		}, false},
 		"no more writes": {func(s *slowStore) {
-			s.setDelays(0, time.Minute)
+			s.delayWatch()
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.limitWrites = true
@@ -247,7 +254,8 @@
 // waits for a slow store.
 func TestLaterRequestIsNotHandledByAnOlderVersion(t *testing.T) {
 	runSlowSource(t, "v", func(t *testing.T, store *slowStore, s *Source) {
-		store.setDelays(280*time.Millisecond, time.Minute)
+		store.setReadDelay(280 * time.Millisecond)
+		store.delayWatch()
 		first := acquire(t, s)
 		if _, err := store.Put(t.Context(), key, []byte("vv"), platform.AnyVersion, 0); err != nil {
 			t.Fatal(err)
@@ -273,7 +281,7 @@
 // answer to the watch is waited for.
 func TestLateWatchIsReplacedByARead(t *testing.T) {
 	runSlowSource(t, "v", func(t *testing.T, store *slowStore, s *Source) {
-		store.setDelays(0, time.Minute)
+		store.delayWatch()
 		if _, err := store.Put(t.Context(), key, []byte("vv"), platform.AnyVersion, 0); err != nil {
 			t.Fatal(err)
 		}
@@ -319,7 +327,7 @@
 // schedules for another one, as its own watch is behind.
 func TestVersionOfAnotherVMIsAwaited(t *testing.T) {
 	runSlowSource(t, "v", func(t *testing.T, store *slowStore, s *Source) {
-		store.setDelays(0, time.Minute)
+		store.delayWatch()
 		if _, err := store.Put(t.Context(), key, []byte("vv"), platform.AnyVersion, 0); err != nil {
 			t.Fatal(err)
 		}
