partition: record the admission of a job under the lock

Callers would see at most a wrong domain in the time line.

All other callers of recordEvent hold the lock; accept does now, in both of its paths.

--- a/pkg/partition/partition.go
+++ b/pkg/partition/partition.go
@@ -237,7 +237,7 @@
 	return out
 }
 
-// recordEvent records a timeline event about a job.
+// recordEvent records a timeline event about a job. The caller must hold p.mu.
 func (p *Partition) recordEvent(t timeline.Type, j *job, reason string) {
 	p.opts.Recorder.Record(timeline.Event{
 		Type: t, Job: j.status.ID, Workspace: j.status.Spec.Workspace,
--- a/pkg/partition/submit.go
+++ b/pkg/partition/submit.go
@@ -71,8 +71,8 @@
 	if !j.durable {
 		p.mu.Lock()
 		j.markAccepted(nil)
-		p.mu.Unlock()
 		p.recordEvent(timeline.Admitted, j, "")
+		p.mu.Unlock()
 		p.runBackground(func() { p.offer(j) })
 		return
 	}
@@ -89,10 +89,11 @@
 		j.markAccepted(err)
 		if err != nil {
 			p.remove(j)
+		} else {
+			p.recordEvent(timeline.Admitted, j, "")
 		}
 		p.mu.Unlock()
 		if err == nil {
-			p.recordEvent(timeline.Admitted, j, "")
 			p.offer(j)
 		}
 	})
