--- a/pkg/partition/dispatch.go
+++ b/pkg/partition/dispatch.go
@@ -174,7 +174,6 @@
 	}); err != nil {
 		return err
 	}
-	p.recordEvent(timeline.Claimed, j, "")
 	return p.confirmClaim(j, c.Attempt)
 }
 
@@ -199,11 +198,12 @@
 	return j, at, nil
 }
 
-// confirmClaim returns an error if the job was cancelled, ended or moved to another
-// attempt while the claim was being journaled.
+// confirmClaim records a journaled claim in the time line. It returns an error if the job was
+// cancelled, ended or moved to another attempt while the claim was being journaled.
 func (p *Partition) confirmClaim(j *job, attempt int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordEvent(timeline.Claimed, j, "")
 	if j.cancelRequested || j.terminal() || j.status.Attempt != attempt {
 		return errkind.New(errkind.Conflict, "job %s was cancelled", j.status.ID)
 	}
