fleet, docs: what a reading of the change found

The state that is stored shows whether a job has just ended, so the batch needs no list of ended jobs, and a job no flag that its payload was dropped. A test names its run times.

--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -259,7 +259,7 @@
 }
 
 // readEntry returns the entry of the configuration, or none if that of a large one has not
-// changed, and the revision from which it can be watched; 0 if that is known.
+// changed, and the revision from which to watch it; 0 if the watch has one.
 func (s *Source) readEntry(ctx context.Context) ([]platform.Entry, int64, error) {
 	s.mu.Lock()
 	known, watched := s.entry, s.revision > 0
--- a/pkg/fleet/ends_test.go
+++ b/pkg/fleet/ends_test.go
@@ -162,7 +162,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestbed(t, 2, 2)
 		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
-			return fleettest.Outcome{Duration: time.Duration(run*run*run) * 4 * time.Second}
+			if run > 1 {
+				return fleettest.Outcome{Duration: 2 * time.Minute}
+			}
+			return fleettest.Outcome{Duration: 4 * time.Second}
 		})
 		j := b.submit(smallStep(1))
 		b.sleep(2 * time.Second)
--- a/pkg/fleet/keys.go
+++ b/pkg/fleet/keys.go
@@ -2,9 +2,9 @@
 
 import "strings"
 
-// Keys in the platform's store. The VM that accepts a job writes its record once,
-// the VM that receives a cancel request writes the cancel key, or the tombstone if the
-// job is not stored, and only the owner writes progress. The owner does not read
+// Keys in the platform's store. The VM that accepts a job writes its record, the VM that
+// receives a cancel request writes the cancel key, or the tombstone if the job is not stored,
+// and only the owner writes progress, and the record of a job that ends. The owner does not read
 // tombstones, so their number does not delay a takeover.
 const (
 	JobPrefix       = "j/"
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -108,7 +108,6 @@
 	storedState     workload.State // state in the stored progress record
 	acceptedAt      time.Duration  // on the owner's clock
 	outcomeRecorded bool           // it is counted as served or not among its kind
-	payloadDropped  bool           // its stored record no longer has the payload
 	preemptions     int            // decisions that stopped runs of the job for urgent work; at takeover an upper bound
 	lastRanAt       time.Duration  // when a run of the job was last known to be running; the takeover for an adopted job
 
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -24,8 +24,7 @@
 // progressBatch is a set of progress records that one transaction writes.
 type progressBatch struct {
 	jobs       []*job
-	endedJobs  []*job           // of jobs, those whose records are written without their payload
-	jobRecords []platform.Write // the records of endedJobs, which follow the progress in txn
+	jobRecords []platform.Write // of ended jobs, without their payload; they follow the progress in txn
 	changeSeqs []int64
 	afterWrite [][]func()
 	txn        platform.Txn
@@ -192,11 +191,11 @@
 	o.dropPayload(b, j)
 }
 
-// dropPayload adds the record of an ended job without its payload to a batch. The record is kept
-// for as long as clients may ask for the job, and a successor loads it; only starts need the
-// payload. The lock is held.
+// dropPayload adds the record of a job without its payload to the batch that ends the job. The
+// record is kept for as long as clients may ask for the job, and a successor loads it; only starts
+// need the payload. The lock is held.
 func (o *Owner) dropPayload(b *progressBatch, j *job) {
-	if !j.progress.State.Final() || j.payloadDropped || len(j.Payload) < minDroppedPayload {
+	if !j.progress.State.Final() || j.storedState.Final() || len(j.Payload) < minDroppedPayload {
 		return
 	}
 	ended := *j.Job
@@ -206,7 +205,6 @@
 		o.opts.Log.Error(err, "cannot encode the record of an ended job", "job", j.ID)
 		return
 	}
-	b.endedJobs = append(b.endedJobs, j)
 	b.jobRecords = append(b.jobRecords, platform.Write{Key: JobKey(j.ID), Value: record})
 }
 
@@ -235,9 +233,6 @@
 			f()
 		}
 	}
-	for _, j := range b.endedJobs {
-		j.payloadDropped = true
-	}
 	for _, w := range o.sortedWorkers() {
 		if len(w.unackedEnds) > 0 {
 			o.advanceAck(w)
