--- a/review/standin-3/scenario.go
+++ b/review/standin-3/scenario.go
@@ -16,9 +16,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,7 +36,11 @@
 	host                               = "queue.example"
 )
 
-type demand struct{ cpu, mem, gpu int64 }
+type demand struct {
+	cpu, mem, gpu int64
+	gang          int // tasks of the gang; 0 for tasks by themselves
+	saves         bool
+}
 
 // step is a step as clients send it.
 type step map[string]any
@@ -75,10 +81,16 @@
 	workers []*worker
 	proxies map[string]*platformtest.Proxy
 
+	workersMu        sync.Mutex
+	lifeEnds         map[string]time.Time // guarded by workersMu
+	checkpoints      atomic.Int64
+	knownCheckpoints sync.Map // by task, or by step of a gang: work that is saved
+
 	mu         sync.Mutex
 	jobs       map[string]*job
 	starts     map[string][]fact
 	ends       map[string][]fact
+	lapses     []fact // when the lease of a worker expired, whether anything ran or not
 	violations []string
 	machines   func() []map[string]any
 	cloudOp    func(w http.ResponseWriter, r *http.Request, path string, body map[string]any)
@@ -88,6 +100,7 @@
 type vm struct {
 	ip, front, log string
 	cmd            *exec.Cmd
+	cmd0           *exec.Cmd // the latest process, also after its end
 	ended          chan struct{}
 }
 
@@ -104,7 +117,7 @@
 	}
 	s := &scenario{
 		trouble: os.Getenv("TROUBLE") != "0", dir: dir, log: f, begun: time.Now(),
-		jobs: map[string]*job{}, starts: map[string][]fact{}, ends: map[string][]fact{}, proxies: map[string]*platformtest.Proxy{},
+		jobs: map[string]*job{}, starts: map[string][]fact{}, lifeEnds: map[string]time.Time{}, ends: map[string][]fact{}, proxies: map[string]*platformtest.Proxy{},
 	}
 	s.network = s.freeNetwork()
 	s.store = memory.NewStore(memory.Options{WritesPerSecond: 400, ReadsPerSecond: 2000})
@@ -364,19 +377,7 @@
 		if err := os.WriteFile(path, []byte(fmt.Sprintf(settingsText, i+1, v.ip, s.ip(250), bounds, s.ip(251))), 0o600); err != nil {
 			s.fail("%v", err)
 		}
-		out, err := os.Create(v.log)
-		if err != nil {
-			s.fail("%v", err)
-		}
-		v.cmd = exec.Command("target/carawayusher-node", "front", "--metrics-port", "9464")
-		v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "CARAWAYUSHER_CONFIG=" + path}
-		v.cmd.Stdout, v.cmd.Stderr = out, out
-		v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := v.cmd.Start(); err != nil {
-			s.fail("%v", err)
-		}
-		v.ended = make(chan struct{})
-		go func(cmd *exec.Cmd) { _ = cmd.Wait(); close(v.ended) }(v.cmd)
+		s.launch(v, path)
 		s.vms = append(s.vms, v)
 	}
 	for _, v := range s.vms {
@@ -393,6 +394,22 @@
 	s.record("%d VMs are ready", n)
 }
 
+// launch starts the process of a VM.
+func (s *scenario) launch(v *vm, settings string) {
+	out, err := os.OpenFile(v.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.fail("%v", err)
+	}
+	v.cmd = exec.Command("target/carawayusher-node", "front", "--metrics-port", "9464")
+	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "CARAWAYUSHER_CONFIG=" + settings}
+	v.cmd.Stdout, v.cmd.Stderr = out, out
+	if err := v.cmd.Start(); err != nil {
+		s.fail("%v", err)
+	}
+	v.cmd0, v.ended = v.cmd, make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) { _ = cmd.Wait(); _ = out.Close(); close(ended) }(v.cmd, v.ended)
+}
+
 // owner returns the VM that owns the fleet, by the store.
 func (s *scenario) owner() *vm {
 	e, err := s.store.Get(context.Background(), "owner")
@@ -445,18 +462,40 @@
 
 // submit hands a job in, again until it is accepted.
 func (s *scenario) submit(queue, spec string, steps ...step) string {
+	id := s.submitWithin(10*time.Second, queue, spec, steps...)
+	if id == "" {
+		s.fail("a job was not accepted")
+	}
+	return id
+}
+
+// submitWithin hands a job in, again until it is accepted; empty if it is not.
+func (s *scenario) submitWithin(d time.Duration, queue, spec string, steps ...step) string {
+	return s.submitJob(d, queue, spec, nil, steps)
+}
+
+// submitBody hands a job with further fields in, for 10 s at most.
+func (s *scenario) submitBody(queue, spec string, more map[string]any, steps ...step) string {
+	return s.submitJob(10*time.Second, queue, spec, more, steps)
+}
+
+func (s *scenario) submitJob(d time.Duration, queue, spec string, more map[string]any, steps []step) string {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	s.mu.Lock()
 	s.jobs[id] = &job{id: id, spec: spec, steps: steps}
 	s.mu.Unlock()
-	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
-	accepted := s.awaits(10*time.Second, func() bool {
+	fields := map[string]any{"spec": spec, "steps": steps}
+	for k, v := range more {
+		fields[k] = v
+	}
+	body, _ := json.Marshal(fields)
+	accepted := s.awaits(d, func() bool {
 		status, _ := s.call(http.MethodPost, s.vms[rand.IntN(len(s.vms))], "/"+queue+"/"+id, body)
 		s.record("POST /%s/%s %s -> %d", queue, id, spec, status)
 		return status/100 == 2
 	})
 	if !accepted {
-		s.fail("job %s was not accepted", id)
+		return ""
 	}
 	return id
 }
@@ -484,7 +523,13 @@
 	if _, err := fmt.Sscan(parts[2], &n); err != nil || n >= len(j.steps) {
 		return demand{}, false
 	}
-	return demand{j.steps[n].number("cpu"), j.steps[n].number("mem_mb"), j.steps[n].number("gpu")}, true
+	st := j.steps[n]
+	d := demand{cpu: st.number("cpu"), mem: st.number("mem_mb"), gpu: st.number("gpu")}
+	if gang, _ := st["gang"].(bool); gang {
+		d.gang = int(st.number("count"))
+	}
+	d.saves, _ = st["checkpointing"].(bool)
+	return d, true
 }
 
 func (s *scenario) started(worker string, life int, task string, run int64, spec string) {
@@ -506,6 +551,14 @@
 	s.ends[task] = append(s.ends[task], fact{at: time.Now(), worker: worker, life: life, run: run, n: n, how: how})
 }
 
+// lapsed records that the lease of a worker has expired.
+func (s *scenario) lapsed(worker string, life int) {
+	s.record("LEASE of %s life %d has expired", worker, life)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapses = append(s.lapses, fact{at: time.Now(), worker: worker, life: life})
+}
+
 // acked records that acked_upto has reached an end.
 func (s *scenario) acked(worker string, life int, n, upto int64) {
 	s.each(worker, life, n, func(f *fact) {
@@ -541,10 +594,8 @@
 				continue
 			}
 			lapsed := false
-			for _, all := range s.ends {
-				for _, x := range all {
-					lapsed = lapsed || (x.worker == e.worker && x.life == e.life && x.how == "lapsed" && x.at.After(e.at) && x.at.Before(e.ackedAt))
-				}
+			for _, x := range s.lapses {
+				lapsed = lapsed || (x.worker == e.worker && x.life == e.life && !x.at.Before(e.at) && !x.at.After(e.ackedAt))
 			}
 			for _, st := range s.starts[task] {
 				if !lapsed && st.at.After(e.at) {
@@ -561,13 +612,20 @@
 }
 
 func main() {
-	cases := map[string]func(*scenario){"ack": playAck}
+	cases := map[string]func(*scenario){"ack": playAck, "soak": playSoak, "wave": playWave, "term": playTerm, "repeat": playRepeat}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin-3 CASE")
 		os.Exit(2)
 	}
 	s := newScenario()
-	time.AfterFunc(110*time.Second, func() { s.fail("it takes too long") })
+	limit := 110 * time.Second
+	if os.Args[1] == "soak" || os.Args[1] == "wave" {
+		limit = 180 * time.Second // they are no cases
+	}
+	time.AfterFunc(limit, func() { s.fail("it takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { <-signals; s.fail("it was told to end") }()
 	cases[os.Args[1]](s)
 	s.finish()
 }
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -16,15 +18,18 @@
 
 // Figures of the pages (DEPLOY.md, bounds of a small deployment).
 const (
-	holdMax       = 10 * time.Second
-	stopGrace     = 200 * time.Millisecond
-	maxHoldWait   = 2 * time.Second
-	listedEnds    = 500
-	heartbeat     = 1500 * time.Millisecond
-	workerCPU     = 64000
-	workerMemory  = 262144
-	workerGPU     = 8
-	checkInterval = 5 * time.Millisecond
+	holdMax         = 10 * time.Second
+	stopGrace       = 200 * time.Millisecond
+	maxHoldWait     = 2 * time.Second
+	listedEnds      = 500
+	lastingStartup  = 500 * time.Millisecond
+	gangTimeout     = 3 * time.Second
+	checkpointEvery = 2 * time.Second
+	heartbeat       = 1500 * time.Millisecond
+	workerCPU       = 64000
+	workerMemory    = 262144
+	workerGPU       = 8
+	checkInterval   = 5 * time.Millisecond
 	// idleTimeout is when a worker closes a connection without calls, as HTTP servers do.
 	idleTimeout = 5 * time.Second
 )
@@ -43,6 +48,16 @@
 	run       int64
 	startedAt time.Time
 	work      time.Duration
+	fails     bool
+	group     string // of a gang: its step and run; empty for a task by itself
+	size      int    // tasks of the gang
+	saved     string // newest checkpoint
+	savedWork time.Duration
+	lasts     bool // it runs until its job is cancelled, and is at work after a short startup
+	saves     bool
+	arrivedAt time.Time
+	carried   string // checkpoint of its start
+	resumed   time.Duration
 	demand    demand
 	stopping  bool
 }
@@ -58,6 +73,7 @@
 	ended    []end
 	lastEnd  int64
 	over     bool
+	expired  bool // the lease has expired and was not extended since
 }
 
 func (l *life) clockMS() int64 { return time.Since(l.born).Milliseconds() }
@@ -70,11 +86,12 @@
 	machine string
 	labels  []string
 
-	mu       sync.Mutex
+	mu       *sync.Mutex // of all workers, as the members of a gang end together
 	life     *life
 	lives    int
 	powered  bool
 	cut      bool // from the store
+	isolated bool // from the machines of the system: bytes are held up until it ends
 	conns    map[*wire]struct{}
 	holds    int // calls of /hold that have arrived in this life
 	sequence int64
@@ -85,7 +102,7 @@
 }
 
 func newWorker(s *scenario, id, address, rack string) *worker {
-	w := &worker{s: s, id: id, address: address, machine: "m-" + id, labels: []string{"a", rack}, conns: map[*wire]struct{}{}, changed: make(chan struct{})}
+	w := &worker{mu: &s.workersMu, s: s, id: id, address: address, machine: "m-" + id, labels: []string{"a", rack}, conns: map[*wire]struct{}{}, changed: make(chan struct{})}
 	w.begin()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -116,6 +133,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.life.over, w.powered = true, false
+	for _, r := range w.life.running {
+		w.endGang(r, "broken")
+	}
+	w.s.lifeEnds[lifeKey(w.id, w.life.number)] = time.Now()
 	for c := range w.conns {
 		c.dead = true
 	}
@@ -148,6 +169,29 @@
 	}
 }
 
+// setIsolated cuts the worker off from the machines of the system, or heals the cut. What was sent
+// meanwhile arrives then.
+func (w *worker) setIsolated(isolated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isolated = isolated
+	w.wakeLocked()
+	w.s.record("worker %s cut off from the system: %v", w.id, isolated)
+}
+
+// awaitPath waits until bytes pass between the worker and the machines of the system.
+func (w *worker) awaitPath() {
+	for {
+		w.mu.Lock()
+		isolated, changed := w.isolated, w.changed
+		w.mu.Unlock()
+		if !isolated {
+			return
+		}
+		<-changed
+	}
+}
+
 // register writes the worker's entry.
 func (w *worker) register() {
 	w.mu.Lock()
@@ -190,13 +234,23 @@
 		w.mu.Lock()
 		l := w.life
 		if !l.over {
-			lapsed := len(l.running) > 0 && l.clockMS() > l.deadline
+			lapsed := l.deadline > 0 && l.clockMS() > l.deadline
+			if lapsed && !l.expired {
+				l.expired = true
+				w.s.lapsed(w.id, l.number)
+			}
 			for task, r := range l.running {
 				switch {
 				case lapsed:
 					w.endLocked(task, r, "lapsed")
-				case !r.stopping && time.Since(r.startedAt) >= r.work:
-					w.endLocked(task, r, "done")
+				case r.startedAt.IsZero():
+					if time.Since(r.arrivedAt) > gangTimeout {
+						w.endLocked(task, r, "alone")
+					}
+				case !r.stopping && r.saves && r.done()-r.savedWork >= checkpointEvery:
+					w.saveLocked(task, r)
+				case !r.stopping && r.done() >= r.work:
+					w.endLocked(task, r, map[bool]string{false: "done", true: "failed"}[r.fails])
 				}
 			}
 		}
@@ -204,20 +258,94 @@
 	}
 }
 
+// done returns how much of its work a run has done.
+func (r *activeRun) done() time.Duration {
+	if r.startedAt.IsZero() {
+		return r.resumed
+	}
+	return r.resumed + time.Since(r.startedAt)
+}
+
+// saveLocked makes a new checkpoint, which every member of a gang may carry.
+func (w *worker) saveLocked(task string, r *activeRun) {
+	r.savedWork = r.done()
+	r.saved = fmt.Sprintf("%08x%s", r.savedWork.Milliseconds(), fmt.Sprintf("%08x", w.s.checkpoints.Add(1)))
+	key := task
+	if r.group != "" {
+		key = stepOfTask(task)
+	}
+	w.s.knownCheckpoints.Store(key+" "+r.saved, r.savedWork)
+}
+
+// stepOfTask returns the name of a task's step.
+func stepOfTask(task string) string { return task[:strings.LastIndexByte(task, '.')] }
+
 func (w *worker) endLocked(task string, r *activeRun, how string) {
 	l := w.life
 	if l.running[task] != r {
 		return
 	}
+	defer w.endGang(r, how)
+	if how == "stopped" && r.saves && !r.startedAt.IsZero() {
+		w.saveLocked(task, r)
+	}
 	delete(l.running, task)
 	l.highest[task] = max(l.highest[task], r.run)
 	l.lastEnd++
-	l.ended = append(l.ended, end{n: l.lastEnd, task: task, run: r.run, how: how})
+	l.ended = append(l.ended, end{n: l.lastEnd, task: task, run: r.run, how: how, saved: r.saved})
 	w.s.ended(w.id, l.number, l.lastEnd, task, r.run, how)
 	w.wakeLocked()
 }
 
+// endGang ends the other members of a gang: done together, and broken otherwise.
+func (w *worker) endGang(r *activeRun, how string) {
+	if r.group == "" {
+		return
+	}
+	other := "broken"
+	if how == "done" {
+		other = "done"
+	}
+	for _, x := range w.s.workers {
+		if x.life.over {
+			continue
+		}
+		for task, m := range x.life.running {
+			if m.group == r.group && m != r {
+				x.endLocked(task, m, other)
+			}
+		}
+	}
+}
+
+// joinGang lets a gang begin once all members are there.
+func (w *worker) joinGang(r *activeRun) {
+	var members []*activeRun
+	for _, x := range w.s.workers {
+		if x.life.over {
+			continue
+		}
+		for _, m := range x.life.running {
+			if m.group == r.group {
+				members = append(members, m)
+			}
+		}
+	}
+	for _, m := range members {
+		if m.carried != r.carried {
+			w.s.violation("UNASKED", "members of %s carry checkpoints %q and %q", r.group, m.carried, r.carried)
+		}
+	}
+	if len(members) == r.size {
+		for _, m := range members {
+			m.startedAt = time.Now()
+		}
+	}
+}
+
 type orderBody struct {
+	Checkpoint string `json:"checkpoint"`
+
 	Task     string `json:"task"`
 	Run      int64  `json:"run"`
 	Spec     string `json:"spec"`
@@ -270,6 +398,7 @@
 // extend extends the lease: a longer one than hold_max_ms is shortened, and it never shortens.
 func (l *life) extend(deadline int64) {
 	l.deadline = max(l.deadline, min(deadline, l.clockMS()+holdMax.Milliseconds()))
+	l.expired = l.expired && l.clockMS() > l.deadline
 }
 
 func (w *worker) serveStart(rw http.ResponseWriter, r *http.Request) {
@@ -308,11 +437,40 @@
 		w.reply(rw, http.StatusConflict, "room")
 		return
 	}
-	l.running[o.Task] = &activeRun{run: o.Run, startedAt: time.Now(), work: workOf(o.Spec), demand: need}
+	a := &activeRun{run: o.Run, arrivedAt: time.Now(), startedAt: time.Now(), work: workOf(o.Spec), fails: failsRun(o.Spec, o.Task, o.Run), demand: need, lasts: strings.HasSuffix(o.Spec, " lasts"), saves: need.saves, carried: o.Checkpoint, saved: o.Checkpoint}
+	key := o.Task
+	if need.gang > 1 {
+		key = stepOfTask(o.Task)
+		a.group, a.size, a.startedAt = fmt.Sprintf("%s run %d", key, o.Run), need.gang, time.Time{}
+	}
+	if o.Checkpoint != "" {
+		if work, known := w.s.knownCheckpoints.Load(key + " " + o.Checkpoint); known {
+			a.resumed, a.savedWork = work.(time.Duration), work.(time.Duration)
+		} else {
+			w.s.violation("UNASKED", "%s run %d starts with checkpoint %s, which is not the task's", o.Task, o.Run, o.Checkpoint)
+		}
+	}
+	l.running[o.Task] = a
+	if a.group != "" {
+		w.joinGang(a)
+	}
 	w.s.started(w.id, l.number, o.Task, o.Run, o.Spec)
 	w.reply(rw, http.StatusOK, "")
 }
 
+// failsRun reports whether a run fails: "fails=PERCENT" of the runs of a job do.
+func failsRun(spec, task string, run int64) bool {
+	for _, word := range strings.Fields(spec) {
+		if text, ok := strings.CutPrefix(word, "fails="); ok {
+			percent, _ := strconv.Atoi(text)
+			h := fnv.New32a()
+			fmt.Fprint(h, task, run)
+			return int(h.Sum32()%100) < percent
+		}
+	}
+	return false
+}
+
 // workOf returns the work that the text of a job names: "work=MS ...".
 func workOf(spec string) time.Duration {
 	for _, word := range strings.Fields(spec) {
@@ -405,9 +563,12 @@
 		a := l.running[task]
 		percent := 0
 		if a.work > 0 {
-			percent = min(100, int(100*time.Since(a.startedAt)/a.work))
+			percent = min(100, int(100*a.done()/a.work))
+			if a.lasts && a.done() > lastingStartup {
+				percent = 100
+			}
 		}
-		running = append(running, []any{task, a.run, "", percent, a.demand.cpu})
+		running = append(running, []any{task, a.run, a.saved, percent, a.demand.cpu})
 	}
 	for i, e := range l.ended {
 		if i == listedEnds {
@@ -451,7 +612,7 @@
 	}
 	for {
 		l.w.mu.Lock()
-		if l.w.powered {
+		if l.w.powered && !l.w.isolated {
 			c := &wire{Conn: inner, w: l.w}
 			l.w.conns[c] = struct{}{}
 			l.w.mu.Unlock()
@@ -481,6 +642,7 @@
 // Read implements net.Conn.
 func (c *wire) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.w.awaitPath()
 	if !c.isDead() {
 		return n, err
 	}
@@ -504,6 +666,7 @@
 
 // Write implements net.Conn.
 func (c *wire) Write(b []byte) (int, error) {
+	c.w.awaitPath()
 	if c.isDead() {
 		return len(b), nil
 	}
@@ -524,3 +687,5 @@
 	c.w.mu.Unlock()
 	return c.Conn.Close()
 }
+
+func lifeKey(worker string, life int) string { return worker + "/" + strconv.Itoa(life) }
