--- a/review/standin-3/repeat.go
+++ b/review/standin-3/repeat.go
@@ -36,6 +36,11 @@
 	betweenJobs = 600 * time.Millisecond
 )
 
+// restart starts the process of a VM again.
+func (s *scenario) restart(v *vm) {
+	s.launch(v, strings.TrimPrefix(v.cmd0.Env[3], "CARAWAYUSHER_CONFIG="))
+}
+
 // limitMemory does what DEPLOY.md says: a process that exceeds memory_mb is killed, and one that
 // ended is started again after a short delay.
 func (s *scenario) limitMemory(v *vm, done chan struct{}, kills *atomic.Int64) {
