--- a/review/standin-3/repeat_test.go
+++ b/review/standin-3/repeat_test.go
@@ -32,7 +32,7 @@
 	yearOfHours  = 8760 // repeat_count of each
 	fewTimes     = 4    // the same without the trouble, as at the site
 	finishS      = 14 * time.Second
-	// betweenJobs gives 1.67 jobs a second, as the site's cut-list has in a burst (0.936 x 1.8).
+	// betweenJobs gives 1.67 jobs a second; the site has 4 in all.
 	betweenJobs = 600 * time.Millisecond
 )
 
