--- a/review/standin-3/scenario_test.go
+++ b/review/standin-3/scenario_test.go
@@ -222,7 +222,14 @@
 			list = s.machines()
 		} else {
 			for _, x := range s.workers {
-				list = append(list, s.machineRow(x, "up", x.id))
+				x.mu.Lock()
+				powered := x.powered
+				x.mu.Unlock()
+				if powered {
+					list = append(list, s.machineRow(x, "up", x.id))
+				} else {
+					list = append(list, s.machineRow(x, "down", ""))
+				}
 			}
 		}
 		respond(w, http.StatusOK, map[string]any{"machines": list, "next_token": nil})
