fleet, workload: hold only occurrences that are due

Cause: the owner made a group with two maps for every step of every occurrence, and the progress 128 bytes for every task of all occurrences, when it learned of the job: 3.4 to 4.2 MB a job. A cycle visited all of them, ten times a second.

Change: an occurrence has groups and tasks from its due time until it is done and that is stored. Then its tasks are reduced to ranges with the same history. A job that has nothing to do until its next due time is dormant: it is in a heap by that time, and no cycle visits it. The stored record keeps its form, with a row for each task that is done, since owners of the former version take a task without a row for one that has not started.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -110,7 +110,7 @@
 
 // finishCancelled ends the jobs for which a cancellation was requested.
 func (o *Owner) finishCancelled() {
-	for _, j := range o.live {
+	for _, j := range o.active {
 		if j.cancelRequested {
 			o.finishJob(j, workload.Cancelled)
 		}
@@ -119,7 +119,7 @@
 
 // finishFailed ends the jobs that have exhausted their attempts.
 func (o *Owner) finishFailed() {
-	for _, j := range o.live {
+	for _, j := range o.active {
 		if j.pendingFinalState != "" {
 			o.finishJob(j, j.pendingFinalState)
 		}
@@ -127,7 +127,7 @@
 }
 
 func (o *Owner) finishCompleted() {
-	for _, j := range o.live {
+	for _, j := range o.active {
 		if j.progress.AllDone() {
 			o.finishJob(j, workload.Completed)
 		}
@@ -137,7 +137,7 @@
 // finishJob sets the final state of a job and stops its remaining runs; the lock is
 // held.
 func (o *Owner) finishJob(j *job, s workload.State) {
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		g.runTimes = nil
 		for _, r := range g.runs {
 			if r.phase == phasePlanned {
@@ -155,7 +155,7 @@
 	j.progress.State = s
 	j.progress.FinishedUnixMS = o.opts.Now().UnixMilli()
 	o.markDirty(j)
-	delete(o.live, j.ID)
+	o.removeLive(j)
 	o.opts.Metrics.JobEnded(string(s))
 	o.opts.Log.Info("job ends", "job", j.ID, "queue", j.Queue, "workspace", j.Workspace, "state", s,
 		"tookMS", (o.opts.Clock() - j.acceptedAt).Milliseconds(), "slackFactor", j.Class.SlackFactor, "targetRuntimeMS", j.Class.TargetRuntime.Milliseconds())
--- a/pkg/fleet/describe_test.go
+++ b/pkg/fleet/describe_test.go
@@ -25,8 +25,8 @@
 	_, dirty := o.dirty[j]
 	fmt.Fprintf(&text, " job live %v, cancel %v, final %q, dirty %v, write in flight %v, %d callbacks, seq %d/%d;", o.live[id] != nil, j.cancelRequested, j.pendingFinalState,
 		dirty, j.writeInFlight, len(j.afterCommit), j.committedSeq, j.changeSeq)
-	for _, g := range j.groups {
-		if g.complete() || !o.dependenciesDone(g) {
+	for g := range j.groups() {
+		if g.complete() || !g.dependenciesDone() {
 			continue
 		}
 		phases := map[workload.Phase]int{}
--- a/pkg/fleet/ejection.go
+++ b/pkg/fleet/ejection.go
@@ -118,7 +118,12 @@
 
 // suspect reports whether a group of the job is suspect.
 func (j *job) suspect() bool {
-	return slices.ContainsFunc(j.groups, func(g *taskGroup) bool { return g.suspect })
+	for g := range j.groups() {
+		if g.suspect {
+			return true
+		}
+	}
+	return false
 }
 
 // suspectGroup withdraws the failures of a group from the workers on which it failed,
--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -67,6 +67,30 @@
 	})
 }
 
+// Guards against occurrences that are lost or run twice when all of a schedule are due at once,
+// and the owner changes while they run.
+func TestScheduleThatIsFarBehindRunsAllOccurrences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const occurrences = 700
+		b := newTestbed(t, 2, 4)
+		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
+			return fleettest.Outcome{Duration: 300 * time.Millisecond}
+		})
+		j := b.buildJob(smallStep(1))
+		j.Schedule = workload.Schedule{Count: occurrences, FirstUnixMS: time.Now().Add(-time.Hour).UnixMilli(), Interval: time.Second}
+		b.storeJob(j)
+		b.sleep(4 * time.Second)
+		b.killVM(b.ownerIndex())
+		b.sleep(60 * time.Second)
+		b.wantState(j, workload.Completed)
+		for k := range occurrences {
+			if n := b.workers.Starts(workload.TaskID{Job: j.ID, Occurrence: k}); n < 1 {
+				t.Errorf("occurrence %d has not run", k)
+			}
+		}
+	})
+}
+
 // Guards against starts without a valid ticket, and against a group that stays queued
 // because the first workers in its advice requests may not run the step.
 func TestAdviceIsAskedBeforeStarts(t *testing.T) {
--- a/pkg/fleet/guarantee.go
+++ b/pkg/fleet/guarantee.go
@@ -16,18 +16,12 @@
 // markWithinGuarantee marks the urgent groups of workspaces whose urgent jobs all fit
 // into the workspace's guarantee, and those of them that have waited for guaranteeDelay.
 func (o *Owner) markWithinGuarantee(waiting []pendingGroup, now time.Duration) {
-	need := map[string]int64{}
-	for _, j := range o.live {
-		if j.Class.Priority == 0 {
-			need[j.Workspace] += maxStepAccelerators(j.Job)
-		}
-	}
 	cat := o.opts.Catalog()
 	if cat == nil {
 		return
 	}
 	for _, ws := range cat.Workspaces {
-		if ws.Guaranteed.Accelerators == 0 || need[ws.Name] > ws.Guaranteed.Accelerators {
+		if ws.Guaranteed.Accelerators == 0 || o.urgentNeed[ws.Name] > ws.Guaranteed.Accelerators {
 			continue
 		}
 		for i := range waiting {
@@ -81,8 +75,8 @@
 // urgentUses returns the groups of urgent work that have runs, by workspace, the newest first.
 func (o *Owner) urgentUses() map[string][]urgentUse {
 	uses := map[string][]urgentUse{}
-	for _, j := range o.live {
-		for _, g := range j.groups {
+	for _, j := range o.active {
+		for g := range j.groups() {
 			if j.Class.Priority != 0 || len(g.runs) == 0 {
 				continue
 			}
--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -165,7 +165,7 @@
 // has.
 func (j *job) lastSeenRunning(now time.Duration) time.Duration {
 	last := j.lastRanAt
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		for _, r := range g.runs {
 			if r.isRunning() {
 				return now
--- a/pkg/fleet/health_test.go
+++ b/pkg/fleet/health_test.go
@@ -124,7 +124,7 @@
 		return func(g *taskGroup) {
 			for i, p := range phases {
 				g.tasks()[i].Phase = workload.Assigned
-				g.runs[i] = &run{group: g, index: i, phase: p, phaseSince: now - time.Duration(len(phases)-i)*time.Second, adopted: adopted, worker: &worker{}}
+				g.addRun(&run{group: g, index: i, phase: p, phaseSince: now - time.Duration(len(phases)-i)*time.Second, adopted: adopted, worker: &worker{runs: map[*run]struct{}{}}})
 			}
 		}
 	}
@@ -157,7 +157,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			record := &workload.Job{ID: "a", Steps: []workload.Step{{Tasks: 2, Gang: tc.gang}}}
-			g := newJob(record, workload.NewProgress(record)).groups[0]
+			g := newJob(record, workload.NewProgress(record)).group(0, 0)
 			tc.prepare(g)
 			reason, r := g.standingReason(now)
 			index := -1
@@ -201,7 +201,7 @@
 	w := &worker{WorkerEntry: WorkerEntry{ID: "w", Rack: "r"}, failedAt: map[string]time.Duration{}}
 	for i := range 100 {
 		record := &workload.Job{ID: fmt.Sprintf("%016x", i), Steps: []workload.Step{{Tasks: 1}}}
-		o.recordWorkerFailure(w, newJob(record, workload.NewProgress(record)).groups[0])
+		o.recordWorkerFailure(w, newJob(record, workload.NewProgress(record)).group(0, 0))
 		*now += time.Millisecond
 	}
 	if n := len(*lines); n != 1 {
@@ -222,10 +222,10 @@
 	for i := range jobs {
 		record := &workload.Job{ID: fmt.Sprintf("%016x", i), Steps: []workload.Step{{Tasks: 8, Gang: true}, {Tasks: 8, After: []int{0}}}}
 		j := newJob(record, workload.NewProgress(record))
-		o.live[j.ID] = j
+		o.addLive(j)
 		if i < workers/2 {
-			r := &run{group: j.groups[0], phase: phaseUncertain, worker: o.workers[fmt.Sprintf("w%05d", i)]}
-			j.groups[0].runs[0], r.worker.runs[r] = r, struct{}{}
+			r := &run{group: j.group(0, 0), phase: phaseUncertain, worker: o.workers[fmt.Sprintf("w%05d", i)]}
+			j.group(0, 0).addRun(r)
 		}
 	}
 	*now = time.Minute
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -147,7 +147,7 @@
 		o.recordUrgentArrival(j, j.acceptedAt)
 	}
 	if !p.State.Final() {
-		o.live[id] = j
+		o.addLive(j)
 		o.reportLateJob(j, source, time.Duration(age)*time.Millisecond)
 	}
 	o.opts.Log.V(1).Info("job added", "job", id, "queue", j.Queue, "workspace", j.Workspace, "state", p.State, "ageMS", age)
@@ -161,13 +161,14 @@
 		return
 	}
 	j.cancelRequested = true
+	o.activate(j)
 	o.opts.Log.Info("cancel seen", "job", id, "state", j.storedState)
 }
 
 // adoptAssignments creates runs for the assignments of a former owner. Polls of
 // their workers resolve them; the lock is held.
 func (o *Owner) adoptAssignments(j *job) {
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		for i := range g.tasks() {
 			t := &g.tasks()[i]
 			if t.Phase != workload.Assigned && !t.Stopping {
@@ -184,8 +185,7 @@
 				startSentAt: o.tookOverAt - time.Duration(t.Assigned.StartAgeS)*time.Second,
 			}
 			r.speed.resumed = t.Run > 1 && g.spec().Checkpointing // it may have begun with a checkpoint
-			g.runs[i] = r
-			w.runs[r] = struct{}{}
+			g.addRun(r)
 			o.enqueueOrder(w, order{kind: orderAdopt, run: r})
 		}
 	}
--- a/pkg/fleet/look_test.go
+++ b/pkg/fleet/look_test.go
@@ -93,10 +93,10 @@
 				runs: map[*run]struct{}{}, orders: make(chan order, maxQueuedOrders), wake: make(chan struct{}, 1),
 			}
 			job := &workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 2}}}
-			g := newJob(job, workload.NewProgress(job)).groups[0]
+			g := newJob(job, workload.NewProgress(job)).group(0, 0)
 			addRun := func(index int, phase runPhase) *run {
 				r := &run{group: g, index: index, number: 1, worker: w, phase: phase}
-				g.runs[index], w.runs[r] = r, struct{}{}
+				g.addRun(r)
 				return r
 			}
 			former := addRun(0, phaseUncertain)
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -342,6 +342,7 @@
 
 // markUnsaved makes a later cycle write what is known of the starts of a job; the lock is held.
 func (o *Owner) markUnsaved(j *job) {
+	o.activate(j)
 	if j.unsavedSince == 0 {
 		j.unsavedSince = o.opts.Clock()
 	}
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -32,7 +32,10 @@
 	resigned        bool
 	tookOverAt      time.Duration
 	jobs            map[string]*job
-	live            map[string]*job // jobs whose progress has no final state yet
+	live            map[string]*job  // jobs whose progress has no final state yet
+	active          map[string]*job  // live jobs without those that are dormant
+	dormant         dormantJobs      // live jobs that have nothing to do until their next due time
+	urgentNeed      map[string]int64 // by workspace: accelerators that its live urgent jobs need
 	workers         map[string]*worker
 	workersByID     []*worker                  // workers by ID; nil after a change of the set
 	planners        map[string]*servicePlanner // by service name
@@ -89,7 +92,7 @@
 	return &Owner{
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
 		validity: newLeaseValidity(acquired.validUntil),
-		jobs:     map[string]*job{}, live: map[string]*job{}, workers: map[string]*worker{},
+		jobs:     map[string]*job{}, live: map[string]*job{}, active: map[string]*job{}, urgentNeed: map[string]int64{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{}, speeds: newSpeedState(),
 		kinds: map[string]*shortage.Kind{}, shortages: map[string]*serviceShortage{}, arriving: map[servicePriority]*shortage.Rate{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
@@ -265,6 +268,7 @@
 // markDirty marks a job's progress as changed. The caller holds the lock.
 func (o *Owner) markDirty(j *job) {
 	j.changeSeq++
+	o.activate(j)
 	o.noteChange(j)
 	o.dirty[j] = struct{}{}
 }
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -105,19 +105,22 @@
 }
 
 // collectPending returns the groups that are due and whose dependencies are done;
-// awaitingDue reports whether others wait for their due time.
+// awaitingDue reports whether others are due soon.
 func (o *Owner) collectPending(now time.Duration) (waiting []pendingGroup, awaitingDue bool) {
 	unixMS := o.opts.Now().UnixMilli()
-	for _, j := range o.live {
-		for _, g := range j.groups {
+	o.activateDue(unixMS)
+	for _, j := range o.active {
+		j.compactDone()
+		j.openDue(unixMS)
+		for g := range j.groups() {
 			if g.complete() || len(g.runs) == g.spec().Tasks {
 				continue
 			}
 			if due := j.DueUnixMS(g.occurrence); due > unixMS+dueStartLead.Milliseconds() {
-				awaitingDue = true
+				awaitingDue = true // the clock was set back
 				continue
 			}
-			if !o.dependenciesDone(g) {
+			if !g.dependenciesDone() {
 				continue
 			}
 			if !g.ready {
@@ -133,21 +136,11 @@
 				waiting = append(waiting, c)
 			}
 		}
+		awaitingDue = o.awaitsDue(j, unixMS) || awaitingDue
 	}
 	return waiting, awaitingDue
 }
 
-// dependenciesDone reports whether all steps that the group's step depends on are
-// complete.
-func (o *Owner) dependenciesDone(g *taskGroup) bool {
-	for _, earlier := range g.spec().After {
-		if !g.job.group(g.occurrence, earlier).complete() {
-			return false
-		}
-	}
-	return true
-}
-
 // pendingGroupOf returns the pending tasks of a group with their rank; false means that
 // nothing can be placed now.
 func (o *Owner) pendingGroupOf(g *taskGroup, now time.Duration, unixMS int64) (pendingGroup, bool) {
@@ -510,7 +503,7 @@
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine, Address: w.Address}
 		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
 		r.speed.resumed = t.Checkpoint != ""
-		g.runs[i], w.runs[r] = r, struct{}{}
+		g.addRun(r)
 		started = append(started, r)
 	}
 	o.opts.Metrics.Placed(now - g.readySince)
--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -96,8 +96,8 @@
 	defer o.mu.Unlock()
 	now := o.opts.Clock()
 	wanted := map[string]workload.Resources{}
-	for _, j := range o.live {
-		for _, g := range j.groups {
+	for _, j := range o.active {
+		for g := range j.groups() {
 			if !g.ready || g.complete() || len(g.runs) > 0 || now-g.readySince < minBacklogAge {
 				continue
 			}
--- a/pkg/fleet/shortage_test.go
+++ b/pkg/fleet/shortage_test.go
@@ -22,7 +22,7 @@
 			ID: id, Queue: "q-" + service, Workspace: workspace, Class: class,
 			Steps: []workload.Step{{Tasks: 4, Gang: true, Request: workload.Resources{Accelerators: 1}, Estimate: time.Second}},
 		}, workload.NewProgress(&workload.Job{Steps: []workload.Step{{Tasks: 4}}}))
-		waiting = append(waiting, pendingGroup{group: j.groups[0], pending: []int{0, 1, 2, 3}, priority: priority, slack: time.Duration(len(waiting)) * time.Second})
+		waiting = append(waiting, pendingGroup{group: j.group(0, 0), pending: []int{0, 1, 2, 3}, priority: priority, slack: time.Duration(len(waiting)) * time.Second})
 	}
 	add("urgent", "flood", "s", 0)
 	for n := range 8 {
@@ -105,9 +105,9 @@
 				o.workers[id] = w
 				j := add("running"+id, 2, 8)
 				for i := range 8 {
-					r := &run{group: j.groups[0], index: i, worker: w, phase: phaseRunning, startedAt: *now, demand: workload.Resources{Accelerators: 1}}
-					j.groups[0].runs[i], w.runs[r] = r, struct{}{}
-					j.groups[0].tasks()[i].Phase = workload.Assigned
+					r := &run{group: j.group(0, 0), index: i, worker: w, phase: phaseRunning, startedAt: *now, demand: workload.Resources{Accelerators: 1}}
+					j.group(0, 0).addRun(r)
+					j.group(0, 0).tasks()[i].Phase = workload.Assigned
 				}
 			}
 			for n := range 300 {
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -118,7 +118,8 @@
 // until the takeover. The time at which other tasks last ran is not stored; they count as
 // not running for maxIdleWait, so that their job does not wait anew for free capacity.
 func (j *job) noteAdopted(now time.Duration) {
-	for _, g := range j.groups {
+	j.adoptCompacted(now)
+	for g := range j.groups() {
 		for i, t := range g.tasks() {
 			switch {
 			case t.Phase == workload.Assigned:
@@ -179,8 +180,8 @@
 	}
 	running := j.hasRunningRun()
 	s := standingJob{}
-	for _, g := range j.groups {
-		if (running && !g.spec().LongRunning) || g.complete() || j.DueUnixMS(g.occurrence) > unixMS || !o.dependenciesDone(g) {
+	for g := range j.groups() {
+		if (running && !g.spec().LongRunning) || g.complete() || j.DueUnixMS(g.occurrence) > unixMS || !g.dependenciesDone() {
 			continue
 		}
 		since, ok := max(o.standingSince(g, now), j.silentSince()), true
@@ -204,7 +205,7 @@
 
 // hasRunningRun reports whether a run of the job is running.
 func (j *job) hasRunningRun() bool {
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		for _, r := range g.runs {
 			if r.isRunning() {
 				return true
@@ -218,7 +219,7 @@
 // job has no such run.
 func (j *job) silentSince() time.Duration {
 	since := time.Duration(0)
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		for _, r := range g.runs {
 			if r.phase == phaseRunning {
 				since = max(since, r.worker.unansweredSince)
@@ -344,7 +345,7 @@
 	a := &assessment{now: o.opts.Clock(), services: map[string]*serviceState{}}
 	unixMS := o.opts.Now().UnixMilli()
 	o.ejectWorst(a.now)
-	for _, j := range o.live {
+	for _, j := range o.active {
 		if j.suspect() {
 			a.service(o.serviceOf(j)).suspectJobs++
 		}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -54,9 +54,9 @@
 	job             *job
 	occurrence      int
 	step            int
-	runs            map[int]*run // by task index
+	runs            map[int]*run // by task index; nil before the first
 	doneTasks       int
-	excludedWorkers map[string]bool   // workers on which a task of the group failed
+	excludedWorkers map[string]bool   // workers on which a task of the group failed; nil before the first
 	waitLoggedAt    time.Duration     // when its wait for capacity was last logged
 	excludedAt      time.Duration     // when a worker was last added to excludedWorkers
 	failureRacks    map[string]string // rack of each worker on which a task of the group failed; nil if there is none
@@ -93,9 +93,31 @@
 
 // exclude keeps new tasks of the group off a worker for a while.
 func (g *taskGroup) exclude(w *worker, now time.Duration) {
+	if g.excludedWorkers == nil {
+		g.excludedWorkers = map[string]bool{}
+	}
 	g.excludedWorkers[w.ID], g.excludedAt = true, now
 }
 
+// addRun adds a run of a task that has none.
+func (g *taskGroup) addRun(r *run) {
+	if g.runs == nil {
+		g.runs = map[int]*run{}
+	}
+	g.runs[r.index] = r
+	r.worker.runs[r] = struct{}{}
+}
+
+// dependenciesDone reports whether all steps that the group's step depends on are complete.
+func (g *taskGroup) dependenciesDone() bool {
+	for _, earlier := range g.spec().After {
+		if !g.job.group(g.occurrence, earlier).complete() {
+			return false
+		}
+	}
+	return true
+}
+
 // complete reports whether all tasks of the group have succeeded.
 func (g *taskGroup) complete() bool { return g.doneTasks == g.spec().Tasks }
 
@@ -103,7 +125,11 @@
 type job struct {
 	*workload.Job
 	progress        *workload.Progress
-	groups          []*taskGroup   // by occurrence, then step
+	open            []*occurrence  // by number
+	nextOccurrence  int            // the occurrences before it have begun
+	dormant         bool           // in the owner's heap of dormant jobs
+	dormantIndex    int            // index there
+	dormantUntil    int64          // its next due time, Unix milliseconds
 	progressVersion int64          // version of the progress key; 0 if absent
 	storedState     workload.State // state in the stored progress record
 	acceptedAt      time.Duration  // on the owner's clock
@@ -126,16 +152,9 @@
 	standingLoggedAt time.Duration
 }
 
-func (j *job) group(occurrence, step int) *taskGroup {
-	if occurrence < 0 || occurrence >= j.Occurrences() || step < 0 || step >= len(j.Steps) {
-		return nil
-	}
-	return j.groups[occurrence*len(j.Steps)+step]
-}
-
 // hasRuns reports whether any run of the job is not yet known to have ended.
 func (j *job) hasRuns() bool {
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		if len(g.runs) > 0 {
 			return true
 		}
@@ -143,23 +162,14 @@
 	return false
 }
 
+// newJob returns a job with the occurrences that have begun, or its only one.
 func newJob(j *workload.Job, p *workload.Progress) *job {
-	out := &job{Job: j, progress: p, storedState: p.State}
-	for k := range j.Occurrences() {
-		for s := range j.Steps {
-			g := &taskGroup{job: out, occurrence: k, step: s, runs: map[int]*run{}, excludedWorkers: map[string]bool{}}
-			for _, t := range p.StepTasks(k, s) {
-				if t.Phase == workload.Done {
-					g.doneTasks++
-				}
-				// Runs that neither failed nor are the newest were stopped, mostly for urgent work.
-				out.preemptions = max(out.preemptions, int(t.Run)-t.Failures-1)
-				if g.attemptsExhausted(t.Failures) {
-					out.pendingFinalState = workload.Failed
-				}
-			}
-			out.groups = append(out.groups, g)
-		}
+	out := &job{Job: j, progress: p, storedState: p.State, preemptions: p.MaxCompactedStops()}
+	for _, number := range p.OpenOccurrences() {
+		out.openOccurrence(number)
+	}
+	if !j.HasDueTimes() {
+		out.openDue(0)
 	}
 	return out
 }
--- a/pkg/fleet/withdraw_test.go
+++ b/pkg/fleet/withdraw_test.go
@@ -35,13 +35,13 @@
 // its own. The first worker is in a failure domain.
 func newStartingRun(o *Owner, domain string, tasks int) *run {
 	record := &workload.Job{ID: "aa", Steps: []workload.Step{{Tasks: tasks, Gang: true}}}
-	g := newJob(record, workload.NewProgress(record)).groups[0]
+	g := newJob(record, workload.NewProgress(record)).group(0, 0)
 	for i := range tasks {
 		w := &worker{WorkerEntry: WorkerEntry{ID: "w" + strconv.Itoa(i)}, listed: true, runs: map[*run]struct{}{}}
 		o.workers[w.ID] = w
 		r := &run{group: g, index: i, number: 1, worker: w, phase: phaseStarting}
 		g.tasks()[i].Phase, g.tasks()[i].Run = workload.Assigned, 1
-		g.runs[i], w.runs[r] = r, struct{}{}
+		g.addRun(r)
 	}
 	g.runs[0].worker.Zone = domain
 	return g.runs[0]
--- a/pkg/fleet/write.go
+++ b/pkg/fleet/write.go
@@ -147,7 +147,7 @@
 	}
 	var oldest *job
 	now, lateAnswer := o.opts.Clock(), o.adaptiveWriteTimeout.HedgeAfter()
-	for _, j := range o.live {
+	for _, j := range o.active {
 		if j.unsavedSince == 0 || j.writeInFlight || now-j.unsavedSince < settledWriteDelay {
 			continue
 		}
@@ -163,7 +163,7 @@
 
 // endsWithin reports whether a run of a job is expected to end within a time; the lock is held.
 func (o *Owner) endsWithin(j *job, within, now time.Duration) bool {
-	for _, g := range j.groups {
+	for g := range j.groups() {
 		for _, r := range g.runs {
 			if r.phase == phaseRunning && o.remainingRunTime(r, now) < within {
 				return true
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -1,6 +1,10 @@
 package workload
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/carawayusher/carawayusher/pkg/errkind"
@@ -71,7 +75,9 @@
 	return true
 }
 
-// Progress is the stored progress of a job. Only the owner of the fleet writes it.
+// Progress is the stored progress of a job. Only the owner of the fleet writes it. Its size
+// grows with the occurrences that have begun and are not done, not with those that the job may
+// ever run.
 type Progress struct {
 	State              State
 	FinishedUnixMS     int64
@@ -80,7 +86,8 @@
 	stepTaskCounts     []int // number of tasks by step
 	stepOffsets        []int // index of the first task of each step within an occurrence
 	tasksPerOccurrence int
-	tasks              []Task
+	open               map[int][]Task // tasks by occurrence; an absent occurrence is compacted or in its initial state
+	compacted          doneTasks
 }
 
 // NewProgress returns the progress of a job that has not started.
@@ -91,26 +98,79 @@
 		p.stepTaskCounts = append(p.stepTaskCounts, j.Steps[i].Tasks)
 		p.tasksPerOccurrence += j.Steps[i].Tasks
 	}
-	p.tasks = make([]Task, p.tasksPerOccurrence*p.occurrences)
 	return p
 }
 
-// Task returns a task, or nil if the job has no such task.
+// Task returns a task, or nil if the job has no such task. That of a compacted occurrence
+// is a copy.
 func (p *Progress) Task(occurrence, step, index int) *Task {
 	if occurrence < 0 || occurrence >= p.occurrences || step < 0 || step >= len(p.stepTaskCounts) || index < 0 || index >= p.stepTaskCounts[step] {
 		return nil
 	}
-	return &p.tasks[occurrence*p.tasksPerOccurrence+p.stepOffsets[step]+index]
+	return &p.StepTasks(occurrence, step)[index]
 }
 
-// StepTasks returns all tasks of a step in one occurrence.
+// StepTasks returns all tasks of a step in one occurrence, and allocates those of an occurrence
+// that has not begun. Those of a compacted occurrence are copies.
 func (p *Progress) StepTasks(occurrence, step int) []Task {
-	from := occurrence*p.tasksPerOccurrence + p.stepOffsets[step]
-	return p.tasks[from : from+p.stepTaskCounts[step]]
+	tasks, ok := p.open[occurrence]
+	if !ok {
+		tasks = make([]Task, p.tasksPerOccurrence)
+		if !p.compacted.expand(occurrence*p.tasksPerOccurrence, tasks) {
+			if p.open == nil {
+				p.open = map[int][]Task{}
+			}
+			p.open[occurrence] = tasks
+		}
+	}
+	from := p.stepOffsets[step]
+	return tasks[from : from+p.stepTaskCounts[step]]
+}
+
+// OpenOccurrences returns the occurrences that have begun and are not compacted, in order.
+func (p *Progress) OpenOccurrences() []int { return slices.Sorted(maps.Keys(p.open)) }
+
+// Untouched reports whether an occurrence is in its initial state and has no tasks allocated.
+func (p *Progress) Untouched(occurrence int) bool {
+	_, open := p.open[occurrence]
+	return !open && !p.compacted.contains(occurrence*p.tasksPerOccurrence)
+}
+
+// Compact reduces an occurrence to what its stored record needs, if all its tasks are done and
+// none is being stopped; its tasks cannot change any more.
+func (p *Progress) Compact(occurrence int) bool {
+	tasks, ok := p.open[occurrence]
+	if !ok || !finished(tasks) {
+		return false
+	}
+	p.compacted.add(occurrence*p.tasksPerOccurrence, tasks)
+	delete(p.open, occurrence)
+	return true
+}
+
+// finished reports whether all tasks of an occurrence are done and none is being stopped.
+func finished(tasks []Task) bool {
+	return !slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase != Done || t.Stopping })
+}
+
+// HasCompacted reports whether an occurrence is compacted.
+func (p *Progress) HasCompacted() bool { return len(p.compacted.ranges) > 0 }
+
+// MaxCompactedStops returns the largest number of runs of a task of a compacted occurrence that
+// neither failed nor were the last.
+func (p *Progress) MaxCompactedStops() int {
+	most := 0
+	for _, r := range p.compacted.ranges {
+		most = max(most, int(r.run)-r.failures-1)
+	}
+	return most
 }
 
 // StepDone reports whether all tasks of a step have ended successfully.
 func (p *Progress) StepDone(occurrence, step int) bool {
+	if p.Untouched(occurrence) {
+		return false
+	}
 	for _, t := range p.StepTasks(occurrence, step) {
 		if t.Phase != Done {
 			return false
@@ -121,8 +181,11 @@
 
 // AllDone reports whether every task has ended successfully.
 func (p *Progress) AllDone() bool {
-	for i := range p.tasks {
-		if p.tasks[i].Phase != Done {
+	if len(p.open)*p.tasksPerOccurrence+p.compacted.count < p.occurrences*p.tasksPerOccurrence {
+		return false
+	}
+	for _, tasks := range p.open {
+		if slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase != Done }) {
 			return false
 		}
 	}
@@ -133,13 +196,15 @@
 // the worker may refuse the start; the other conditions are those of records of earlier versions,
 // which do not say whether the job has begun.
 func (p *Progress) Started() bool {
-	if p.Begun {
+	if p.Begun || p.HasCompacted() {
 		return true
 	}
-	for i := range p.tasks {
-		t := &p.tasks[i]
-		if t.Phase == Done || t.Failures > 0 || t.Checkpoint != "" || t.Assigned.StartSettled {
-			return true
+	for _, tasks := range p.open {
+		for i := range tasks {
+			t := &tasks[i]
+			if t.Phase == Done || t.Failures > 0 || t.Checkpoint != "" || t.Assigned.StartSettled {
+				return true
+			}
 		}
 	}
 	return false
@@ -176,40 +241,67 @@
 	Checkpoint string
 }
 
-// Encode returns the stored form of the progress.
+// Encode returns the stored form of the progress. It has a row for each task that is done, as
+// owners of earlier versions take a task without a row for one that has not started.
 func (p *Progress) Encode() ([]byte, error) {
-	r := progressRecord{State: p.State, FinishedUnixMS: p.FinishedUnixMS, Begun: p.Begun}
-	index := map[Assignment]int{}
-	for i := range p.tasks {
-		t := &p.tasks[i]
-		if *t == (Task{}) {
-			continue
+	e := progressEncoder{record: progressRecord{State: p.State, FinishedUnixMS: p.FinishedUnixMS, Begun: p.Begun}, workers: map[Assignment]int{}}
+	ranges := p.compacted.ranges
+	for _, k := range p.OpenOccurrences() {
+		from := k * p.tasksPerOccurrence
+		for len(ranges) > 0 && ranges[0].from < from {
+			e.addDone(ranges[0])
+			ranges = ranges[1:]
 		}
-		row := taskRecord{Position: i, Phase: t.Phase, Run: t.Run, Failures: t.Failures, Worker: -1}
-		if t.Phase != Done {
-			row.Checkpoint = t.Checkpoint
-		}
-		if t.Phase == Assigned || t.Stopping {
-			n, ok := index[t.Assigned]
-			if !ok {
-				n = len(r.Workers)
-				index[t.Assigned] = n
-				r.Workers = append(r.Workers, t.Assigned)
-			}
-			row.Worker = n
-		}
-		r.Tasks = append(r.Tasks, row)
-		if t.LastFailedRun > 0 {
-			r.FailedRuns = append(r.FailedRuns, failedRunRecord{Position: i, Run: t.LastFailedRun})
+		for i := range p.open[k] {
+			e.add(from+i, &p.open[k][i])
 		}
 	}
-	data, err := cbor.Marshal(r)
+	for _, r := range ranges {
+		e.addDone(r)
+	}
+	data, err := cbor.Marshal(e.record)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "progress record")
 	}
 	return data, nil
 }
 
+// progressEncoder builds the stored form of a progress from its tasks.
+type progressEncoder struct {
+	record  progressRecord
+	workers map[Assignment]int // index in record.Workers
+}
+
+func (e *progressEncoder) addDone(r doneRange) {
+	t := r.task()
+	for position := r.from; position < r.to; position++ {
+		e.add(position, &t)
+	}
+}
+
+func (e *progressEncoder) add(position int, t *Task) {
+	if *t == (Task{}) {
+		return
+	}
+	row := taskRecord{Position: position, Phase: t.Phase, Run: t.Run, Failures: t.Failures, Worker: -1}
+	if t.Phase != Done {
+		row.Checkpoint = t.Checkpoint
+	}
+	if t.Phase == Assigned || t.Stopping {
+		n, ok := e.workers[t.Assigned]
+		if !ok {
+			n = len(e.record.Workers)
+			e.workers[t.Assigned] = n
+			e.record.Workers = append(e.record.Workers, t.Assigned)
+		}
+		row.Worker = n
+	}
+	e.record.Tasks = append(e.record.Tasks, row)
+	if t.LastFailedRun > 0 {
+		e.record.FailedRuns = append(e.record.FailedRuns, failedRunRecord{Position: position, Run: t.LastFailedRun})
+	}
+}
+
 // DecodeProgress decodes the stored form of a job's progress.
 func DecodeProgress(j *Job, data []byte) (*Progress, error) {
 	var r progressRecord
@@ -218,26 +310,77 @@
 	}
 	p := NewProgress(j)
 	p.State, p.FinishedUnixMS, p.Begun = r.State, r.FinishedUnixMS, r.Begun
-	for _, row := range r.Tasks {
-		if row.Position < 0 || row.Position >= len(p.tasks) || row.Worker >= len(r.Workers) {
-			return nil, errkind.New(errkind.Internal, "progress record of job %s: task %d of worker %d is out of range", j.ID, row.Position, row.Worker)
+	if err := p.decodeTasks(&r); err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "progress record of job %s", j.ID)
+	}
+	return p, nil
+}
+
+// decodeTasks decodes the tasks of a record, one occurrence after the other.
+func (p *Progress) decodeTasks(r *progressRecord) error {
+	failedRuns := map[int]int64{}
+	for _, row := range r.FailedRuns {
+		if !p.hasPosition(row.Position) {
+			return errkind.New(errkind.Internal, "failed run of task %d is out of range", row.Position)
+		}
+		failedRuns[row.Position] = row.Run
+	}
+	byPosition := func(a, b taskRecord) int { return cmp.Compare(a.Position, b.Position) }
+	if !slices.IsSortedFunc(r.Tasks, byPosition) {
+		slices.SortStableFunc(r.Tasks, byPosition)
+	}
+	var spare []Task // of an occurrence that was compacted
+	for rows := r.Tasks; len(rows) > 0; {
+		if !p.hasPosition(rows[0].Position) {
+			return errkind.New(errkind.Internal, "task %d is out of range", rows[0].Position)
 		}
-		t := Task{Phase: row.Phase, Run: row.Run, Failures: row.Failures, Checkpoint: row.Checkpoint}
-		if int64(t.Failures) >= t.Run {
-			t.LastFailedRun = t.Run // all its runs have failed; records of earlier versions have no FailedRuns
+		number := rows[0].Position / p.tasksPerOccurrence
+		from := number * p.tasksPerOccurrence
+		tasks := spare
+		if spare = nil; tasks == nil {
+			tasks = make([]Task, p.tasksPerOccurrence)
 		}
-		if row.Worker >= 0 {
-			t.Assigned, t.Stopping = r.Workers[row.Worker], row.Phase == Done
+		clear(tasks)
+		for len(rows) > 0 && rows[0].Position < from+p.tasksPerOccurrence {
+			t, err := rows[0].task(r.Workers, failedRuns)
+			if err != nil {
+				return err
+			}
+			tasks[rows[0].Position-from] = t
+			rows = rows[1:]
 		}
-		p.tasks[row.Position] = t
-	}
-	for _, row := range r.FailedRuns {
-		if row.Position < 0 || row.Position >= len(p.tasks) {
-			return nil, errkind.New(errkind.Internal, "progress record of job %s: failed run of task %d is out of range", j.ID, row.Position)
+		if finished(tasks) {
+			p.compacted.add(from, tasks)
+			spare = tasks
+			continue
 		}
-		p.tasks[row.Position].LastFailedRun = row.Run
+		if p.open == nil {
+			p.open = map[int][]Task{}
+		}
+		p.open[number] = tasks
 	}
-	return p, nil
+	return nil
+}
+
+func (p *Progress) hasPosition(position int) bool {
+	return position >= 0 && position < p.occurrences*p.tasksPerOccurrence
+}
+
+func (row *taskRecord) task(workers []Assignment, failedRuns map[int]int64) (Task, error) {
+	t := Task{Phase: row.Phase, Run: row.Run, Failures: row.Failures, Checkpoint: row.Checkpoint}
+	if int64(t.Failures) >= t.Run {
+		t.LastFailedRun = t.Run // all its runs have failed; records of earlier versions have no FailedRuns
+	}
+	if run, ok := failedRuns[row.Position]; ok {
+		t.LastFailedRun = run
+	}
+	if row.Worker >= len(workers) {
+		return t, errkind.New(errkind.Internal, "task %d of worker %d is out of range", row.Position, row.Worker)
+	}
+	if row.Worker >= 0 {
+		t.Assigned, t.Stopping = workers[row.Worker], row.Phase == Done
+	}
+	return t, nil
 }
 
 // DecodeState decodes only the job state in the stored form of a progress.
