gateway: count the jobs of a queue page by page

Callers could bring any VM beyond its memory, also one that owns nothing: without an owner the length of a queue is counted from the store, and for that the VM held the records of all jobs and their progress at once, and decoded the progress with every task of every occurrence.

Change: pages are visited one after the other, and only the IDs of jobs that do not wait are kept. The state that clients see is decoded from a progress record without the job (DecodeClientState).

Measured: TestQueueLengthFromTheStoreHoldsOnePageOfRecords held 24,968,760 bytes of 24,000,000 bytes of records before the change (8 MiB allowed) and passes after it.

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -29,17 +29,23 @@
 	if !refused {
 		return nil
 	}
-	checkCtx, cancel := context.WithTimeout(ctx, storedCheckTimeout)
-	defer cancel()
-	entries, err := g.listOnce(checkCtx, fleet.JobKey(j.ID))
-	if err != nil {
-		return nil //nolint:nilerr // a job that may be stored is not refused
-	}
-	if stored, _, err := g.findJob(entries, j.ID); err != nil || stored != nil {
-		return nil //nolint:nilerr // the same
+	if g.mayBeStored(ctx, j) {
+		return nil
 	}
 	g.opts.Metrics.Event("job_refused")
 	g.opts.Log.Info("job refused: it cannot complete in time", "job", j.ID, "queue", j.Queue, "workspace", j.Workspace, "service", j.Class.Service,
 		"priority", a.Priority, "predictedWaitMS", load.Wait(a).Milliseconds(), "objectiveMS", a.Objective.Milliseconds(), "retryAfterS", retryAfter.Seconds())
 	return errkind.New(errkind.Unavailable, "the service is overloaded: the job would wait for %d s and could not complete in time", int(load.Wait(a).Seconds())).WithRetryAfter(retryAfter)
 }
+
+// mayBeStored reports whether a job that would be refused is stored already, or may be.
+func (g *Gateway) mayBeStored(ctx context.Context, j *workload.Job) bool {
+	ctx, cancel := context.WithTimeout(ctx, storedCheckTimeout)
+	defer cancel()
+	entries, err := lister(g.visitOnce).all(ctx, fleet.JobKey(j.ID))
+	if err != nil {
+		return true
+	}
+	stored, _, err := g.findJob(entries, j.ID)
+	return err != nil || stored != nil
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -127,7 +127,7 @@
 	if n < 0 {
 		return nil
 	}
-	entries, err := g.list(ctx, fleet.JobKey(j.ID))
+	entries, err := lister(g.visit).all(ctx, fleet.JobKey(j.ID))
 	if err != nil {
 		return err
 	}
@@ -228,7 +228,7 @@
 }
 
 func (g *Gateway) cancel(ctx context.Context, id string, queue workload.QueueRef) error {
-	entries, err := g.list(ctx, fleet.JobKey(id))
+	entries, err := lister(g.visit).all(ctx, fleet.JobKey(id))
 	if err != nil {
 		return err
 	}
@@ -295,8 +295,8 @@
 	return current(g, state, err, func(read lister) (workload.State, error) { return g.stateFromStore(ctx, read, id, queue) })
 }
 
-// lister reads all entries below a prefix.
-type lister func(ctx context.Context, prefix string) ([]platform.Entry, error)
+// lister reads all entries below a prefix and passes each to visit, until it returns an error.
+type lister func(ctx context.Context, prefix string, visit func(platform.Entry) error) error
 
 // current returns the owner's answer if it is up to date, and otherwise that of the store. If
 // the store does not answer either, an answer of an owner whose lease has run out is the best
@@ -306,9 +306,9 @@
 		return answer, nil
 	}
 	if !errkind.Is(ownerErr, errkind.StaleEpoch) {
-		return fromStore(g.list)
+		return fromStore(g.visit)
 	}
-	stored, err := fromStore(g.listOnce)
+	stored, err := fromStore(g.visitOnce)
 	if err != nil && !errkind.Is(err, errkind.NotFound) {
 		return answer, nil
 	}
@@ -316,7 +316,7 @@
 }
 
 func (g *Gateway) stateFromStore(ctx context.Context, read lister, id string, queue workload.QueueRef) (workload.State, error) {
-	entries, err := read(ctx, fleet.JobKey(id))
+	entries, err := read.all(ctx, fleet.JobKey(id))
 	if err != nil {
 		return "", err
 	}
@@ -327,27 +327,13 @@
 	if err := checkQueue(stored, queue); err != nil {
 		return "", err
 	}
-	progress, err := read(ctx, fleet.ProgressKey(id))
+	progress, err := read.all(ctx, fleet.ProgressKey(id))
 	if err != nil {
 		return "", err
 	}
-	return g.stateFromRecords(stored, progress)
-}
-
-func (g *Gateway) stateFromRecords(j *workload.Job, progress []platform.Entry) (workload.State, error) {
 	for _, e := range progress {
-		if e.Key != fleet.ProgressKey(j.ID) {
-			continue
-		}
-		p, err := workload.DecodeProgress(j, e.Value)
-		if err != nil {
-			return "", err
-		}
-		if p.State.Final() {
-			return p.State, nil
-		}
-		if p.Started() {
-			return workload.Running, nil
+		if e.Key == fleet.ProgressKey(id) {
+			return workload.DecodeClientState(e.Value)
 		}
 	}
 	return workload.Queued, nil
@@ -361,63 +347,55 @@
 	return current(g, n, err, func(read lister) (int, error) { return g.queueLengthFromStore(ctx, read, queue) })
 }
 
+// queueLengthFromStore counts the jobs page by page, as all records together may exceed the
+// memory of the VM.
 func (g *Gateway) queueLengthFromStore(ctx context.Context, read lister, queue workload.QueueRef) (int, error) {
-	jobs, err := read(ctx, fleet.JobPrefix)
-	if err != nil {
-		return 0, err
-	}
-	progress, err := read(ctx, fleet.ProgressPrefix)
+	begun, n := map[string]bool{}, 0
+	err := read(ctx, fleet.ProgressPrefix, func(e platform.Entry) error {
+		state, err := workload.DecodeClientState(e.Value)
+		if err == nil && state != workload.Queued {
+			begun[strings.TrimPrefix(e.Key, fleet.ProgressPrefix)] = true
+		}
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
-	return g.countQueued(queue, jobs, progress)
-}
-
-func (g *Gateway) countQueued(queue workload.QueueRef, jobs, progress []platform.Entry) (int, error) {
-	progressByKey := map[string]platform.Entry{}
-	for _, e := range progress {
-		progressByKey[e.Key] = e
-	}
-	n := 0
-	for _, e := range jobs {
-		if strings.Contains(strings.TrimPrefix(e.Key, fleet.JobPrefix), "/") {
-			continue // a cancellation record
+	err = read(ctx, fleet.JobPrefix, func(e platform.Entry) error {
+		id := strings.TrimPrefix(e.Key, fleet.JobPrefix)
+		if strings.Contains(id, "/") || begun[id] {
+			return nil // a cancellation record, or a job that does not wait
 		}
 		j, err := workload.DecodeJob(e.Value)
-		if err != nil {
-			return 0, err
-		}
-		if !j.In(queue) {
-			continue
-		}
-		var jobProgress []platform.Entry
-		if p, ok := progressByKey[fleet.ProgressKey(j.ID)]; ok {
-			jobProgress = append(jobProgress, p)
-		}
-		state, err := g.stateFromRecords(j, jobProgress)
-		if err != nil {
-			return 0, err
-		}
-		if state == workload.Queued {
+		if err == nil && j.In(queue) {
 			n++
 		}
-	}
-	return n, nil
+		return err
+	})
+	return n, err
+}
+
+// all returns the entries that a lister visits below a prefix that has few of them.
+func (read lister) all(ctx context.Context, prefix string) (entries []platform.Entry, err error) {
+	err = read(ctx, prefix, func(e platform.Entry) error {
+		entries = append(entries, e)
+		return nil
+	})
+	return entries, err
 }
 
-// list reads all pages of a prefix and retries failed calls until ctx ends.
-func (g *Gateway) list(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	return g.listPages(ctx, prefix, func() bool { return wait.Sleep(ctx, storeRetryDelay) })
+// visit is a lister that retries failed calls until ctx ends.
+func (g *Gateway) visit(ctx context.Context, prefix string, visit func(platform.Entry) error) error {
+	return g.visitPages(ctx, prefix, visit, func() bool { return wait.Sleep(ctx, storeRetryDelay) })
 }
 
-// listOnce is list without retries.
-func (g *Gateway) listOnce(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	return g.listPages(ctx, prefix, func() bool { return false })
+// visitOnce is a lister without retries.
+func (g *Gateway) visitOnce(ctx context.Context, prefix string, visit func(platform.Entry) error) error {
+	return g.visitPages(ctx, prefix, visit, func() bool { return false })
 }
 
-// listPages reads all pages of a prefix; retry is asked after a failed call.
-func (g *Gateway) listPages(ctx context.Context, prefix string, retry func() bool) ([]platform.Entry, error) {
-	var entries []platform.Entry
+// visitPages reads all pages of a prefix; retry is asked after a failed call.
+func (g *Gateway) visitPages(ctx context.Context, prefix string, visit func(platform.Entry) error, retry func() bool) error {
 	after := ""
 	for {
 		sentAt := time.Now()
@@ -428,13 +406,17 @@
 		if err != nil {
 			if !retry() {
 				// Reads change nothing, so the outcome is not in doubt.
-				return nil, errkind.Wrap(err, errkind.Unavailable, "the store did not answer in time").WithRetryAfter(RetryAfter)
+				return errkind.Wrap(err, errkind.Unavailable, "the store did not answer in time").WithRetryAfter(RetryAfter)
 			}
 			continue
 		}
-		entries = append(entries, page.Entries...)
+		for _, e := range page.Entries {
+			if err := visit(e); err != nil {
+				return err
+			}
+		}
 		if !page.More || len(page.Entries) == 0 {
-			return entries, nil
+			return nil
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -303,3 +306,46 @@
 		})
 	}
 }
+
+// pagedStore counts the bytes on the heap while it is listed.
+type pagedStore struct {
+	*memory.Store
+	most uint64
+}
+
+func (s *pagedStore) List(ctx context.Context, prefix, after string, limit int) (platform.ListResult, error) {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	s.most = max(s.most, m.HeapAlloc)
+	return s.Store.List(ctx, prefix, after, limit)
+}
+
+// Guards against a VM that runs out of memory when it is asked for the length of a queue without
+// an owner, since it holds the records of all jobs.
+func TestQueueLengthFromTheStoreHoldsOnePageOfRecords(t *testing.T) {
+	const jobs, maxHeld = 6000, 8 << 20
+	store := &pagedStore{Store: memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})}
+	for n := range jobs {
+		j := newJob()
+		j.ID, j.Payload = fmt.Sprintf("%016x", n), strings.Repeat("x", workload.MaxPayloadBytes)
+		value, err := workload.EncodeJob(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Put(t.Context(), fleet.JobKey(j.ID), value, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := store.List(t.Context(), "none/", "", 0); err != nil {
+		t.Fatal(err)
+	}
+	before := store.most
+	n, err := New(Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()}).QueueLength(t.Context(), newJob().QueueRef())
+	if err != nil || n != jobs {
+		t.Errorf("%d jobs wait, error %v, want %d", n, err, jobs)
+	}
+	if held := int64(store.most) - int64(before); held > maxHeld {
+		t.Errorf("%d bytes are held of records of %d bytes", held, jobs*workload.MaxPayloadBytes)
+	}
+}
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -153,6 +153,21 @@
 	return !slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase != Done || t.Stopping })
 }
 
+// HasAssigned reports whether a task is assigned to a worker or is being stopped there.
+func (p *Progress) HasAssigned() bool {
+	for _, tasks := range p.open {
+		if slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase == Assigned || t.Stopping }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Released returns a progress without tasks, of a job whose end is stored.
+func (p *Progress) Released() *Progress {
+	return &Progress{State: p.State, FinishedUnixMS: p.FinishedUnixMS, Begun: p.Started()}
+}
+
 // HasCompacted reports whether an occurrence is compacted.
 func (p *Progress) HasCompacted() bool { return len(p.compacted.ranges) > 0 }
 
@@ -383,6 +398,25 @@
 	return t, nil
 }
 
+// DecodeClientState decodes the job state that clients see from the stored form of a progress.
+// It needs neither the job nor memory for its tasks.
+func DecodeClientState(data []byte) (State, error) {
+	var r progressRecord
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return "", errkind.Wrap(err, errkind.Internal, "progress record")
+	}
+	if r.State.Final() {
+		return r.State, nil
+	}
+	started := func(row taskRecord) bool {
+		return row.Phase == Done || row.Failures > 0 || row.Checkpoint != "" || (row.Worker >= 0 && row.Worker < len(r.Workers) && r.Workers[row.Worker].StartSettled)
+	}
+	if r.Begun || slices.ContainsFunc(r.Tasks, started) {
+		return Running, nil
+	}
+	return Queued, nil
+}
+
 // DecodeState decodes only the job state in the stored form of a progress.
 func DecodeState(data []byte) (State, error) {
 	var r struct {
