fleet, gateway, platform: bound the memory of jobs

A successor also held all records at once beside the jobs.

Change: a job reserves the bytes that it takes, measured by tests for each shape; further occurrences are opened as far as memory is left. A VM refuses a job before it is stored (503, Retry-After 30 s) by the limit of the smallest VM: each VM announces its memory in the store, the owner reads that, and tells its figure with the answer to each notice. An owner that meets more, from a larger VM or an earlier version, offloads jobs without assigned tasks: it holds an entry of each and loads them when there is room, those that are due first, by priority; an end of an offloaded job is not acknowledged before the job is loaded. Cancels free their memory at once. Ended jobs keep names and state. A takeover reads jobs and progress side by side, a few pages at a time. The number of runs is bounded, as tasks may ask for nothing of a worker.

--- a/pkg/fleet/cycle.go
+++ b/pkg/fleet/cycle.go
@@ -104,6 +104,7 @@
 	}
 	pending := o.placePending(now) || o.anyDrainingWithRuns() || o.anyToMove()
 	o.finishCompleted()
+	o.releaseEnded(now)
 	o.deleteExpiredJobs(now)
 	return pending
 }
@@ -156,6 +157,7 @@
 	j.progress.FinishedUnixMS = o.opts.Now().UnixMilli()
 	o.markDirty(j)
 	o.removeLive(j)
+	o.ended[j] = struct{}{}
 	o.opts.Metrics.JobEnded(string(s))
 	o.opts.Log.Info("job ends", "job", j.ID, "queue", j.Queue, "workspace", j.Workspace, "state", s,
 		"tookMS", (o.opts.Clock() - j.acceptedAt).Milliseconds(), "slackFactor", j.Class.SlackFactor, "targetRuntimeMS", j.Class.TargetRuntime.Milliseconds())
@@ -200,7 +202,11 @@
 		}
 		o.mu.Lock()
 		for _, id := range part {
-			delete(o.jobs, id)
+			if j := o.jobs[id]; j != nil {
+				o.reserve(j, 0)
+				delete(o.ended, j)
+				delete(o.jobs, id)
+			}
 		}
 		o.mu.Unlock()
 	}
--- a/pkg/fleet/describe_test.go
+++ b/pkg/fleet/describe_test.go
@@ -97,3 +97,17 @@
 	}
 	return ids
 }
+
+// CountOffloaded returns the number of offloaded jobs.
+func (o *Owner) CountOffloaded() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.offloaded)
+}
+
+// CountRuns returns the number of runs, and how many there may be.
+func (o *Owner) CountRuns() (runs, most int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.countRuns(), o.maxRuns()
+}
--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -113,6 +113,9 @@
 
 // Run watches the owner key and campaigns whenever it is free, until ctx is done.
 func (e *Elector) Run(ctx context.Context) {
+	var announcing sync.WaitGroup
+	announcing.Go(func() { e.announceVM(ctx) })
+	defer announcing.Wait()
 	backoff := storeRetryDelay
 	for ctx.Err() == nil {
 		vacant, err := e.watchOwnerKey(ctx)
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -38,6 +38,10 @@
 	o.throttleFillers(w)
 	slices.SortFunc(reply.Ended, func(a, b RunEnd) int { return int(a.Sequence - b.Sequence) })
 	for _, end := range reply.Ended {
+		if f := o.offloaded[end.Task.Job]; f != nil {
+			f.wanted = true
+			break // the worker lists it again, when the job is loaded
+		}
 		if end.Sequence > w.lastEndSeq {
 			o.applyRunEnd(w, end)
 		}
--- a/pkg/fleet/headroom.go
+++ b/pkg/fleet/headroom.go
@@ -97,9 +97,9 @@
 
 // recordUrgentArrival records the demand of an urgent job, or of one occurrence of it, at
 // the time from which it may run; the lock is held.
-func (o *Owner) recordUrgentArrival(j *job, at time.Duration) {
+func (o *Owner) recordUrgentArrival(j *workload.Job, at time.Duration) {
 	if j.Class.Priority == 0 {
-		o.urgentDemandOf(o.serviceOf(j)).record(at, largestStepDemand(j.Job))
+		o.urgentDemandOf(o.serviceOf(j)).record(at, largestStepDemand(j))
 	}
 }
 
--- a/pkg/fleet/health.go
+++ b/pkg/fleet/health.go
@@ -72,7 +72,7 @@
 
 // reportLateJob reports a job of which the owner learns; the lock is held.
 func (o *Owner) reportLateJob(j *job, source jobSource, age time.Duration) {
-	if source == sourceTakeover {
+	if source == sourceTakeover || source == sourceReload {
 		return
 	}
 	o.opts.Metrics.JobKnown(string(source), age)
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"maps"
+	"context"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -17,23 +17,21 @@
 // returns the revisions from which jobs, workers and evacuations have to be watched.
 func (o *Owner) loadState() (jobsFrom, workersFrom, evacuationsFrom int64, err error) {
 	startedAt := o.opts.Clock()
-	progress := map[string]platform.Entry{}
-	var jobs, workers []platform.Entry
-	// Only the owner writes progress, so the lists may be read in any order.
+	o.mu.Lock()
+	o.tookOverAt = startedAt
+	o.mu.Unlock()
+	var workers []platform.Entry
+	var evacuations evacuationKeys
 	var readings errgroup.Group
-	readings.Go(func() error {
-		_, err := o.listPrefix(ProgressPrefix, func(e platform.Entry) { progress[e.Key] = e })
-		return err
-	})
 	readings.Go(func() (err error) {
-		jobsFrom, err = o.listPrefix(JobPrefix, func(e platform.Entry) { jobs = append(jobs, e) })
+		jobsFrom, err = o.loadJobs()
 		return err
 	})
 	readings.Go(func() (err error) {
 		workersFrom, err = o.listPrefix(o.opts.WorkerPrefix, func(e platform.Entry) { workers = append(workers, e) })
 		return err
 	})
-	var evacuations evacuationKeys
+	readings.Go(o.readVMs)
 	if o.evacuationsEnabled() {
 		readings.Go(func() (err error) {
 			evacuations, err = o.listEvacuations()
@@ -49,9 +47,6 @@
 	for _, e := range workers {
 		o.applyWorker(e.Key, e.Value)
 	}
-	for _, e := range jobs {
-		o.applyJob(e, progress, sourceTakeover)
-	}
 	for _, j := range o.jobs {
 		j.noteAdopted(o.tookOverAt)
 		o.adoptAssignments(j)
@@ -59,19 +54,87 @@
 	o.applyEvacuations(evacuations.domains, evacuations.sentAt)
 	o.loaded = true
 	now := o.opts.Clock()
-	o.opts.Log.Info("state loaded from the store", "jobs", len(o.jobs), "live", len(o.live), "workers", len(o.workers),
+	o.opts.Log.Info("state loaded from the store", "jobs", len(o.jobs), "live", len(o.live), "offloaded", len(o.offloaded), "reservedBytes", o.reserved, "workers", len(o.workers),
 		"tookMS", (now - startedAt).Milliseconds(), "sinceVacantMS", (now - o.ownership.vacantSince).Milliseconds())
 	o.opts.Metrics.TakeoverPhase("loaded", now-o.ownership.vacantSince)
 	return jobsFrom, workersFrom, evacuations.revision, nil
 }
 
+// loadJobs reads the records of jobs and their progress side by side, both in the order of their
+// keys, so that a few pages of them are in memory at a time. It returns the revision from which
+// the jobs have to be watched.
+func (o *Owner) loadJobs() (revision int64, err error) {
+	pages := make(chan []platform.Entry)
+	readings, ctx := errgroup.WithContext(o.ctx)
+	readings.Go(func() error {
+		defer close(pages)
+		_, err := o.listPages(ctx, ProgressPrefix, func(page []platform.Entry) {
+			select {
+			case pages <- page:
+			case <-ctx.Done():
+			}
+		})
+		return err
+	})
+	readings.Go(func() (err error) {
+		progress := progressReader{pages: pages}
+		revision, err = o.listPages(ctx, JobPrefix, func(page []platform.Entry) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			for _, e := range page {
+				id, _ := parseJobKey(e.Key)
+				o.applyJob(e, progress.find(ProgressKey(id)), sourceTakeover)
+			}
+		})
+		for range pages { // those of jobs whose records are gone
+		}
+		return err
+	})
+	err = readings.Wait()
+	return revision, err
+}
+
+// progressReader finds progress records in a sequence of pages.
+type progressReader struct {
+	pages <-chan []platform.Entry
+	page  []platform.Entry // what is left of the current one
+}
+
+// find returns the entry of a key, or an absent one. Keys have to be asked for in order.
+func (r *progressReader) find(key string) platform.Entry {
+	for {
+		for len(r.page) > 0 && r.page[0].Key < key {
+			r.page = r.page[1:]
+		}
+		if len(r.page) > 0 {
+			if r.page[0].Key == key {
+				return r.page[0]
+			}
+			return platform.Entry{}
+		}
+		var ok bool
+		if r.page, ok = <-r.pages; !ok {
+			return platform.Entry{}
+		}
+	}
+}
+
 // listPrefix reads all pages of a prefix and passes each entry to visit. It returns
 // the revision of the first page, from which the prefix has to be watched.
 func (o *Owner) listPrefix(prefix string, visit func(platform.Entry)) (int64, error) {
+	return o.listPages(o.ctx, prefix, func(page []platform.Entry) {
+		for _, e := range page {
+			visit(e)
+		}
+	})
+}
+
+// listPages is listPrefix by pages.
+func (o *Owner) listPages(ctx context.Context, prefix string, visit func([]platform.Entry)) (int64, error) {
 	first, after := int64(0), ""
 	for {
-		ctx, cancel := storecall.WithProgressTimeout(o.ctx, storeTimeout)
-		page, err := o.opts.Store.List(ctx, prefix, after, 0)
+		callCtx, cancel := storecall.WithProgressTimeout(ctx, storeTimeout)
+		page, err := o.opts.Store.List(callCtx, prefix, after, 0)
 		cancel()
 		if err != nil {
 			return 0, err
@@ -79,25 +142,23 @@
 		if first == 0 {
 			first = page.Revision
 		}
-		for _, e := range page.Entries {
-			visit(e)
-			after = e.Key
-		}
+		visit(page.Entries)
 		if !page.More || len(page.Entries) == 0 {
 			return first, nil
 		}
+		after = page.Entries[len(page.Entries)-1].Key
 	}
 }
 
 // applyJob applies a job record or cancel request stored below JobPrefix; the lock
-// is held.
-func (o *Owner) applyJob(e platform.Entry, progress map[string]platform.Entry, source jobSource) {
+// is held. An absent progress entry has no version.
+func (o *Owner) applyJob(e, progress platform.Entry, source jobSource) {
 	id, cancel := parseJobKey(e.Key)
 	if cancel {
 		o.applyCancelRequest(id)
 		return
 	}
-	if _, ok := o.jobs[id]; ok {
+	if o.knows(id) {
 		return
 	}
 	record, err := workload.DecodeJob(e.Value)
@@ -105,16 +166,14 @@
 		o.opts.Log.Error(err, "job record cannot be used", "job", id)
 		return
 	}
-	p, version := workload.NewProgress(record), int64(0)
-	if stored, ok := progress[ProgressKey(id)]; ok {
-		decoded, err := workload.DecodeProgress(record, stored.Value)
-		if err != nil {
+	p := workload.NewProgress(record)
+	if progress.Version != 0 {
+		if p, err = workload.DecodeProgress(record, progress.Value); err != nil {
 			o.opts.Log.Error(err, "progress record cannot be used", "job", id)
 			return
 		}
-		p, version = decoded, stored.Version
 	}
-	o.addJob(record, p, version, source)
+	o.addJob(record, p, progress.Version, source)
 }
 
 // jobSource is how the owner learned of a job.
@@ -125,37 +184,65 @@
 	sourceNotified jobSource = "notified" // by the VM that accepted it
 	sourceWatch    jobSource = "watch"    // by the watch on the store
 	sourceList     jobSource = "list"     // when the watch was started again
+	sourceReload   jobSource = "reload"   // from the store, after it was offloaded
 )
 
 // addJob adds a job unless it is known already; the lock is held.
 func (o *Owner) addJob(record *workload.Job, p *workload.Progress, version int64, source jobSource) {
 	id := record.ID
-	if _, ok := o.jobs[id]; ok {
+	if o.knows(id) {
 		return
 	}
 	if o.opts.ObserveConfig != nil {
 		o.opts.ObserveConfig(record.ConfigVersion)
 	}
-	j := newJob(record, p)
-	j.progressVersion = version
 	age := o.opts.Now().UnixMilli() - record.AcceptedUnixMS
-	j.acceptedAt = o.opts.Clock() - time.Duration(max(0, age))*time.Millisecond
-	o.jobs[id] = j
-	o.kindOf(j).AddSize(o.work(record))
-	o.arrivingWork(o.serviceOf(j), j.Class.Priority).Add(j.acceptedAt, resourceWork(record))
-	if !j.HasDueTimes() {
-		o.recordUrgentArrival(j, j.acceptedAt)
+	acceptedAt := o.opts.Clock() - time.Duration(max(0, age))*time.Millisecond
+	if source != sourceReload {
+		o.noteArrival(record, acceptedAt)
+	}
+	if source != sourceReload && !p.State.Final() && !p.HasAssigned() && len(o.live) > 0 && !o.fits(JobMemory(record)) {
+		o.addOffloaded(newOffloadedJob(record, p))
+		o.opts.Metrics.Event("job_offloaded")
+		if o.offloadLines.allow(o.opts.Clock()) {
+			o.opts.Log.Info("job does not fit into the memory of this VM; it is offloaded", "job", id, "queue", record.Queue, "workspace", record.Workspace,
+				"bytes", JobMemory(record), "reservedBytes", o.reserved, "limitBytes", o.jobMemoryLimit(), "offloaded", len(o.offloaded))
+		}
+		return
+	}
+	if p.State.Final() && !p.HasAssigned() {
+		o.addReleased(&job{Job: record, progress: p, progressVersion: version, storedState: p.State, acceptedAt: acceptedAt})
+		return
 	}
-	if !p.State.Final() {
+	j := newJob(record, p)
+	j.progressVersion, j.acceptedAt = version, acceptedAt
+	o.jobs[id] = j
+	o.reserveOpen(j)
+	if p.State.Final() {
+		o.ended[j] = struct{}{}
+	} else {
 		o.addLive(j)
 		o.reportLateJob(j, source, time.Duration(age)*time.Millisecond)
 	}
 	o.opts.Log.V(1).Info("job added", "job", id, "queue", j.Queue, "workspace", j.Workspace, "state", p.State, "ageMS", age)
 }
 
+// noteArrival counts a job in the statistics of arrivals; the lock is held.
+func (o *Owner) noteArrival(j *workload.Job, acceptedAt time.Duration) {
+	o.kindOf(j).AddSize(o.work(j))
+	o.arrivingWork(o.serviceOf(j), j.Class.Priority).Add(acceptedAt, resourceWork(j))
+	if !j.HasDueTimes() {
+		o.recordUrgentArrival(j, acceptedAt)
+	}
+}
+
 // applyCancelRequest applies a cancel request. Its key sorts after the job's key, so
 // the job is read first; the lock is held.
 func (o *Owner) applyCancelRequest(id string) {
+	if f := o.offloaded[id]; f != nil {
+		o.cancelOffloaded(f)
+		return
+	}
 	j, ok := o.jobs[id]
 	if !ok || j.cancelRequested {
 		return
@@ -317,13 +404,19 @@
 		defer o.mu.Unlock()
 		for _, e := range events {
 			if !e.Deleted {
-				o.applyJob(e.Entry, nil, sourceWatch)
+				o.applyJob(e.Entry, platform.Entry{}, sourceWatch)
 			}
 		}
 	}
 	relist := func() (int64, error) {
 		o.mu.Lock()
-		before := maps.Clone(o.jobs)
+		before := make(map[string]bool, len(o.jobs)+len(o.offloaded))
+		for id := range o.jobs {
+			before[id] = true
+		}
+		for id := range o.offloaded {
+			before[id] = true
+		}
 		o.mu.Unlock()
 		var entries []platform.Entry
 		revision, err := o.listPrefix(JobPrefix, func(e platform.Entry) { entries = append(entries, e) })
@@ -333,10 +426,10 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range entries {
-			if id, _ := parseJobKey(e.Key); before[id] != nil && o.jobs[id] == nil {
+			if id, _ := parseJobKey(e.Key); before[id] && !o.knows(id) {
 				continue // its records were deleted after they were listed
 			}
-			o.applyJob(e, nil, sourceList)
+			o.applyJob(e, platform.Entry{}, sourceList)
 		}
 		return revision, nil
 	}
--- a/pkg/fleet/occurrence.go
+++ b/pkg/fleet/occurrence.go
@@ -14,7 +14,7 @@
 	// maxReadyTasks is the number of tasks of a job that wait for capacity from which on its
 	// later occurrences are not opened yet, so that a schedule that is far behind does not hold
 	// all that it has missed. It is above what a cycle can start of one job.
-	maxReadyTasks = 256
+	maxReadyTasks = 128
 	// dueLookahead is how long before its next due time a job takes part in the scheduling
 	// cycles again: the interval of idle cycles, and that of busy ones as a margin.
 	dueLookahead = idleCycleInterval + pendingCycleInterval
@@ -84,14 +84,23 @@
 // nextDue returns the due time of the next occurrence that has not begun, in Unix milliseconds;
 // false if there is none.
 func (j *job) nextDue() (unixMS int64, ok bool) {
-	for j.nextOccurrence < j.Occurrences() && !j.progress.Untouched(j.nextOccurrence) {
-		j.nextOccurrence++
-	}
+	j.nextOccurrence = nextUntouched(j.Job, j.progress, j.nextOccurrence)
 	return j.DueUnixMS(j.nextOccurrence), j.nextOccurrence < j.Occurrences()
 }
 
-// openDue opens the occurrences that are due, up to maxReadyTasks tasks that wait for capacity.
-func (j *job) openDue(unixMS int64) {
+// nextUntouched returns the first occurrence from a number on that has not begun; the number of
+// all occurrences if there is none.
+func nextUntouched(j *workload.Job, p *workload.Progress, number int) int {
+	for number < j.Occurrences() && !p.Untouched(number) {
+		number++
+	}
+	return number
+}
+
+// openDue opens the occurrences of a job that are due: one, and further ones up to maxReadyTasks
+// tasks that wait for capacity, if there is memory for them. The lock is held.
+func (o *Owner) openDue(j *job, unixMS int64) {
+	defer o.reserveOpen(j)
 	ready := -1 // not counted yet
 	for {
 		due, ok := j.nextDue()
@@ -101,10 +110,11 @@
 		if ready < 0 {
 			ready = j.readyTasks()
 		}
-		if ready >= maxReadyTasks {
+		if ready > 0 && (ready >= maxReadyTasks || !o.fitsFurther(j.occurrenceMemory)) {
 			return
 		}
 		j.openOccurrence(j.nextOccurrence)
+		o.reserveOpen(j)
 		for _, s := range j.Steps {
 			if len(s.After) == 0 {
 				ready += s.Tasks
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -92,7 +92,9 @@
 	Clock         Clock
 	Now           func() time.Time
 	Log           logr.Logger
-	Address       string // where other VMs reach this one
+	// Memory is the memory of this VM in bytes; 0: not known.
+	Memory  int64
+	Address string // where other VMs reach this one
 	// ReleaseOwnerKey makes another VM free the owner key of the owner with a
 	// token; kind conflict means that there is another owner. LastStoreAnswer
 	// returns the time of the store's last answer to this VM. Without these two a
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,9 +33,16 @@
 	resigned        bool
 	tookOverAt      time.Duration
 	jobs            map[string]*job
-	live            map[string]*job  // jobs whose progress has no final state yet
-	active          map[string]*job  // live jobs without those that are dormant
-	dormant         dormantJobs      // live jobs that have nothing to do until their next due time
+	live            map[string]*job          // jobs whose progress has no final state yet
+	active          map[string]*job          // live jobs without those that are dormant
+	dormant         dormantJobs              // live jobs that have nothing to do until their next due time
+	offloaded       map[string]*offloadedJob // live jobs that do not fit into the memory
+	ended           map[*job]struct{}        // jobs with a final state that still hold what a live job needs
+	reserved        int64                    // bytes reserved for the loaded jobs
+	offloadedBytes  int64                    // bytes that the offloaded jobs would take
+	runRoom         int                      // runs that may still begin in this cycle
+	leastMemory     int64                    // least memory of a VM, in bytes
+	nextReleaseAt   time.Duration
 	urgentNeed      map[string]int64 // by workspace: accelerators that its live urgent jobs need
 	workers         map[string]*worker
 	workersByID     []*worker                  // workers by ID; nil after a change of the set
@@ -65,6 +73,8 @@
 	lateJobLines     lineBudget
 	conflictLines    lineBudget
 	fullQueueLines   lineBudget
+	offloadLines     lineBudget
+	runLimitLines    lineBudget
 	oddEntryLines    lineBudget
 	cycleRequestedAt atomic.Int64 // oldest request for a cycle that has not begun; 0 if none
 
@@ -92,7 +102,7 @@
 	return &Owner{
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
 		validity: newLeaseValidity(acquired.validUntil),
-		jobs:     map[string]*job{}, live: map[string]*job{}, active: map[string]*job{}, urgentNeed: map[string]int64{}, workers: map[string]*worker{},
+		jobs:     map[string]*job{}, live: map[string]*job{}, active: map[string]*job{}, urgentNeed: map[string]int64{}, offloaded: map[string]*offloadedJob{}, ended: map[*job]struct{}{}, leastMemory: math.MaxInt64, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{}, speeds: newSpeedState(),
 		kinds: map[string]*shortage.Kind{}, shortages: map[string]*serviceShortage{}, arriving: map[servicePriority]*shortage.Rate{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
@@ -114,6 +124,8 @@
 	o.goRun(o.adviceLoop)
 	o.goRun(o.standingLoop)
 	o.goRun(o.healthLoop)
+	o.goRun(o.reloadLoop)
+	o.goRun(o.vmLoop)
 	o.wg.Wait()
 	o.opts.Metrics.OwnerGauges(metrics.OwnerGauges{})
 	o.opts.Log.Info("stopped all work as the owner of the fleet", "token", o.ownership.token)
@@ -282,6 +294,9 @@
 func (o *Owner) State(id string, queue workload.QueueRef) (state workload.State, known bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if f := o.offloaded[id]; f != nil {
+		return map[bool]workload.State{true: workload.Running, false: workload.Queued}[f.started], f.isIn(queue)
+	}
 	j, ok := o.jobs[id]
 	if !ok || !j.In(queue) {
 		return "", false
@@ -326,6 +341,11 @@
 			n++
 		}
 	}
+	for _, f := range o.offloaded {
+		if f.isIn(queue) && !f.started {
+			n++
+		}
+	}
 	return n, o.loaded
 }
 
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -69,12 +69,13 @@
 	slices.SortFunc(waiting, o.placementRank())
 	o.cycles++
 	o.explained = 0
+	o.runRoom = o.maxRuns() - o.countRuns()
 	if o.ruleEnabled(RuleShortageOrder) || o.ruleEnabled(RuleAdmission) {
 		o.orderUnderShortage(waiting, now)
 	}
 	reservations := 0
 	for _, c := range waiting {
-		service := o.serviceOf(c.group.job)
+		service := o.serviceOf(c.group.job.Job)
 		p := o.planners[service]
 		if p == nil || p.cycle != o.cycles {
 			p = o.newServicePlanner(service, now)
@@ -111,7 +112,7 @@
 	o.activateDue(unixMS)
 	for _, j := range o.active {
 		j.compactDone()
-		j.openDue(unixMS)
+		o.openDue(j, unixMS)
 		for g := range j.groups() {
 			if g.complete() || len(g.runs) == g.spec().Tasks {
 				continue
@@ -125,7 +126,7 @@
 			}
 			if !g.ready {
 				if j.HasDueTimes() && g.step == 0 && g.readySince == 0 {
-					o.recordUrgentArrival(j, now)
+					o.recordUrgentArrival(j.Job, now)
 				}
 				g.ready, g.readySince, g.stopsWait, g.stopsWaitFrom = true, now, 0, 0
 			}
@@ -147,7 +148,7 @@
 	if g.spec().Gang && len(g.runs) > 0 {
 		return pendingGroup{}, false // the previous run has not ended on all workers
 	}
-	c := pendingGroup{group: g, priority: g.job.Class.Priority}
+	c := pendingGroup{group: g, priority: g.job.Class.Priority, pending: make([]int, 0, max(0, g.spec().Tasks-g.doneTasks-len(g.runs)))}
 	for i, t := range g.tasks() {
 		if t.Phase == workload.Pending && g.runs[i] == nil {
 			c.pending = append(c.pending, i)
@@ -185,7 +186,7 @@
 
 // serviceOf returns the service that runs a job: the one of its queue in the current
 // configuration, or the one at its acceptance if the queue no longer exists.
-func (o *Owner) serviceOf(j *job) string {
+func (o *Owner) serviceOf(j *workload.Job) string {
 	if cat := o.opts.Catalog(); cat != nil {
 		if q := cat.Queue(j.Queue); q != nil {
 			return q.Class.Service
@@ -394,6 +395,13 @@
 	g := c.group
 	spec := g.spec()
 	waited := now - g.readySince
+	if len(c.pending) > o.runRoom {
+		o.reportRunLimit(now)
+		if spec.Gang || o.runRoom <= 0 {
+			return 0
+		}
+		c.pending = c.pending[:o.runRoom]
+	}
 	request := o.request(p, c, now, mayReserve)
 	request.Explain = o.shouldExplain(g, now)
 	outcome := p.Place(request)
@@ -504,6 +512,7 @@
 		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
 		r.speed.resumed = t.Checkpoint != ""
 		g.addRun(r)
+		o.runRoom--
 		started = append(started, r)
 	}
 	o.opts.Metrics.Placed(now - g.readySince)
--- a/pkg/fleet/pools.go
+++ b/pkg/fleet/pools.go
@@ -101,7 +101,7 @@
 			if !g.ready || g.complete() || len(g.runs) > 0 || now-g.readySince < minBacklogAge {
 				continue
 			}
-			service, demand := o.serviceOf(j), g.spec().Demand()
+			service, demand := o.serviceOf(j.Job), g.spec().Demand()
 			have := wanted[service]
 			wanted[service] = workload.Resources{
 				MilliCPU: max(have.MilliCPU, demand.MilliCPU), MemoryMiB: max(have.MemoryMiB, demand.MemoryMiB),
--- a/pkg/fleet/shortage.go
+++ b/pkg/fleet/shortage.go
@@ -49,7 +49,7 @@
 }
 
 // kindOf returns the statistics of the kind of a job, its queue; the lock is held.
-func (o *Owner) kindOf(j *job) *shortage.Kind {
+func (o *Owner) kindOf(j *workload.Job) *shortage.Kind {
 	k := o.kinds[j.Queue]
 	if k == nil {
 		k = &shortage.Kind{}
@@ -83,7 +83,7 @@
 		return
 	}
 	j.outcomeRecorded = true
-	o.kindOf(j).AddOutcome(o.work(j.Job), served)
+	o.kindOf(j.Job).AddOutcome(o.work(j.Job), served)
 }
 
 // orderUnderShortage changes the order of the waiting groups of services whose demand exceeds
@@ -92,7 +92,7 @@
 func (o *Owner) orderUnderShortage(waiting []pendingGroup, now time.Duration) {
 	places := map[string][]int{}
 	for i := range waiting {
-		service := o.serviceOf(waiting[i].group.job)
+		service := o.serviceOf(waiting[i].group.job.Job)
 		places[service] = append(places[service], i)
 	}
 	table := &admissionTable{services: map[string]*shortage.Load{}, at: now}
@@ -199,7 +199,7 @@
 	before := make([]pendingGroup, len(places))
 	for n, i := range places {
 		c := &waiting[i]
-		k, j := o.kindOf(c.group.job), c.group.job
+		k, j := o.kindOf(c.group.job.Job), c.group.job
 		before[n] = *c
 		groups[n] = shortage.Group{
 			Workspace: j.Workspace, Lateness: c.lateness, Slack: c.slack,
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -347,14 +347,14 @@
 	o.ejectWorst(a.now)
 	for _, j := range o.active {
 		if j.suspect() {
-			a.service(o.serviceOf(j)).suspectJobs++
+			a.service(o.serviceOf(j.Job)).suspectJobs++
 		}
 		s, ok := o.standing(j, a.now, unixMS)
 		if !ok || a.now-s.since < standingThreshold {
 			j.standingLoggedAt = 0
 			continue
 		}
-		s.service = o.serviceOf(j)
+		s.service = o.serviceOf(j.Job)
 		a.standing = append(a.standing, s)
 		service := a.service(s.service)
 		service.jobs++
@@ -529,6 +529,7 @@
 	writes := o.writeState(a.now)
 	g := metrics.OwnerGauges{
 		JobsStanding: map[metrics.ServiceLabel]int{}, JobsSuspect: map[string]int{}, Workers: map[metrics.ServiceLabel]int{}, WorkersBySpeed: o.workersBySpeed(), UsedShare: map[string]float64{},
+		JobsOffloaded: len(o.offloaded), JobMemory: o.reserved + o.offloadedBytes, JobMemoryLimit: o.jobMemoryLimit(),
 		EvacuatedDomains: len(o.evacuations.domains), OpenWrites: writes.open, OldestUnstored: writes.oldestUnstored, WaitingStarts: o.startSlots.queueLength(), WaitingProbes: o.probeSlots.queueLength(),
 	}
 	for name, s := range a.services {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -140,14 +140,17 @@
 	cancelRequested   bool
 	pendingFinalState workload.State // final state to set in the next cycle; empty if none
 
-	unsavedSince   time.Duration // since when the progress record lacks settled starts or ages of starts; 0 if it does not
-	changeSeq      int64         // number of changes of the progress
-	committedSeq   int64         // changeSeq of the progress in the store
-	writeInFlight  bool          // a batch with this job is being written to the store
-	afterCommit    []func()      // callbacks to run under the lock once the current change is stored
-	unstoredSince  time.Duration
-	unwrittenSince time.Duration // oldest change after those in the open write; 0 if none
-	conflicts      int           // consecutive conflicts of its progress record
+	unsavedSince     time.Duration // since when the progress record lacks settled starts or ages of starts; 0 if it does not
+	changeSeq        int64         // number of changes of the progress
+	committedSeq     int64         // changeSeq of the progress in the store
+	writeInFlight    bool          // a batch with this job is being written to the store
+	afterCommit      []func()      // callbacks to run under the lock once the current change is stored
+	unstoredSince    time.Duration
+	unwrittenSince   time.Duration // oldest change after those in the open write; 0 if none
+	memory           int64         // bytes of the job with one occurrence
+	occurrenceMemory int64         // bytes of each further open occurrence
+	reserved         int64         // bytes reserved for it
+	conflicts        int           // consecutive conflicts of its progress record
 
 	standingLoggedAt time.Duration
 }
@@ -164,12 +167,12 @@
 
 // newJob returns a job with the occurrences that have begun, or its only one.
 func newJob(j *workload.Job, p *workload.Progress) *job {
-	out := &job{Job: j, progress: p, storedState: p.State, preemptions: p.MaxCompactedStops()}
+	out := &job{Job: j, progress: p, storedState: p.State, preemptions: p.MaxCompactedStops(), memory: JobMemory(j), occurrenceMemory: occurrenceMemory(j)}
 	for _, number := range p.OpenOccurrences() {
 		out.openOccurrence(number)
 	}
-	if !j.HasDueTimes() {
-		out.openDue(0)
+	if !j.HasDueTimes() && p.Untouched(0) {
+		out.openOccurrence(0)
 	}
 	return out
 }
--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -38,6 +38,24 @@
 	return errkind.New(errkind.Unavailable, "the service is overloaded: the job would wait for %d s and could not complete in time", int(load.Wait(a).Seconds())).WithRetryAfter(retryAfter)
 }
 
+// checkMemory refuses a job, before it is stored, that does not fit into the memory of an owner. A
+// job that is stored stays accepted.
+func (g *Gateway) checkMemory(ctx context.Context, j *workload.Job) error {
+	if g.opts.Memory == nil {
+		return nil
+	}
+	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	use := g.opts.Memory(ownerCtx)
+	cancel()
+	if use.Fits(j) || g.mayBeStored(ctx, j) {
+		return nil
+	}
+	g.opts.Metrics.Event("job_refused_memory")
+	g.opts.Log.Info("job refused: it does not fit into the memory", "job", j.ID, "queue", j.Queue, "workspace", j.Workspace,
+		"bytes", fleet.JobMemory(j), "usedBytes", use.UsedBytes, "limitBytes", use.LimitBytes)
+	return errkind.New(errkind.Unavailable, "the scheduler has no memory for another job of %d bytes", fleet.JobMemory(j)).WithRetryAfter(memoryRetryAfter)
+}
+
 // mayBeStored reports whether a job that would be refused is stored already, or may be.
 func (g *Gateway) mayBeStored(ctx context.Context, j *workload.Job) bool {
 	ctx, cancel := context.WithTimeout(ctx, storedCheckTimeout)
--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -70,3 +70,45 @@
 		})
 	}
 }
+
+// Guards against a job that is accepted although no VM that may take over can hold it, against a
+// refusal of a job that is stored or may be, and against one without a known limit.
+func TestJobBeyondTheMemoryIsRefusedBeforeItIsStored(t *testing.T) {
+	full := fleet.MemoryUse{UsedBytes: 1 << 20, LimitBytes: 1 << 20}
+	tests := map[string]struct {
+		use                      fleet.MemoryUse
+		storedBefore, unreadable bool
+		refused, present         bool
+	}{
+		"full":                {use: full, refused: true},
+		"room":                {use: fleet.MemoryUse{UsedBytes: 1 << 19, LimitBytes: 1 << 20}, present: true},
+		"limit not known":     {use: fleet.MemoryUse{UsedBytes: 1 << 40}, present: true},
+		"repeated call":       {use: full, storedBefore: true, present: true},
+		"the store is silent": {use: full, unreadable: true, present: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := memory.NewStore(memory.Options{})
+			options := Options{Store: store, Owner: noOwner{}, Now: time.Now, Log: logr.Discard()}
+			if tc.storedBefore {
+				if err := New(options).Accept(t.Context(), newJob()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if tc.unreadable {
+				options.Store = unreadableStore{store}
+			}
+			options.Memory = func(context.Context) fleet.MemoryUse { return tc.use }
+			err := New(options).Accept(t.Context(), newJob())
+			if errkind.Is(err, errkind.Unavailable) != tc.refused || (err != nil) != tc.refused {
+				t.Errorf("got %v, want refused: %v", err, tc.refused)
+			}
+			if tc.refused && errkind.As(err).RetryAfter < 10*time.Second {
+				t.Errorf("Retry-After is %v", errkind.As(err).RetryAfter)
+			}
+			if _, err := store.Get(t.Context(), fleet.JobKey(newJob().ID)); (err == nil) != tc.present {
+				t.Errorf("in the store: %v, want present: %v", err, tc.present)
+			}
+		})
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -40,6 +40,9 @@
 	// impossibleRetryAfter is the Retry-After for a job that fits on no worker. Only
 	// larger machines would help, and adding those takes longer.
 	impossibleRetryAfter = time.Minute
+	// memoryRetryAfter is the Retry-After for a job that does not fit into the memory. Jobs that
+	// fill it last for minutes.
+	memoryRetryAfter = 30 * time.Second
 )
 
 // Owner queries and notifies the owner of the fleet.
@@ -70,7 +73,10 @@
 	Relay Relay // nil: calls are not relayed
 	// Load returns the load of a service with a lasting shortage, as known from the owner within
 	// the last second; nil admits every job.
-	Load    func(service string) *shortage.Load
+	Load func(service string) *shortage.Load
+	// Memory returns what the jobs take of the owner's memory; without a limit if that is not
+	// known. Nil admits every job.
+	Memory  func(ctx context.Context) fleet.MemoryUse
 	Metrics *metrics.Set // nil disables metrics
 	Now     func() time.Time
 	Log     logr.Logger
@@ -106,6 +112,9 @@
 	if err := g.checkAdmission(ctx, j); err != nil {
 		return err
 	}
+	if err := g.checkMemory(ctx, j); err != nil {
+		return err
+	}
 	return g.withRelay(ctx, func(ctx context.Context) error {
 		return g.storeJob(ctx, j, value)
 	}, func(ctx context.Context) error {
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -37,6 +37,9 @@
 	workersBySpeed *prometheus.GaugeVec
 	usedShare      *prometheus.GaugeVec
 	evacuated      prometheus.Gauge
+	jobsOffloaded  prometheus.Gauge
+	jobMemory      prometheus.Gauge
+	jobMemoryLimit prometheus.Gauge
 	openWrites     prometheus.Gauge
 	oldestUnstored prometheus.Gauge
 	queuedOrders   prometheus.Gauge
@@ -83,6 +86,9 @@
 		workersBySpeed: gauges("workers_by_speed", "Workers of services with uneven workers by class of speed, 1 for a normal one.", "service", "speed"),
 		jobsSuspect:    gauges("jobs_suspect", "Live jobs whose tasks fail on most workers that run them.", "service"),
 		usedShare:      gauges("service_used_share", "Share of the scarcest resource of a service's listed workers that is in use.", "service"),
+		jobsOffloaded:  gauge("jobs_offloaded", "Jobs whose records are only in the store, as they do not fit into the memory."),
+		jobMemory:      gauge("job_memory_bytes", "Memory that all jobs take, with those that are offloaded."),
+		jobMemoryLimit: gauge("job_memory_limit_bytes", "Memory up to which this VM loads jobs."),
 		evacuated:      gauge("evacuated_domains", "Failure domains on whose workers no task may start."),
 		openWrites:     gauge("open_writes", "Batches of job progress that are being written."),
 		oldestUnstored: gauge("oldest_unstored_change_seconds", "Age of the oldest change of job progress that is not stored."),
@@ -93,7 +99,7 @@
 		takeover:       histogram("takeover_seconds", "Time since the owner key was seen free, by phase.", "phase"),
 		jobKnownAge:    histogram("job_known_age_seconds", "Age of a job when the owner learns of it, by source.", "source"),
 	}
-	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.workersBySpeed, s.usedShare, s.evacuated, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
+	s.registry.MustRegister(s.jobsStanding, s.jobsSuspect, s.workers, s.workersBySpeed, s.usedShare, s.evacuated, s.jobsOffloaded, s.jobMemory, s.jobMemoryLimit, s.openWrites, s.oldestUnstored, s.queuedOrders, s.callsWaiting, s.cycleDuration, s.cycleGap, s.takeover, s.jobKnownAge,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.registry.MustRegister(s.calls, s.callDuration, s.storeCalls, s.storeCallDuration, s.unansweredCalls, s.configAge, s.workerCalls, s.runsEnded, s.jobsEnded, s.placementWait, s.events,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "carawayusher_log_lines_dropped_total", Help: "Log lines dropped for want of room."},
--- a/pkg/metrics/owner.go
+++ b/pkg/metrics/owner.go
@@ -19,6 +19,10 @@
 	WaitingStarts  int // that wait for other starts
 	WaitingProbes  int // of workers that do not answer
 
+	JobsOffloaded  int   // jobs that do not fit into the memory
+	JobMemory      int64 // bytes that all jobs take, with those
+	JobMemoryLimit int64 // bytes up to which jobs are loaded on this VM
+
 	EvacuatedDomains int // failure domains on whose workers no task may start
 }
 
@@ -48,6 +52,9 @@
 		s.usedShare.WithLabelValues(service).Set(share)
 	}
 	s.evacuated.Set(float64(g.EvacuatedDomains))
+	s.jobsOffloaded.Set(float64(g.JobsOffloaded))
+	s.jobMemory.Set(float64(g.JobMemory))
+	s.jobMemoryLimit.Set(float64(g.JobMemoryLimit))
 	s.openWrites.Set(float64(g.OpenWrites))
 	s.oldestUnstored.Set(g.OldestUnstored.Seconds())
 	s.queuedOrders.Set(float64(g.QueuedOrders))
