fleet: count the work of an occurrence when it is due

In a lasting shortage callers could see jobs of lower priority refused for work that comes much later: a job that repeats every hour of a year counted as if all its occurrences arrived when it was accepted.

Change: the rate of arriving work counts a job without due times when it is accepted, and an occurrence when it is opened.

--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -199,7 +199,7 @@
 	age := o.opts.Now().UnixMilli() - record.AcceptedUnixMS
 	acceptedAt := o.opts.Clock() - time.Duration(max(0, age))*time.Millisecond
 	if source != sourceReload {
-		o.noteArrival(record, acceptedAt)
+		o.noteAccepted(record, acceptedAt)
 	}
 	if source != sourceReload && !p.State.Final() && !p.HasAssigned() && len(o.live) > 0 && !o.fits(JobMemory(record)) {
 		o.addOffloaded(newOffloadedJob(record, p))
@@ -227,11 +227,12 @@
 	o.opts.Log.V(1).Info("job added", "job", id, "queue", j.Queue, "workspace", j.Workspace, "state", p.State, "ageMS", age)
 }
 
-// noteArrival counts a job in the statistics of arrivals; the lock is held.
-func (o *Owner) noteArrival(j *workload.Job, acceptedAt time.Duration) {
+// noteAccepted counts a job in the statistics of jobs and, unless its occurrences are due later,
+// of arrivals; the lock is held.
+func (o *Owner) noteAccepted(j *workload.Job, acceptedAt time.Duration) {
 	o.kindOf(j).AddSize(o.work(j))
-	o.arrivingWork(o.serviceOf(j), j.Class.Priority).Add(acceptedAt, resourceWork(j))
 	if !j.HasDueTimes() {
+		o.noteArrival(j, acceptedAt)
 		o.recordUrgentArrival(j, acceptedAt)
 	}
 }
--- a/pkg/fleet/occurrence.go
+++ b/pkg/fleet/occurrence.go
@@ -115,6 +115,9 @@
 		}
 		j.openOccurrence(j.nextOccurrence)
 		o.reserveOpen(j)
+		if j.HasDueTimes() {
+			o.noteArrival(j.Job, o.opts.Clock())
+		}
 		for _, s := range j.Steps {
 			if len(s.After) == 0 {
 				ready += s.Tasks
--- a/pkg/fleet/occurrence_test.go
+++ b/pkg/fleet/occurrence_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/shortage"
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
 
@@ -103,3 +104,25 @@
 		t.Errorf("%d tasks of a schedule of %d wait, want %d", n, record.Schedule.Count, maxReadyTasks)
 	}
 }
+
+// Guards against jobs of lower priority that are refused for the work of occurrences which are due
+// much later, as if all of it arrived with the job.
+func TestLaterOccurrencesDoNotCountAsArrivingWork(t *testing.T) {
+	o, now, _ := newIdleOwner()
+	o.opts.Catalog = func() *catalog.Catalog { return nil }
+	record := newYearlyJob(0)
+	record.Class.Service = "service"
+	record.Steps = []workload.Step{{Tasks: 1, Request: workload.Resources{MilliCPU: 1000}, Estimate: time.Second}}
+	o.addJob(record, workload.NewProgress(record), 0, sourceNotified)
+	// One occurrence is 1,000 thousandths of a core for a second; arrivals are averaged over longer.
+	check := func(at time.Duration, least, most float64) {
+		t.Helper()
+		*now = at
+		o.runCycle()
+		if got := o.arrivingWork("service", 0).PerSecond(at, shortage.MilliCPU); got < least || got > most {
+			t.Errorf("at %s %g thousandths of a core arrive, want %g to %g", at, got, least, most)
+		}
+	}
+	check(0, 0, 0)
+	check(time.Hour, 10, 1000)
+}
--- a/pkg/fleet/shortage.go
+++ b/pkg/fleet/shortage.go
@@ -67,15 +67,20 @@
 	return work * float64(j.Occurrences())
 }
 
-// resourceWork returns the same by resource.
-func resourceWork(j *workload.Job) (work shortage.Work) {
+// occurrenceWork returns the expected work of one occurrence of a job by resource.
+func occurrenceWork(j *workload.Job) (work shortage.Work) {
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		work.Add(s.Demand(), max(s.Estimate, minExpectedRunTime).Seconds(), s.Tasks*j.Occurrences())
+		work.Add(s.Demand(), max(s.Estimate, minExpectedRunTime).Seconds(), s.Tasks)
 	}
 	return work
 }
 
+// noteArrival counts the work of an occurrence that may run from a time on; the lock is held.
+func (o *Owner) noteArrival(j *workload.Job, at time.Duration) {
+	o.arrivingWork(o.serviceOf(j), j.Class.Priority).Add(at, occurrenceWork(j))
+}
+
 // recordOutcome records once for each job whether it completed while it was of value; the lock
 // is held.
 func (o *Owner) recordOutcome(j *job, served bool) {
