fleet: acknowledge no ends to a process that may be new

Cause: a poll acknowledged with the count of the incarnation that the owner knew, whichever would read it. The new process counts its ends from 1, so it forgot ends that nobody had read; the owner did not find the runs and started their tasks again.

Change: an end that nobody has read exists only if a start has reached the new process. From the sending of a start until its answer has a clock that the known process can have, or a later poll is answered, and after a call without an answer, polls acknowledge nothing; the worker lists its ends once more. A clock that went back makes the owner poll the worker at once.

The emulated worker no longer answers a poll that waited at its former process.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -23,6 +23,9 @@
 	}
 	w.lateReply = w.unansweredCalls > 0 || now-sentAt > maxReplyTime
 	w.contacted, w.clockMS, w.clockReadAt, w.lastAnswerAt, w.unansweredCalls = true, reply.ClockMS, now, now, 0
+	if sentAt > w.unconfirmedStartAt {
+		w.unconfirmedStartAt = 0
+	}
 	if request.AckedThrough == w.ackThrough {
 		w.ackDue = false
 	}
--- a/pkg/fleet/ends_test.go
+++ b/pkg/fleet/ends_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -319,3 +321,69 @@
 		})
 	}
 }
+
+// Guards against ends of a worker's new process that are forgotten unread, as a poll acknowledges
+// with the count of its former process, so that their tasks run again. The worker lost power
+// while a poll waited there, and its entry still names the former process.
+func TestEndsOfANewProcessAreNotAcknowledgedUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 1, 1)
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome {
+			return fleettest.Outcome{Duration: 500 * time.Millisecond}
+		})
+		b.wantState(b.submitAndWait(smallStep(6), 3*time.Second), workload.Completed)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: time.Minute} })
+		b.submit(smallStep(1)) // a poll waits for its end
+		b.sleep(time.Second)
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome {
+			return fleettest.Outcome{Duration: 500 * time.Millisecond}
+		})
+		b.workers.RestartCutOff(0, "a")
+		b.sleep(100 * time.Millisecond)
+		j := b.submit(smallStep(3))
+		b.sleep(5 * time.Second)
+		b.workers.Heartbeat(0)
+		b.sleep(10 * time.Second)
+		b.wantState(j, workload.Completed)
+		b.wantOneStartPerTask(j)
+	})
+}
+
+// Guards against ends that are forgotten unread, and failures that are not counted, when workers
+// lose power again and again and their entries tell of it late.
+func TestWorkersThatLosePowerRunNothingTwice(t *testing.T) {
+	const (
+		seeds, workers = 12, 8
+		duration       = 40 * time.Second
+	)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(seed, 0))
+				b := newTestbed(t, 1, workers)
+				b.sleep(time.Second)
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome {
+					return fleettest.Outcome{Duration: time.Duration(100+r.IntN(1500)) * time.Millisecond, Fails: r.IntN(20) == 0}
+				})
+				var jobs []*workload.Job
+				nextLoss := time.Now().Add(time.Second)
+				for end := time.Now().Add(duration); time.Now().Before(end); b.sleep(time.Duration(80+r.IntN(250)) * time.Millisecond) {
+					j := b.buildJob(smallStep(1 + r.IntN(4)))
+					j.Class.MaxAttempts = 50
+					b.storeJob(j)
+					jobs = append(jobs, j)
+					if time.Now().After(nextLoss) {
+						down, entryAfter := time.Duration(100+r.IntN(1000))*time.Millisecond, time.Duration(r.IntN(1500))*time.Millisecond
+						b.workers.LosePower(r.IntN(workers), down, entryAfter)
+						nextLoss = time.Now().Add(down + entryAfter + time.Duration(r.IntN(1500))*time.Millisecond)
+					}
+				}
+				b.sleep(40 * time.Second)
+				for _, j := range jobs {
+					b.wantState(j, workload.Completed)
+				}
+			})
+		})
+	}
+}
--- a/pkg/fleet/fleettest/fleet.go
+++ b/pkg/fleet/fleettest/fleet.go
@@ -237,6 +237,20 @@
 	time.AfterFunc(down, func() { f.restartCrashed(id) })
 }
 
+// LosePower makes a worker crash and, after down, start again with the same ID. Its entry names
+// the new process only entryAfter later.
+func (f *Fleet) LosePower(i int, down, entryAfter time.Duration) {
+	id := fmt.Sprintf("w%02d", i)
+	f.crash(id)
+	time.AfterFunc(down, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		w := f.workers[id+":1"]
+		w.dead, w.processStart = false, time.Now()
+	})
+	time.AfterFunc(down+entryAfter, func() { f.Heartbeat(i) })
+}
+
 // addTicket records a ticket; from the first one on, starts need a ticket.
 func (f *Fleet) addTicket(step, worker string, until time.Time) {
 	f.mu.Lock()
@@ -665,7 +679,7 @@
 	}
 	verdict := w.renewLease(r)
 	waits := r.MaxWait > 0 && len(w.ended) == 0
-	changed := w.changed
+	changed, incarnation := w.changed, w.entry.Incarnation
 	f.mu.Unlock()
 	if verdict != fleet.Accepted {
 		return fleet.RenewLeaseReply{}, verdict, nil
@@ -681,6 +695,11 @@
 		}
 	}
 	f.mu.Lock()
+	if w.entry.Incarnation != incarnation && !w.dead {
+		f.mu.Unlock()
+		<-ctx.Done() // nothing closes a connection to a process that lost power
+		return fleet.RenewLeaseReply{}, fleet.Unanswered, errNoAnswer
+	}
 	defer f.mu.Unlock()
 	if w.unreachable || w.dead || w.wrongID(instance) {
 		return fleet.RenewLeaseReply{}, fleet.Unanswered, errNoAnswer // the polled process has ended
--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -129,7 +129,7 @@
 func (o *Owner) pollWorker(w *worker, delay time.Duration, extend bool) bool {
 	o.mu.Lock()
 	now := o.opts.Clock()
-	request := RenewLeaseRequest{Token: o.ownership.token, AckedThrough: w.ackThrough, MaxWait: delay}
+	request := RenewLeaseRequest{Token: o.ownership.token, AckedThrough: w.ackToSend(), MaxWait: delay}
 	// An unanswered poll may still have renewed the lease, so a worker that does not
 	// answer gets no further renewals and its lease expires.
 	before := w.maxDeadlineMS
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -41,6 +41,8 @@
 	// maxClockDrift is the share by which a worker's clock may run slow, as documented by
 	// the platform.
 	maxClockDrift = 0.02
+	// clockReadingMargin covers the rounding of clock readings to milliseconds, twice.
+	clockReadingMargin = 2 * time.Millisecond
 	// startOrderTTL is how long an unanswered start order may still be carried out.
 	startOrderTTL = 3 * time.Second
 	// orderTimeout bounds the wait for the answer to an order.
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -192,7 +192,7 @@
 		start.Ticket = a.tickets[w.ID].value
 	}
 	w.recordStartDeadline(start.DeadlineMS)
-	r.startSentAt = now
+	r.startSentAt, w.unconfirmedStartAt = now, now
 	address, id := w.Address, w.ID
 	o.mu.Unlock()
 
@@ -218,7 +218,7 @@
 	send := func() {
 		sent++
 		open++
-		go func() { answers <- o.sendStartOnce(ctx, address, id, start) }()
+		go func() { answers <- o.sendStartOnce(ctx, r, address, id, start) }()
 		late.Reset(o.adaptiveStartTimeout.HedgeAfter() << (sent - 1))
 	}
 	if !o.awaitOwnership() || !o.stillStarting(r) {
@@ -272,11 +272,12 @@
 }
 
 // sendStartOnce makes one attempt to send a start order.
-func (o *Owner) sendStartOnce(ctx context.Context, address, id string, start StartOrder) Verdict {
+func (o *Owner) sendStartOnce(ctx context.Context, r *run, address, id string, start StartOrder) Verdict {
 	sentAt := time.Now()
 	reply, err := o.opts.Workers.Start(ctx, address, id, start)
 	if reply.Verdict != Unanswered {
 		o.adaptiveStartTimeout.RecordAnswer(time.Since(sentAt))
+		o.checkStartClock(r, reply)
 		return reply.Verdict
 	}
 	if !errors.Is(err, context.Canceled) { // another attempt was answered
@@ -285,6 +286,27 @@
 	return Unanswered
 }
 
+// checkStartClock compares the clock in the answer to the start of a run with that of the known
+// incarnation. A lower one shows that the worker has started anew, which its entry may not say
+// yet; it is polled at once.
+func (o *Owner) checkStartClock(r *run, reply OrderReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := r.worker
+	if reply.ClockMS == 0 || !w.contacted || r.startSentAt < w.incarnationSince {
+		return
+	}
+	if expected := w.earliestClockMS(r.startSentAt); reply.ClockMS < expected {
+		o.opts.Log.Info("the clock of the worker went back; it may have started anew", "worker", w.ID, "clockMS", reply.ClockMS, "expectedMS", expected, "runs", len(w.runs))
+		o.opts.Metrics.Event("worker_clock_back")
+		o.goRun(func() { o.pollWorker(w, 0, false) })
+		return
+	}
+	if w.unconfirmedStartAt == r.startSentAt && !r.startUnanswered {
+		w.unconfirmedStartAt = 0
+	}
+}
+
 // markStartUnanswered records that a start order of the run may still reach the
 // worker.
 func (o *Owner) markStartUnanswered(r *run) {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -200,6 +200,9 @@
 	ackThrough      int64
 	unackedEnds     []unackedEnd
 	ackDue          bool // ackThrough has not been sent to the worker yet
+	// unconfirmedStartAt is when the newest start was sent whose answer has not shown that it
+	// was this incarnation that began the run; 0 if there is none.
+	unconfirmedStartAt time.Duration
 }
 
 // replacedIncarnation is the incarnation of a worker before one that an entry claims.
@@ -294,6 +297,26 @@
 	return max(w.priorExpiry, w.clockReadAt+time.Duration(float64(left)/(1-maxClockDrift)))
 }
 
+// earliestClockMS returns the lowest reading of the clock of the known incarnation in an answer
+// to a call sent at a time.
+func (w *worker) earliestClockMS(sentAt time.Duration) int64 {
+	passed := sentAt - w.clockReadAt
+	if passed > 0 {
+		passed = time.Duration(float64(passed) * (1 - maxClockDrift))
+	}
+	return w.clockMS + passed.Milliseconds() - clockReadingMargin.Milliseconds()
+}
+
+// ackToSend returns through which end the next poll acknowledges. If the worker may have started
+// anew, its new process would forget ends of its own that nobody has read, so it is none: they
+// count from 1 again in each incarnation.
+func (w *worker) ackToSend() int64 {
+	if w.unansweredCalls > 0 || w.unconfirmedStartAt > 0 {
+		return 0
+	}
+	return w.ackThrough
+}
+
 // estimatedClockMS extrapolates the worker's clock from its last reading.
 func (w *worker) estimatedClockMS(now time.Duration) int64 {
 	return w.clockMS + (now - w.clockReadAt).Milliseconds()
