fleet: a list cut at an end of an offloaded job is not whole

The ends of a worker were read up to the first one of an offloaded job, but the list counted as whole: a run whose end came after that one was taken for never started.

Change: the list is cut before that end, with MoreEnds set, before anything is concluded from it.

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -29,6 +29,8 @@
 	if request.AckedThrough == w.ackThrough {
 		w.ackDue = false
 	}
+	slices.SortFunc(reply.Ended, func(a, b RunEnd) int { return int(a.Sequence - b.Sequence) })
+	o.cutAtOffloaded(w, &reply)
 	cutBefore := w.endsCut()
 	if w.recordEndsListed(reply, sentAt); w.endsCut() && !cutBefore {
 		o.opts.Metrics.Event("ends_cut")
@@ -39,12 +41,7 @@
 		o.queueAwaitingOrders(w)
 	}
 	o.throttleFillers(w)
-	slices.SortFunc(reply.Ended, func(a, b RunEnd) int { return int(a.Sequence - b.Sequence) })
 	for _, end := range reply.Ended {
-		if f := o.offloaded[end.Task.Job]; f != nil {
-			f.wanted = true
-			break // the worker lists it again, when the job is loaded
-		}
 		if end.Sequence > w.lastEndSeq {
 			o.applyRunEnd(w, end)
 		}
@@ -54,6 +51,22 @@
 	return true
 }
 
+// cutAtOffloaded drops the ends from the first new one of an offloaded job on: the worker lists
+// them again when the job is loaded. Until then the list shows nothing about a run that it lacks.
+// The lock is held.
+func (o *Owner) cutAtOffloaded(w *worker, reply *RenewLeaseReply) {
+	kept := reply.Ended
+	for i, end := range reply.Ended {
+		f := o.offloaded[end.Task.Job]
+		if f == nil || end.Sequence <= w.lastEndSeq {
+			continue
+		}
+		f.wanted = true
+		kept, reply.MoreEnds = kept[:min(i, len(kept))], true
+	}
+	reply.Ended = kept
+}
+
 // reconcileRuns compares the runs that a worker lists with those assigned to it;
 // the lock is held.
 func (o *Owner) reconcileRuns(w *worker, reply RenewLeaseReply, sentAt time.Duration) {
--- a/pkg/fleet/memory_test.go
+++ b/pkg/fleet/memory_test.go
@@ -206,7 +206,8 @@
 }
 
 // Guards against an end that is acknowledged unread, so that its task runs again, since its job is
-// offloaded, and against ends of other jobs that are acknowledged out of order.
+// offloaded; against ends of other jobs that are acknowledged out of order; and against a run that
+// is taken for never started, since its end was listed after that one.
 func TestEndOfAnOffloadedJobIsNotAcknowledgedUnread(t *testing.T) {
 	o := newLargeOwner()
 	w := &worker{WorkerEntry: WorkerEntry{ID: "w", Incarnation: 1}, runs: map[*run]struct{}{}, wake: make(chan struct{}, 1), ackAdvanced: make(chan struct{})}
@@ -217,9 +218,9 @@
 		return RunEnd{Sequence: sequence, Task: workload.TaskID{Job: job}, Run: 1, Reason: EndDone}
 	}
 	reply := RenewLeaseReply{Incarnation: 1, Ended: []RunEnd{end(1, "unknown"), end(2, record.ID), end(3, "unknown")}}
-	o.applyLeaseReply(w, RenewLeaseRequest{}, reply, 0)
-	if w.ackThrough != 1 {
-		t.Errorf("ends are acknowledged up to %d, want 1", w.ackThrough)
+	o.applyLeaseReply(w, RenewLeaseRequest{}, reply, 1)
+	if w.ackThrough != 1 || !w.endsCut() {
+		t.Errorf("ends are acknowledged up to %d, want 1; the list counts as whole: %v", w.ackThrough, !w.endsCut())
 	}
 	o.opts.Memory = 1
 	if chosen := o.chooseReloads(); len(chosen) != 1 {
