fleet: load no job without its progress, and none under the lock

- If the list of progress failed while that of jobs went on, jobs were loaded as not begun; the second attempt kept them, so their tasks could have run again.
Now the pages are closed only when all were read, and an error ends both lists.
- While jobs were loaded, the lock was held during the wait for the next page of progress, so that callers' queries at the new owner waited too.
Now it is held for one job at a time.
- Jobs were compared with the limit of memory before the workers were known, which lower it.
Now jobs wait for the list of workers, which is read at the same time.

Also: the limit of runs no longer counts the group and the task of a run, which its job has reserved; ranges of done tasks are counted; the jobs to load are chosen without sorting all of them.

--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -20,15 +20,16 @@
 	o.mu.Lock()
 	o.tookOverAt = startedAt
 	o.mu.Unlock()
-	var workers []platform.Entry
 	var evacuations evacuationKeys
 	var readings errgroup.Group
+	workersKnown := make(chan struct{})
 	readings.Go(func() (err error) {
-		jobsFrom, err = o.loadJobs()
+		jobsFrom, err = o.loadJobs(workersKnown)
 		return err
 	})
 	readings.Go(func() (err error) {
-		workersFrom, err = o.listPrefix(o.opts.WorkerPrefix, func(e platform.Entry) { workers = append(workers, e) })
+		defer close(workersKnown)
+		workersFrom, err = o.loadWorkers()
 		return err
 	})
 	readings.Go(o.readVMs)
@@ -44,9 +45,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.tookOverAt = o.opts.Clock()
-	for _, e := range workers {
-		o.applyWorker(e.Key, e.Value)
-	}
 	for _, j := range o.jobs {
 		j.noteAdopted(o.tookOverAt)
 		o.adoptAssignments(j)
@@ -60,61 +58,110 @@
 	return jobsFrom, workersFrom, evacuations.revision, nil
 }
 
+// loadWorkers reads the workers. It returns the revision from which they have to be watched.
+func (o *Owner) loadWorkers() (revision int64, err error) {
+	var workers []platform.Entry
+	revision, err = o.listPrefix(o.opts.WorkerPrefix, func(e platform.Entry) { workers = append(workers, e) })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range workers {
+		o.applyWorker(e.Key, e.Value)
+	}
+	return revision, err
+}
+
 // loadJobs reads the records of jobs and their progress side by side, both in the order of their
-// keys, so that a few pages of them are in memory at a time. It returns the revision from which
-// the jobs have to be watched.
-func (o *Owner) loadJobs() (revision int64, err error) {
+// keys, so that a few pages of them are in memory at a time. It applies none before workersKnown
+// is closed, as the memory for jobs depends on the workers. It returns the revision from which the
+// jobs have to be watched.
+func (o *Owner) loadJobs(workersKnown <-chan struct{}) (revision int64, err error) {
 	pages := make(chan []platform.Entry)
 	readings, ctx := errgroup.WithContext(o.ctx)
 	readings.Go(func() error {
-		defer close(pages)
-		_, err := o.listPages(ctx, ProgressPrefix, func(page []platform.Entry) {
-			select {
-			case pages <- page:
-			case <-ctx.Done():
-			}
-		})
+		_, err := o.listPages(ctx, ProgressPrefix, func(page []platform.Entry) error { return send(ctx, pages, page) })
+		if err == nil {
+			close(pages)
+		}
 		return err
 	})
 	readings.Go(func() (err error) {
 		progress := progressReader{pages: pages}
-		revision, err = o.listPages(ctx, JobPrefix, func(page []platform.Entry) {
-			o.mu.Lock()
-			defer o.mu.Unlock()
+		revision, err = o.listPages(ctx, JobPrefix, func(page []platform.Entry) error {
+			if _, err := receive(ctx, workersKnown); err != nil {
+				return err
+			}
 			for _, e := range page {
 				id, _ := parseJobKey(e.Key)
-				o.applyJob(e, progress.find(ProgressKey(id)), sourceTakeover)
+				stored, err := progress.find(ctx, ProgressKey(id))
+				if err != nil {
+					return err
+				}
+				o.mu.Lock()
+				o.applyJob(e, stored, sourceTakeover)
+				o.mu.Unlock()
 			}
+			return nil
 		})
-		for range pages { // those of jobs whose records are gone
+		if err != nil {
+			return err
 		}
-		return err
+		return progress.drain(ctx)
 	})
 	err = readings.Wait()
 	return revision, err
 }
 
-// progressReader finds progress records in a sequence of pages.
+// send sends a value unless ctx ends before.
+func send[T any](ctx context.Context, c chan<- T, value T) error {
+	select {
+	case c <- value:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// receive receives a value unless ctx ends before; it is the zero value if the channel is closed.
+func receive[T any](ctx context.Context, c <-chan T) (value T, err error) {
+	select {
+	case value = <-c:
+		return value, nil
+	case <-ctx.Done():
+		return value, ctx.Err()
+	}
+}
+
+// progressReader finds progress records in a sequence of pages, which is closed after the last.
 type progressReader struct {
 	pages <-chan []platform.Entry
 	page  []platform.Entry // what is left of the current one
 }
 
-// find returns the entry of a key, or an absent one. Keys have to be asked for in order.
-func (r *progressReader) find(key string) platform.Entry {
+// find returns the entry of a key, or an absent one. Keys have to be asked for in order. An error
+// means that the pages have not all been read.
+func (r *progressReader) find(ctx context.Context, key string) (platform.Entry, error) {
 	for {
 		for len(r.page) > 0 && r.page[0].Key < key {
 			r.page = r.page[1:]
 		}
+		if len(r.page) > 0 && r.page[0].Key == key {
+			return r.page[0], nil
+		}
 		if len(r.page) > 0 {
-			if r.page[0].Key == key {
-				return r.page[0]
-			}
-			return platform.Entry{}
+			return platform.Entry{}, nil
+		}
+		var err error
+		if r.page, err = receive(ctx, r.pages); err != nil || len(r.page) == 0 {
+			return platform.Entry{}, err
 		}
-		var ok bool
-		if r.page, ok = <-r.pages; !ok {
-			return platform.Entry{}
+	}
+}
+
+// drain reads the remaining pages, which hold nothing of a job that is stored.
+func (r *progressReader) drain(ctx context.Context) error {
+	for {
+		if page, err := receive(ctx, r.pages); err != nil || len(page) == 0 {
+			return err
 		}
 	}
 }
@@ -122,15 +169,16 @@
 // listPrefix reads all pages of a prefix and passes each entry to visit. It returns
 // the revision of the first page, from which the prefix has to be watched.
 func (o *Owner) listPrefix(prefix string, visit func(platform.Entry)) (int64, error) {
-	return o.listPages(o.ctx, prefix, func(page []platform.Entry) {
+	return o.listPages(o.ctx, prefix, func(page []platform.Entry) error {
 		for _, e := range page {
 			visit(e)
 		}
+		return nil
 	})
 }
 
-// listPages is listPrefix by pages.
-func (o *Owner) listPages(ctx context.Context, prefix string, visit func([]platform.Entry)) (int64, error) {
+// listPages is listPrefix by pages that have entries; an error of visit ends it.
+func (o *Owner) listPages(ctx context.Context, prefix string, visit func([]platform.Entry) error) (int64, error) {
 	first, after := int64(0), ""
 	for {
 		callCtx, cancel := storecall.WithProgressTimeout(ctx, storeTimeout)
@@ -142,8 +190,13 @@
 		if first == 0 {
 			first = page.Revision
 		}
-		visit(page.Entries)
-		if !page.More || len(page.Entries) == 0 {
+		if len(page.Entries) == 0 {
+			return first, nil
+		}
+		if err := visit(page.Entries); err != nil {
+			return 0, err
+		}
+		if !page.More {
 			return first, nil
 		}
 		after = page.Entries[len(page.Entries)-1].Key
--- a/pkg/fleet/memory.go
+++ b/pkg/fleet/memory.go
@@ -15,7 +15,8 @@
 	stepMemory      = 240  // of the record, without its strings
 	groupMemory     = 480
 	taskMemory      = 144
-	runMemory       = 1400 // of a run, with the group and task of its occurrence, and its stored form
+	runMemory       = 600 // of a run, with its stored form
+	doneRangeMemory = 48  // of done tasks with the same history
 )
 
 // Shares of a VM's memory for jobs and their runs. The soft limit of the runtime is 0.7 of the
@@ -104,9 +105,11 @@
 	return o.usedMemory()+o.offloadedBytes+bytes <= o.jobMemoryLimit()/100*furtherPercent
 }
 
-// reserveOpen reserves what the open occurrences of a job take; the lock is held.
+// reserveOpen reserves what the open occurrences of a job take, and those that are done; the lock
+// is held.
 func (o *Owner) reserveOpen(j *job) {
-	o.reserve(j, j.memory+int64(max(0, len(j.open)-1))*j.occurrenceMemory)
+	further := int64(max(0, len(j.open)-1))
+	o.reserve(j, j.memory+further*j.occurrenceMemory+int64(j.progress.DoneRanges())*doneRangeMemory)
 }
 
 // stringMemory returns the bytes of strings with what the allocator rounds up.
--- a/pkg/fleet/memory_test.go
+++ b/pkg/fleet/memory_test.go
@@ -6,10 +6,12 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/catalog"
+	"github.com/carawayusher/carawayusher/pkg/errkind"
 	"github.com/carawayusher/carawayusher/pkg/platform"
 	"github.com/carawayusher/carawayusher/pkg/platform/memory"
 	"github.com/carawayusher/carawayusher/pkg/workload"
@@ -196,7 +198,9 @@
 	o := newLargeOwner()
 	o.opts.Store = store
 	before := heapBytes()
-	if _, err := o.loadJobs(); err != nil || len(o.released) != jobs {
+	workersKnown := make(chan struct{})
+	close(workersKnown)
+	if _, err := o.loadJobs(workersKnown); err != nil || len(o.released) != jobs {
 		t.Fatalf("%d ended jobs are read, error %v", len(o.released), err)
 	}
 	if held := store.most - before; held > maxHeld {
@@ -227,3 +231,67 @@
 		t.Errorf("%d jobs are to be loaded, want the one with an end", len(chosen))
 	}
 }
+
+// failingStore fails one list of progress records, when the list of jobs with that number was
+// answered.
+type failingStore struct {
+	*memory.Store
+	failAt         int32 // from 1 on
+	progress, jobs atomic.Int32
+}
+
+func (s *failingStore) List(ctx context.Context, prefix, after string, limit int) (platform.ListResult, error) {
+	if prefix == ProgressPrefix && s.progress.Add(1) == s.failAt {
+		for s.jobs.Load() < s.failAt && ctx.Err() == nil {
+			runtime.Gosched()
+		}
+		return platform.ListResult{}, errkind.New(errkind.StoreUnavailable, "no answer")
+	}
+	defer s.jobs.Add(map[bool]int32{true: 1}[prefix == JobPrefix])
+	return s.Store.List(ctx, prefix, after, limit)
+}
+
+// Guards against jobs that are taken for not begun, and run again, since the list of their
+// progress failed while their records were read.
+func TestJobsAreNotLoadedWithoutTheirProgress(t *testing.T) {
+	const jobs = 1500 // more than a page
+	store := memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	for n := range jobs {
+		j := newShapedJob(t, n, jobShapes()["small"])
+		p := workload.NewProgress(j)
+		*p.Task(0, 0, 0) = workload.Task{Run: 1, Checkpoint: "c"}
+		record, err := workload.EncodeJob(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		progress, err := p.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for key, value := range map[string][]byte{JobKey(j.ID): record, ProgressKey(j.ID): progress} {
+			if _, err := store.Put(t.Context(), key, value, 0, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	workersKnown := make(chan struct{})
+	close(workersKnown)
+	for _, failAt := range []int32{1, 2} {
+		o := newLargeOwner()
+		o.opts.Store = &failingStore{Store: store, failAt: failAt}
+		for attempt := 1; attempt <= 2; attempt++ {
+			_, err := o.loadJobs(workersKnown)
+			if (err != nil) != (attempt == 1) {
+				t.Errorf("list %d fails, attempt %d: error %v", failAt, attempt, err)
+			}
+			for _, j := range o.jobs {
+				if j.progressVersion == 0 || !j.progress.Started() {
+					t.Fatalf("list %d fails, attempt %d: job %s is loaded without its progress", failAt, attempt, j.ID)
+				}
+			}
+		}
+		if len(o.jobs) != jobs {
+			t.Errorf("list %d fails: %d jobs are loaded, want %d", failAt, len(o.jobs), jobs)
+		}
+	}
+}
--- a/pkg/fleet/occurrence.go
+++ b/pkg/fleet/occurrence.go
@@ -5,7 +5,6 @@
 	"container/heap"
 	"iter"
 	"slices"
-	"time"
 
 	"github.com/carawayusher/carawayusher/pkg/workload"
 )
@@ -13,7 +12,7 @@
 const (
 	// maxReadyTasks is the number of tasks of a job that wait for capacity from which on its
 	// later occurrences are not opened yet, so that a schedule that is far behind does not hold
-	// all that it has missed. It is above what a cycle can start of one job.
+	// all that it has missed.
 	maxReadyTasks = 128
 	// dueLookahead is how long before its next due time a job takes part in the scheduling
 	// cycles again: the interval of idle cycles, and that of busy ones as a margin.
@@ -240,10 +239,3 @@
 	*d = (*d)[:last]
 	return j
 }
-
-// adoptCompacted notes what the compacted occurrences of a job tell at a takeover.
-func (j *job) adoptCompacted(now time.Duration) {
-	if j.progress.HasCompacted() {
-		j.lastRanAt = max(j.lastRanAt, now-maxIdleWait)
-	}
-}
--- a/pkg/fleet/offload.go
+++ b/pkg/fleet/offload.go
@@ -155,14 +155,9 @@
 		return nil
 	}
 	unixMS := o.opts.Now().UnixMilli()
-	waiting := make([]*offloadedJob, 0, len(o.offloaded))
-	for _, f := range o.offloaded {
-		waiting = append(waiting, f)
-	}
-	slices.SortFunc(waiting, byRank(unixMS))
 	var last []*offloadedJob // loaded jobs, those that go last first; nil before it is needed
 	planned := int64(0)
-	for _, f := range waiting[:min(maxReloads, len(waiting))] {
+	for _, f := range o.firstOffloaded(unixMS) {
 		alone := len(o.live) == 0 && planned == 0 // it is loaded whatever it takes
 		for !f.mustLoad() && !alone && !o.fits(planned+f.reserved) {
 			if last == nil {
@@ -180,6 +175,21 @@
 	return chosen
 }
 
+// firstOffloaded returns the first maxReloads offloaded jobs by rank; the lock is held.
+func (o *Owner) firstOffloaded(unixMS int64) []*offloadedJob {
+	compare := byRank(unixMS)
+	first := make([]*offloadedJob, 0, maxReloads+1)
+	for _, f := range o.offloaded {
+		if len(first) == maxReloads && compare(f, first[maxReloads-1]) > 0 {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(first, f, compare)
+		first = slices.Insert(first, i, f)
+		first = first[:min(maxReloads, len(first))]
+	}
+	return first
+}
+
 // loadedByRank returns the loaded jobs that may be offloaded, those that go last first; the lock
 // is held.
 func (o *Owner) loadedByRank(unixMS int64) []*offloadedJob {
--- a/pkg/fleet/standing.go
+++ b/pkg/fleet/standing.go
@@ -118,7 +118,9 @@
 // until the takeover. The time at which other tasks last ran is not stored; they count as
 // not running for maxIdleWait, so that their job does not wait anew for free capacity.
 func (j *job) noteAdopted(now time.Duration) {
-	j.adoptCompacted(now)
+	if j.progress.DoneRanges() > 0 {
+		j.lastRanAt = max(j.lastRanAt, now-maxIdleWait)
+	}
 	for g := range j.groups() {
 		for i, t := range g.tasks() {
 			switch {
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -163,8 +163,9 @@
 	return false
 }
 
-// HasCompacted reports whether an occurrence is compacted.
-func (p *Progress) HasCompacted() bool { return len(p.compacted.ranges) > 0 }
+// DoneRanges returns the number of ranges of tasks with the same history in the compacted
+// occurrences; 0 if none is compacted.
+func (p *Progress) DoneRanges() int { return len(p.compacted.ranges) }
 
 // MaxCompactedStops returns the largest number of runs of a task of a compacted occurrence that
 // neither failed nor were the last.
@@ -206,7 +207,7 @@
 // the worker may refuse the start; the other conditions are those of records of earlier versions,
 // which do not say whether the job has begun.
 func (p *Progress) Started() bool {
-	if p.Begun || p.HasCompacted() {
+	if p.Begun || p.DoneRanges() > 0 {
 		return true
 	}
 	for _, tasks := range p.open {
