fleet: a step without a place keeps no later occurrence from beginning

Cause: the tasks that wait were counted over all steps of the job. Change: they are counted by step, for those that depend on no other, and the one with the fewest decides: an occurrence begins with it. Tasks of later steps wait in occurrences that are open already.

Evidence: TestStepWithoutAPlaceKeepsNoLaterOccurrenceFromBeginning opened 120 of 512 occurrences before and passes after; the other tests of schedules pass.

--- a/pkg/fleet/occurrence.go
+++ b/pkg/fleet/occurrence.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxReadyTasks is the number of tasks of a job that wait for capacity from which on its
-	// later occurrences are not opened yet, so that a schedule that is far behind does not hold
+	// maxReadyTasks is the number of tasks of a step that wait for capacity from which on later
+	// occurrences of a job are not opened yet, so that a schedule that is far behind does not hold
 	// all that it has missed.
 	maxReadyTasks = 128
 	// dueLookahead is how long before its next due time a job takes part in the scheduling
@@ -100,16 +100,18 @@
 // tasks that wait for capacity, if there is memory for them. The lock is held.
 func (o *Owner) openDue(j *job, unixMS int64) {
 	defer o.reserveOpen(j)
-	ready := -1 // not counted yet
+	var ready []readyStep // nil before an occurrence is due
 	for {
 		due, ok := j.nextDue()
 		if !ok || due > unixMS+dueStartLead.Milliseconds() {
 			return
 		}
-		if ready < 0 {
-			ready = j.readyTasks()
+		if ready == nil {
+			ready = j.readySteps()
 		}
-		if ready > 0 && (ready >= maxReadyTasks || !o.fitsFurther(j.occurrenceMemory)) {
+		// Later occurrences can begin with the step that has the fewest, also if others find no place.
+		fewest := slices.MinFunc(ready, func(a, b readyStep) int { return cmp.Compare(a.ready, b.ready) }).ready
+		if fewest > 0 && (fewest >= maxReadyTasks || !o.fitsFurther(j.occurrenceMemory)) {
 			return
 		}
 		j.openOccurrence(j.nextOccurrence)
@@ -117,22 +119,33 @@
 		if j.HasDueTimes() {
 			o.noteArrival(j.Job, o.opts.Clock())
 		}
-		for _, s := range j.Steps {
-			if len(s.After) == 0 {
-				ready += s.Tasks
-			}
+		for i := range ready {
+			ready[i].ready += ready[i].tasks
 		}
 	}
 }
 
-// readyTasks returns the number of tasks without a run in the groups that wait for capacity.
-func (j *job) readyTasks() (n int) {
-	for g := range j.groups() {
-		if !g.complete() && g.dependenciesDone() {
-			n += g.spec().Tasks - g.doneTasks - len(g.runs)
+// readyStep is a step that depends on no other.
+type readyStep struct {
+	tasks int // in each occurrence
+	ready int // without a run and not done, in the open occurrences
+}
+
+// readySteps returns the steps with which an occurrence begins; the first step is always one.
+func (j *job) readySteps() (steps []readyStep) {
+	for s := range j.Steps {
+		if len(j.Steps[s].After) > 0 {
+			continue
+		}
+		step := readyStep{tasks: j.Steps[s].Tasks}
+		for _, c := range j.open {
+			if g := c.groups[s]; !g.complete() {
+				step.ready += step.tasks - g.doneTasks - len(g.runs)
+			}
 		}
+		steps = append(steps, step)
 	}
-	return n
+	return steps
 }
 
 // compactDone frees the occurrences that are done, once the store has their end.
--- a/pkg/fleet/occurrence_test.go
+++ b/pkg/fleet/occurrence_test.go
@@ -126,3 +126,27 @@
 	check(0, 0, 0)
 	check(time.Hour, 10, 1000)
 }
+
+// Guards against occurrences that never begin although there is capacity, since another step of
+// earlier ones finds no place: its tasks wait, but those of this step do not.
+func TestStepWithoutAPlaceKeepsNoLaterOccurrenceFromBeginning(t *testing.T) {
+	o, now, _ := newIdleOwner()
+	o.opts.Catalog = func() *catalog.Catalog { return nil }
+	record := newYearlyJob(0)
+	record.Steps = []workload.Step{{Tasks: 1}, {Tasks: 1, RequiredLabel: "none"}}
+	record.Schedule.Count = 2000
+	o.addJob(record, workload.NewProgress(record), 0, sourceTakeover)
+	*now = 20_000 * time.Hour
+	j := o.jobs[record.ID]
+	for range 3 {
+		o.runCycle()
+		for _, c := range j.open { // the first step ends wherever it has begun
+			g := c.groups[0]
+			g.tasks()[0].Phase, g.doneTasks = workload.Done, 1
+		}
+	}
+	o.runCycle()
+	if n := len(j.open); n < 4*maxReadyTasks {
+		t.Errorf("%d occurrences have been opened after four cycles, want %d", n, 4*maxReadyTasks)
+	}
+}
