fleet, platform: what a second reading of the change found

The reason why the two lists of a takeover match is back, and fields have their units. Progress.StepDone, which nothing uses, is gone.

No change of behaviour otherwise. The tests of offloading, of memory and of the platform's estimate pass.

--- a/internal/cluster/usage.go
+++ b/internal/cluster/usage.go
@@ -36,11 +36,9 @@
 	if u.CPU, err = cpuTime(vm.PID()); err != nil {
 		return u, err
 	}
-	status, err := procFields(vm.PID(), "status")
-	if err != nil {
+	if u.Resident, err = ResidentBytes(vm.PID()); err != nil {
 		return u, err
 	}
-	u.Resident = status["VmRSS"] * 1024
 	io, err := procFields(vm.PID(), "io")
 	if err != nil {
 		return u, err
@@ -50,6 +48,12 @@
 	return u, err
 }
 
+// ResidentBytes returns the resident memory of a process.
+func ResidentBytes(pid int) (int64, error) {
+	status, err := procFields(pid, "status")
+	return status["VmRSS"] * 1024, err
+}
+
 // cpuTime reads user and system time, fields 14 and 15 of /proc/<pid>/stat. The
 // name in field 2 may hold spaces, so that fields are counted after it.
 func cpuTime(pid int) (time.Duration, error) {
--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -258,8 +258,7 @@
 	}
 }
 
-// chaosMemory holds about a dozen jobs. With half of it, some seeds do not end in
-// chaosRecoveryTime: four jobs at a time are loaded beside the entries of the others.
+// chaosMemory holds about a dozen jobs at a time; the others are offloaded.
 const chaosMemory = 1_200_000
 
 // chaosMemorySeeds is the number of seeds in CI, where the package has 15 minutes with the race
--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -55,16 +55,15 @@
 // them again when the job is loaded. Until then the list shows nothing about a run that it lacks.
 // The lock is held.
 func (o *Owner) cutAtOffloaded(w *worker, reply *RenewLeaseReply) {
-	kept := reply.Ended
+	kept := len(reply.Ended)
 	for i, end := range reply.Ended {
-		f := o.offloaded[end.Task.Job]
-		if f == nil || end.Sequence <= w.lastEndSeq {
-			continue
+		if f := o.offloaded[end.Task.Job]; f != nil && end.Sequence > w.lastEndSeq {
+			f.wanted = true
+			kept = min(kept, i)
+			reply.MoreEnds = true
 		}
-		f.wanted = true
-		kept, reply.MoreEnds = kept[:min(i, len(kept))], true
 	}
-	reply.Ended = kept
+	reply.Ended = reply.Ended[:kept]
 }
 
 // reconcileRuns compares the runs that a worker lists with those assigned to it;
--- a/pkg/fleet/features_test.go
+++ b/pkg/fleet/features_test.go
@@ -73,7 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const occurrences = 700
 		b := newTestbed(t, 2, 4)
-		b.workers.SetOutcome(func(_ workload.TaskID, run int64) fleettest.Outcome {
+		b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome {
 			return fleettest.Outcome{Duration: 300 * time.Millisecond}
 		})
 		j := b.buildJob(smallStep(1))
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -18,7 +18,7 @@
 func (o *Owner) loadState() (jobsFrom, workersFrom, evacuationsFrom int64, err error) {
 	startedAt := o.opts.Clock()
 	o.mu.Lock()
-	o.tookOverAt = startedAt
+	o.tookOverAt = startedAt // leases of workers and rates of arrivals count from it while it loads
 	o.mu.Unlock()
 	var evacuations evacuationKeys
 	var readings errgroup.Group
@@ -71,7 +71,8 @@
 }
 
 // loadJobs reads the records of jobs and their progress side by side, both in the order of their
-// keys, so that a few pages of them are in memory at a time. It applies none before workersKnown
+// keys, so that a few pages of them are in memory at a time. Only the owner writes progress, so the
+// two lists match although they are not a snapshot. It applies none before workersKnown
 // is closed, as the memory for jobs depends on the workers. It returns the revision from which the
 // jobs have to be watched.
 func (o *Owner) loadJobs(workersKnown <-chan struct{}) (revision int64, err error) {
--- a/pkg/fleet/memory.go
+++ b/pkg/fleet/memory.go
@@ -163,7 +163,7 @@
 type MemoryUse struct {
 	UsedBytes  int64 `cbor:"1,keyasint,omitempty"`
 	LimitBytes int64 `cbor:"2,keyasint,omitempty"` // of the smallest VM that may take over; 0: not known
-	Workers    int   `cbor:"3,keyasint,omitempty"`
+	Workers    int   `cbor:"3,keyasint,omitempty"` // of the owner's fleet, on which the limit depends
 }
 
 // Parts of the limit up to which further occurrences of a job are opened, and jobs are accepted.
--- a/pkg/fleet/offload_test.go
+++ b/pkg/fleet/offload_test.go
@@ -13,6 +13,15 @@
 // smallMemory holds about six jobs with a step of 300 tasks.
 const smallMemory = 7_500_000
 
+// newSmallTestbed returns a testbed with one VM, which has smallMemory and owns the fleet.
+func newSmallTestbed(t *testing.T, workers int) *testbed {
+	b := newTestbed(t, 0, workers)
+	b.adjustOptions = func(o *fleet.Options) { o.Memory = smallMemory }
+	b.startVM()
+	b.sleep(time.Second)
+	return b
+}
+
 // Guards against a VM that takes over more jobs than its memory holds and serves none of them, as
 // it ends; and against jobs, urgent work or cancels that never come to their turn on it.
 func TestJobsBeyondTheMemoryAreServed(t *testing.T) {
@@ -60,10 +69,7 @@
 func TestOffloadedJobsRunAtTheirTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const jobs = 20
-		b := newTestbed(t, 0, 4)
-		b.adjustOptions = func(o *fleet.Options) { o.Memory = smallMemory }
-		b.startVM()
-		b.sleep(time.Second)
+		b := newSmallTestbed(t, 4)
 		for range jobs {
 			j := b.buildJob(smallStep(300))
 			j.Class.Priority, j.Steps[0].RequiredLabel = 1, "no worker has this label"
@@ -102,10 +108,7 @@
 func TestTasksWithoutDemandRunAsFarAsMemoryHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const tasks = 1000
-		b := newTestbed(t, 0, 2)
-		b.adjustOptions = func(o *fleet.Options) { o.Memory = smallMemory }
-		b.startVM()
-		b.sleep(time.Second)
+		b := newSmallTestbed(t, 2)
 		j := b.submit(workload.Step{Tasks: tasks, Estimate: time.Second})
 		b.sleep(700 * time.Millisecond)
 		_, owner := b.vms[0].elector.Owner()
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -32,7 +32,7 @@
 	loaded          bool
 	resigned        bool
 	tookOverAt      time.Duration
-	jobs            map[string]*job
+	jobs            map[string]*job          // loaded jobs, until they are released
 	live            map[string]*job          // jobs whose progress has no final state yet
 	active          map[string]*job          // live jobs without those that are dormant
 	dormant         dormantJobs              // live jobs that have nothing to do until their next due time
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -177,19 +177,6 @@
 	return most
 }
 
-// StepDone reports whether all tasks of a step have ended successfully.
-func (p *Progress) StepDone(occurrence, step int) bool {
-	if p.Untouched(occurrence) {
-		return false
-	}
-	for _, t := range p.StepTasks(occurrence, step) {
-		if t.Phase != Done {
-			return false
-		}
-	}
-	return true
-}
-
 // AllDone reports whether every task has ended successfully.
 func (p *Progress) AllDone() bool {
 	if len(p.open)*p.tasksPerOccurrence+p.compacted.count < p.occurrences*p.tasksPerOccurrence {
