--- a/pkg/fleet/memory_test.go
+++ b/pkg/fleet/memory_test.go
@@ -153,6 +153,24 @@
 	runtime.KeepAlive(o)
 }
 
+// Guards against an owner far beyond its memory, whose entries of offloaded jobs take more than
+// is counted for them.
+func TestOffloadedJobsTakeNoMoreMemoryThanIsReserved(t *testing.T) {
+	const jobs = 10_000
+	o := newLargeOwner()
+	o.opts.Memory = 1
+	before := heapBytes()
+	for n := range jobs + 1 { // the first one is loaded whatever it takes
+		j := newShapedJob(t, n, jobShapes()["small"])
+		o.addJob(j, workload.NewProgress(j), 0, sourceTakeover)
+	}
+	if len(o.offloaded) != jobs {
+		t.Fatalf("%d jobs are offloaded, want %d", len(o.offloaded), jobs)
+	}
+	checkMemory(t, (heapBytes()-before)/jobs, offloadedMemory)
+	runtime.KeepAlive(o)
+}
+
 // putRecords stores a job and its progress, and returns the bytes of both records.
 func putRecords(t *testing.T, store *memory.Store, j *workload.Job, p *workload.Progress) int {
 	t.Helper()
@@ -292,3 +310,37 @@
 		}
 	}
 }
+
+// BenchmarkCapacityRecurringJob measures jobs that repeat every hour of a year, none of them due:
+// their memory, a cycle, and a takeover.
+func BenchmarkCapacityRecurringJob(b *testing.B) {
+	const jobs = 110
+	store := memory.NewStore(memory.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	for n := range jobs {
+		j := newYearlyJob(n)
+		j.Schedule.FirstUnixMS = 1 << 40
+		record, err := workload.EncodeJob(j)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := store.Put(b.Context(), JobKey(j.ID), record, 0, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		o, _, _ := newIdleOwner()
+		o.opts.Catalog = func() *catalog.Catalog { return nil }
+		o.opts.Store, o.opts.WorkerPrefix = store, "servers/"
+		before, at := heapBytes(), time.Now()
+		if _, _, _, err := o.loadState(); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(time.Since(at).Microseconds()), "us/takeover")
+		o.runCycle()
+		at = time.Now()
+		o.runCycle()
+		b.ReportMetric(float64(time.Since(at).Nanoseconds()), "ns/cycle")
+		b.ReportMetric(float64(heapBytes()-before)/jobs, "B/job")
+		runtime.KeepAlive(o)
+	}
+}
