gateway, platform: bound what VMs accept while the owner does not answer

What callers saw: 20 large jobs were accepted where 10 fit, and urgent jobs were then answered with 503 until jobs were cancelled.

Cause: without a figure of the owner's memory there was no limit. A VM has none when it starts, and an owner tells none while it loads its state. Jobs on their way to the store were not counted either.

Why it works: a VM reserves the memory of a job before it stores it, until the owner's figure counts it. Without an answer it accepts only its part of what the last figure left, so that the VMs together stay below the limit. An owner of an earlier version tells no figure and has no limit, as before.

The case of the estimate's test for an empty figure is split: a loading owner is marked as such, an empty figure comes from an earlier version.

--- a/pkg/fleet/memory.go
+++ b/pkg/fleet/memory.go
@@ -162,8 +162,10 @@
 // MemoryUse is how much of its memory the owner uses for jobs.
 type MemoryUse struct {
 	UsedBytes  int64 `cbor:"1,keyasint,omitempty"`
-	LimitBytes int64 `cbor:"2,keyasint,omitempty"` // of the smallest VM that may take over; 0: not known
+	LimitBytes int64 `cbor:"2,keyasint,omitempty"` // of the smallest VM that may take over; 0: not told by an owner of an earlier version
 	Workers    int   `cbor:"3,keyasint,omitempty"` // of the owner's fleet, on which the limit depends
+	VMs        int   `cbor:"4,keyasint,omitempty"` // that have announced themselves
+	Loading    bool  `cbor:"5,keyasint,omitempty"` // the owner does not know its jobs yet
 }
 
 // Parts of the limit up to which further occurrences of a job are opened, and jobs are accepted.
@@ -175,22 +177,36 @@
 	admittedUrgentPercent = 90
 )
 
-// Fits reports whether a job may be accepted.
-func (u MemoryUse) Fits(j *workload.Job) bool {
+// minVMs is the number of VMs that are assumed to accept jobs when fewer have announced themselves.
+const minVMs = 4
+
+// room returns how many bytes are left for a job and others that are accepted.
+func (u MemoryUse) room(j *workload.Job) int64 {
 	percent := int64(admittedPercent)
 	if j.Class.Priority == 0 {
 		percent = admittedUrgentPercent
 	}
-	return u.LimitBytes == 0 || u.UsedBytes+JobMemory(j) <= u.LimitBytes/100*percent
+	return u.LimitBytes/100*percent - u.UsedBytes
+}
+
+// Fits reports whether a job may be accepted beside others of which the figure does not know yet.
+func (u MemoryUse) Fits(j *workload.Job, unknownBytes int64) bool {
+	return u.LimitBytes == 0 || unknownBytes+JobMemory(j) <= u.room(j)
+}
+
+// FitsPart is Fits for a VM that does not learn what other VMs accept in the meantime: each of
+// them may use an equal part of what is left.
+func (u MemoryUse) FitsPart(j *workload.Job, unknownBytes int64) bool {
+	return u.LimitBytes == 0 || unknownBytes+JobMemory(j) <= u.room(j)/int64(max(minVMs, u.VMs))
 }
 
 // MemoryUse returns what all jobs take, also those that are offloaded.
 func (o *Owner) MemoryUse() MemoryUse {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.loaded {
-		return MemoryUse{}
-	}
 	workers := len(o.workers)
-	return MemoryUse{UsedBytes: o.usedMemory() + o.offloadedBytes, LimitBytes: JobMemoryLimit(min(o.opts.Memory, o.leastMemory), workers), Workers: workers}
+	return MemoryUse{
+		UsedBytes: o.usedMemory() + o.offloadedBytes, LimitBytes: JobMemoryLimit(min(o.opts.Memory, o.leastMemory), workers),
+		Workers: workers, VMs: o.vms, Loading: !o.loaded,
+	}
 }
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -43,6 +43,7 @@
 	offloadedBytes  int64                    // bytes that the offloaded jobs would take
 	runRoom         int                      // runs that may still begin in this cycle
 	leastMemory     int64                    // least memory of a VM, in bytes
+	vms             int                      // VMs that have announced themselves
 	nextReleaseAt   time.Duration
 	urgentNeed      map[string]int64 // by workspace: accelerators that its live urgent jobs need
 	workers         map[string]*worker
--- a/pkg/fleet/vm.go
+++ b/pkg/fleet/vm.go
@@ -77,7 +77,7 @@
 
 // readVMs reads the sizes of the VMs that may take over.
 func (o *Owner) readVMs() error {
-	least := int64(math.MaxInt64)
+	least, vms := int64(math.MaxInt64), 0
 	_, err := o.listPrefix(VMPrefix, func(e platform.Entry) {
 		var r vmRecord
 		if err := cbor.Unmarshal(e.Value, &r); err != nil || r.MemoryBytes <= 0 {
@@ -85,13 +85,14 @@
 			return
 		}
 		least = min(least, r.MemoryBytes)
+		vms++
 	})
 	if err != nil {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.leastMemory = least
+	o.leastMemory, o.vms = least, vms
 	return nil
 }
 
--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -38,22 +38,37 @@
 	return errkind.New(errkind.Unavailable, "the service is overloaded: the job would wait for %d s and could not complete in time", int(load.Wait(a).Seconds())).WithRetryAfter(retryAfter)
 }
 
-// checkMemory refuses a job, before it is stored, that does not fit into the memory of an owner. A
-// job that is stored stays accepted.
-func (g *Gateway) checkMemory(ctx context.Context, j *workload.Job) error {
-	if g.opts.Memory == nil {
-		return nil
+// Reservation is the memory that is reserved for a job while it is being stored.
+type Reservation struct {
+	Use       fleet.MemoryUse // what the jobs take, with those that are being stored
+	Fits      bool            // otherwise nothing is reserved
+	Confirmed bool            // whether the figure is the current one of the owner
+	Release   func()          // nil if nothing is reserved
+}
+
+// reserveMemory reserves memory for a job until release is called. It refuses a job, before it is
+// stored, that does not fit into the memory of an owner. A job that is stored stays accepted.
+func (g *Gateway) reserveMemory(ctx context.Context, j *workload.Job) (release func(), err error) {
+	if g.opts.ReserveMemory == nil {
+		return func() {}, nil
 	}
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	use := g.opts.Memory(ownerCtx)
+	r := g.opts.ReserveMemory(ownerCtx, j)
 	cancel()
-	if use.Fits(j) || g.mayBeStored(ctx, j) {
-		return nil
+	if r.Fits {
+		return r.Release, nil
+	}
+	if g.mayBeStored(ctx, j) {
+		return func() {}, nil
+	}
+	retryAfter := memoryRetryAfter
+	if !r.Confirmed {
+		retryAfter = RetryAfter
 	}
 	g.opts.Metrics.Event("job_refused_memory")
 	g.opts.Log.Info("job refused: it does not fit into the memory", "job", j.ID, "queue", j.Queue, "workspace", j.Workspace,
-		"bytes", fleet.JobMemory(j), "usedBytes", use.UsedBytes, "limitBytes", use.LimitBytes)
-	return errkind.New(errkind.Unavailable, "the scheduler has no memory for another job of %d bytes", fleet.JobMemory(j)).WithRetryAfter(memoryRetryAfter)
+		"bytes", fleet.JobMemory(j), "usedBytes", r.Use.UsedBytes, "limitBytes", r.Use.LimitBytes, "confirmed", r.Confirmed)
+	return nil, errkind.New(errkind.Unavailable, "the scheduler has no memory for another job of %d bytes", fleet.JobMemory(j)).WithRetryAfter(retryAfter)
 }
 
 // mayBeStored reports whether a job that would be refused is stored already, or may be.
--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -72,15 +72,18 @@
 }
 
 // Guards against a job that is accepted although no VM that may take over can hold it, against a
-// refusal of a job that is stored or may be, and against one without a known limit.
+// refusal of a job that is stored or may be, against one without a known limit, against a long
+// Retry-After while only the owner is silent, and against memory that stays reserved.
 func TestJobBeyondTheMemoryIsRefusedBeforeItIsStored(t *testing.T) {
 	full := fleet.MemoryUse{UsedBytes: 1 << 20, LimitBytes: 1 << 20}
 	tests := map[string]struct {
 		use                      fleet.MemoryUse
 		storedBefore, unreadable bool
+		unconfirmed              bool
 		refused, present         bool
 	}{
 		"full":                {use: full, refused: true},
+		"owner is silent":     {use: full, unconfirmed: true, refused: true},
 		"room":                {use: fleet.MemoryUse{UsedBytes: 1 << 19, LimitBytes: 1 << 20}, present: true},
 		"limit not known":     {use: fleet.MemoryUse{UsedBytes: 1 << 40}, present: true},
 		"repeated call":       {use: full, storedBefore: true, present: true},
@@ -98,14 +101,20 @@
 			if tc.unreadable {
 				options.Store = unreadableStore{store}
 			}
-			options.Memory = func(context.Context) fleet.MemoryUse { return tc.use }
+			released := false
+			options.ReserveMemory = func(_ context.Context, j *workload.Job) Reservation {
+				return Reservation{Use: tc.use, Fits: tc.use.Fits(j, 0), Confirmed: !tc.unconfirmed, Release: func() { released = true }}
+			}
 			err := New(options).Accept(t.Context(), newJob())
 			if errkind.Is(err, errkind.Unavailable) != tc.refused || (err != nil) != tc.refused {
 				t.Errorf("got %v, want refused: %v", err, tc.refused)
 			}
-			if tc.refused && errkind.As(err).RetryAfter < 10*time.Second {
+			if tc.refused && (errkind.As(err).RetryAfter < 10*time.Second) != tc.unconfirmed {
 				t.Errorf("Retry-After is %v", errkind.As(err).RetryAfter)
 			}
+			if fits := tc.use.Fits(newJob(), 0); released != fits {
+				t.Errorf("released: %v, want %v", released, fits)
+			}
 			if _, err := store.Get(t.Context(), fleet.JobKey(newJob().ID)); (err == nil) != tc.present {
 				t.Errorf("in the store: %v, want present: %v", err, tc.present)
 			}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -40,8 +40,8 @@
 	// impossibleRetryAfter is the Retry-After for a job that fits on no worker. Only
 	// larger machines would help, and adding those takes longer.
 	impossibleRetryAfter = time.Minute
-	// memoryRetryAfter is the Retry-After for a job that does not fit into the memory. Jobs that
-	// fill it last for minutes.
+	// memoryRetryAfter is the Retry-After for a job that does not fit into the memory, if the owner
+	// has told it. Jobs that fill it last for minutes.
 	memoryRetryAfter = 30 * time.Second
 )
 
@@ -74,12 +74,11 @@
 	// Load returns the load of a service with a lasting shortage, as known from the owner within
 	// the last second; nil admits every job.
 	Load func(service string) *shortage.Load
-	// Memory returns what the jobs take of the owner's memory; without a limit if that is not
-	// known. Nil admits every job.
-	Memory  func(ctx context.Context) fleet.MemoryUse
-	Metrics *metrics.Set // nil disables metrics
-	Now     func() time.Time
-	Log     logr.Logger
+	// ReserveMemory reserves memory of the owner for a job; nil admits every job.
+	ReserveMemory func(ctx context.Context, j *workload.Job) Reservation
+	Metrics       *metrics.Set // nil disables metrics
+	Now           func() time.Time
+	Log           logr.Logger
 }
 
 // Gateway accepts, cancels and queries jobs.
@@ -112,9 +111,11 @@
 	if err := g.checkAdmission(ctx, j); err != nil {
 		return err
 	}
-	if err := g.checkMemory(ctx, j); err != nil {
+	release, err := g.reserveMemory(ctx, j)
+	if err != nil {
 		return err
 	}
+	defer release()
 	return g.withRelay(ctx, func(ctx context.Context) error {
 		return g.storeJob(ctx, j, value)
 	}, func(ctx context.Context) error {
