platform: a VM asks the owner before it accepts more than its part

Callers could still have jobs accepted that no owner holds: with a figure of the owner that was at most 0.2 s old, each VM accepted up to all that was left.

Now a VM accepts its part of what is left on a recent figure, a quarter of that on an older one, and asks the owner before it goes beyond. What is accepted without asking thus stays within the limit, whatever the number of VMs.

--- a/pkg/fleet/memory.go
+++ b/pkg/fleet/memory.go
@@ -195,9 +195,9 @@
 }
 
 // FitsPart is Fits for a VM that does not learn what other VMs accept in the meantime: each of
-// them may use an equal part of what is left.
-func (u MemoryUse) FitsPart(j *workload.Job, unknownBytes int64) bool {
-	return u.LimitBytes == 0 || unknownBytes+JobMemory(j) <= u.room(j)/int64(max(minVMs, u.VMs))
+// them may use an equal part of what is left, or that part divided by divisor.
+func (u MemoryUse) FitsPart(j *workload.Job, unknownBytes int64, divisor int) bool {
+	return u.LimitBytes == 0 || unknownBytes+JobMemory(j) <= u.room(j)/int64(max(minVMs, u.VMs)*divisor)
 }
 
 // MemoryUse returns what all jobs take, also those that are offloaded.
