fleet: an owner that is too small hands the fleet over to a larger VM

Cause: a VM with 0.192 of a core took over 1,100 workers while the larger ones stood still, and kept them when those were back. It renews leases and starts members of gangs too late.

Why it works: the owner asks VMs with twice its processor time for the owner of the fleet. One that names it is up and reads the store, so it wins the election when the small owner ends in order, within about 0.1 s. Only an owner with less than a core for each 3,900 workers does so, which an owner of 1,100 workers was measured to need.

--- a/pkg/fleet/chaos_test.go
+++ b/pkg/fleet/chaos_test.go
@@ -1,10 +1,12 @@
 package fleet_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -302,3 +304,54 @@
 		})
 	}
 }
+
+// chaosHandoverSeeds is the number of seeds in CI, as for chaosMemorySeeds.
+const chaosHandoverSeeds = 12
+
+// Guards against the failures of TestChaos while owners that are too small for the fleet hand it
+// over, also to VMs that have ended or lose their connection to the store.
+func TestChaosWithHandovers(t *testing.T) {
+	seeds := chaosSeeds(t)
+	if os.Getenv("CHAOS_SEEDS") == "" && os.Getenv("CHAOS_SEED") == "" {
+		seeds = seeds[len(regressionSeeds):][:chaosHandoverSeeds]
+	}
+	handovers := 0
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, stores := newPerVMStoreTestbed(t, 0, chaosWorkers)
+				r := rand.New(rand.NewPCG(seed, 4))
+				for range 100 { // of VMs that replace others as well
+					b.cores = append(b.cores, []float64{0.0005, 0.001, 0.004}[r.IntN(3)])
+				}
+				adjust := b.adjustOptions
+				b.adjustOptions = func(o *fleet.Options) {
+					adjust(o)
+					o.Memory = 512 << 20
+					o.AskVM = func(_ context.Context, address string) (fleet.OwnerHint, error) {
+						vm, err := strconv.Atoi(strings.TrimPrefix(address, "vm"))
+						if err != nil {
+							return fleet.OwnerHint{}, err
+						}
+						return b.allVMs()[vm].elector.OwnerHint(), nil
+					}
+				}
+				for range chaosVMs {
+					b.startVM()
+				}
+				runChaos(t, seed, b, func() {
+					if r.IntN(8) == 0 && b.ownerIndex() >= 0 {
+						store := (*stores)[b.ownerIndex()]
+						store.unreachable.Store(true)
+						b.scheduleFaultEnd(time.Duration(300+r.IntN(3000))*time.Millisecond, func() { store.unreachable.Store(false) })
+					}
+				})
+				handovers += b.countLines("too small for the fleet")
+			})
+		})
+	}
+	if len(seeds) >= chaosHandoverSeeds && handovers == 0 {
+		t.Error("no owner has handed the fleet over")
+	}
+	t.Logf("%d handovers with %d seeds", handovers, len(seeds))
+}
--- a/pkg/fleet/elect.go
+++ b/pkg/fleet/elect.go
@@ -49,7 +49,10 @@
 	localOwner  *Owner
 	resigning   bool
 
-	nextHintAt time.Duration // used by Run only
+	// Used by Run only.
+	nextHintAt   time.Duration
+	holdUntil    time.Duration // this VM does not campaign before, as it has handed the fleet over
+	handoverFrom time.Duration // nor does it hand it over again before
 }
 
 // NewElector returns an Elector; cpuShare is the processor time of this VM in
@@ -242,22 +245,28 @@
 	e.mu.Lock()
 	acquired.vacantSince, e.vacantSince = e.vacantSince, 0
 	owner := newOwner(e.opts, acquired)
+	owner.cpuShare, owner.handoverFrom = e.cpuShare, e.handoverFrom
 	e.localOwner, e.hint = owner, OwnerHint{Address: e.opts.Address, Token: acquired.token}
 	resigning = e.resigning
 	e.mu.Unlock()
 	if !resigning {
 		owner.run(ctx)
 	}
+	if owner.handedOver {
+		now := e.opts.Clock()
+		e.holdUntil, e.handoverFrom = now+handoverHold, now+handoverRetry
+	}
 	e.mu.Lock()
 	e.localOwner, e.ownerKnown = nil, false
 	e.mu.Unlock()
 	owner.revokeLease()
 }
 
-// delayCampaign waits, so that VMs with a larger CPU share campaign first, and reports
-// whether another VM has become the owner meanwhile.
+// delayCampaign waits, so that VMs with a larger CPU share campaign first, and all others before
+// one that has handed the fleet over. It reports whether another VM has become the owner meanwhile.
 func (e *Elector) delayCampaign(ctx context.Context) (taken bool, err error) {
 	delay := time.Duration(float64(lowCPUDelay)*max(0, 1-e.cpuShare)) + rand.N(campaignJitter)
+	delay = max(delay, e.holdUntil-e.opts.Clock())
 	e.mu.Lock()
 	after := e.revision
 	e.mu.Unlock()
--- a/pkg/fleet/handover_test.go
+++ b/pkg/fleet/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -314,3 +315,94 @@
 		}
 	})
 }
+
+// countLines returns how many lines of the VMs' logs contain a text.
+func (b *testbed) countLines(text string) (n int) {
+	b.logLock.Lock()
+	defer b.logLock.Unlock()
+	for _, line := range b.logLines {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a small VM that keeps a fleet for which it has too little processor time, once
+// it became the owner while the larger VMs stood still; and against handovers that gain nothing.
+func TestOwnerTooSmallForItsFleetHandsItOver(t *testing.T) {
+	answer := func(b *testbed, vm int) (fleet.OwnerHint, error) { return b.allVMs()[vm].elector.OwnerHint(), nil }
+	tests := map[string]struct {
+		small, other float64 // cores
+		ask          func(b *testbed, vm int) (fleet.OwnerHint, error)
+		want         int // VM that owns the fleet at the end
+	}{
+		"too small":                   {small: 0.001, other: 1, ask: answer, want: 1},
+		"large enough":                {small: 0.01, other: 1, ask: answer},
+		"no larger VM":                {small: 0.001, other: 0.0015, ask: answer},
+		"larger VM without the store": {small: 0.001, other: 1, ask: func(*testbed, int) (fleet.OwnerHint, error) { return fleet.OwnerHint{}, nil }},
+		"larger VM that does not answer": {small: 0.001, other: 1, ask: func(*testbed, int) (fleet.OwnerHint, error) {
+			return fleet.OwnerHint{}, errkind.New(errkind.Unavailable, "no answer")
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, 0, 6)
+				b.cores = []float64{tc.small, tc.other}
+				b.adjustOptions = func(o *fleet.Options) {
+					o.Memory = 512 << 20
+					o.AskVM = func(_ context.Context, address string) (fleet.OwnerHint, error) {
+						return tc.ask(b, int(address[len(address)-1]-'0'))
+					}
+				}
+				b.workers.SetOutcome(func(workload.TaskID, int64) fleettest.Outcome { return fleettest.Outcome{Duration: 90 * time.Second} })
+				b.startVM()
+				b.sleep(time.Second)
+				b.startVM()
+				b.sleep(50 * time.Second)
+				jobs := []*workload.Job{b.submit(gangStep(2, 8)), b.submit(smallStep(4))}
+				b.sleep(2 * time.Minute)
+				if got := b.ownerIndex(); got != tc.want {
+					t.Errorf("VM %d owns the fleet, want VM %d", got, tc.want)
+				}
+				if n := b.countLines("took ownership"); n != 1+tc.want {
+					t.Errorf("%d takeovers", n)
+				}
+				for _, j := range jobs {
+					b.wantState(j, workload.Completed)
+					for i := range j.Steps[0].Tasks {
+						if n := b.workers.Starts(workload.TaskID{Job: j.ID, Index: i}); n != 1 {
+							t.Errorf("task %d of %s was started %d times", i, j.ID, n)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a fleet without an owner, and against handovers in turn, when the larger VM
+// answers but does not take the fleet.
+func TestOwnerTakesTheFleetBackIfNoLargerVMDoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, 0, 6)
+		b.cores = []float64{0.001, 1}
+		b.adjustOptions = func(o *fleet.Options) {
+			o.Memory = 512 << 20
+			o.AskVM = func(context.Context, string) (fleet.OwnerHint, error) { return b.allVMs()[0].elector.OwnerHint(), nil }
+		}
+		b.startVM()
+		b.sleep(time.Second)
+		b.startVM()
+		b.sleep(10 * time.Second)
+		b.killVM(1) // its announcement lasts
+		b.sleep(2 * time.Minute)
+		if got := b.ownerIndex(); got != 0 {
+			t.Errorf("VM %d owns the fleet", got)
+		}
+		if n := b.countLines("too small for the fleet"); n < 1 || n > 4 {
+			t.Errorf("%d handovers within 2 minutes, want one each 30 s", n)
+		}
+	})
+}
--- a/pkg/fleet/options.go
+++ b/pkg/fleet/options.go
@@ -105,7 +105,10 @@
 	LastStoreAnswer func() time.Duration
 	// AskOwner asks other VMs for the owner, while this one cannot read the owner key; nil if
 	// there is nobody to ask.
-	AskOwner            func(ctx context.Context) []OwnerHint
+	AskOwner func(ctx context.Context) []OwnerHint
+	// AskVM asks the VM at an address for the owner. Without it an owner never hands the fleet
+	// over to a larger VM.
+	AskVM               func(ctx context.Context, address string) (OwnerHint, error)
 	Name                string
 	EndedJobRetention   time.Duration // how long the state of ended jobs can be queried
 	HeartbeatInterval   time.Duration // interval at which a worker writes its entry; 0: no periodic writes expected
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -44,6 +44,10 @@
 	runRoom         int                      // runs that may still begin in this cycle
 	leastMemory     int64                    // least memory of a VM, in bytes
 	vms             int                      // VMs that have announced themselves
+	cpuShare        float64                  // processor time of this VM, in cores
+	largerVMs       []string                 // addresses of VMs to which this one would hand the fleet over
+	handoverFrom    time.Duration            // no handover before
+	handedOver      bool                     // ownership has ended by a handover
 	nextReleaseAt   time.Duration
 	urgentNeed      map[string]int64 // by workspace: accelerators that its live urgent jobs need
 	workers         map[string]*worker
@@ -128,6 +132,7 @@
 	o.goRun(o.healthLoop)
 	o.goRun(o.reloadLoop)
 	o.goRun(o.vmLoop)
+	o.goRun(o.handoverLoop)
 	o.wg.Wait()
 	o.opts.Metrics.OwnerGauges(metrics.OwnerGauges{})
 	o.opts.Log.Info("stopped all work as the owner of the fleet", "token", o.ownership.token)
--- a/pkg/fleet/vm.go
+++ b/pkg/fleet/vm.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,7 +28,8 @@
 
 // vmRecord is the value of the key of a VM.
 type vmRecord struct {
-	MemoryBytes int64 `cbor:"1,keyasint"`
+	MemoryBytes int64   `cbor:"1,keyasint"`
+	CPUShare    float64 `cbor:"2,keyasint,omitempty"` // in cores; 0: announced by an earlier version
 }
 
 // announceVM keeps the size of this VM in the store until ctx is done, so that an owner does not
@@ -64,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := cbor.Marshal(vmRecord{MemoryBytes: e.opts.Memory})
+	value, err := cbor.Marshal(vmRecord{MemoryBytes: e.opts.Memory, CPUShare: e.cpuShare})
 	if err != nil {
 		return errkind.Wrap(err, errkind.Internal, "record of the VM")
 	}
@@ -78,6 +80,7 @@
 // readVMs reads the sizes of the VMs that may take over.
 func (o *Owner) readVMs() error {
 	least, vms := int64(math.MaxInt64), 0
+	var larger []string
 	_, err := o.listPrefix(VMPrefix, func(e platform.Entry) {
 		var r vmRecord
 		if err := cbor.Unmarshal(e.Value, &r); err != nil || r.MemoryBytes <= 0 {
@@ -86,13 +89,16 @@
 		}
 		least = min(least, r.MemoryBytes)
 		vms++
+		if r.CPUShare > 0 && r.CPUShare >= largerVMFactor*o.cpuShare {
+			larger = append(larger, strings.TrimPrefix(e.Key, VMPrefix))
+		}
 	})
 	if err != nil {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.leastMemory, o.vms = least, vms
+	o.leastMemory, o.vms, o.largerVMs = least, vms, larger
 	return nil
 }
 
