configsource: send a large copy of the configuration to another VM once

Callers saw late answers while VMs had lost the store: links between VMs were full.

Cause: a VM that has lost the store asks two others for their configuration with each attempt to confirm its own. Each sent its whole value, also an older one, and the VM waited 0.3 s for it. 590 KB take 0.47 s of a link of 10 Mbit/s: no copy arrived, and the next attempt asked again.

Change: the question tells only the size of a value of 64 KiB or more. The value is asked for from one VM, once at a time, with time for 125 KB/s, and not while the store sends it. A VM sends no more than 125 KB/s of large values, and none to a VM that has the same or a newer one. Both directions of a rolling update: the former version gets a value at this pace or takes the answer for an outdated copy; its answers with a value are installed as before.

--- a/pkg/configsource/confirm_test.go
+++ b/pkg/configsource/confirm_test.go
@@ -250,7 +250,7 @@
 // Guards against missing a change of a large configuration while the watch is late, the store has
 // lost the history, or its limit of writes is used up.
 func TestChangeOfALargeConfigurationIsRead(t *testing.T) {
-	const initialSize = minCheckedBytes
+	const initialSize = minLargeBytes
 	tests := map[string]struct {
 		prepare func(s *slowStore)
 		confirm bool // or the change has to come by the watch
--- a/pkg/configsource/source.go
+++ b/pkg/configsource/source.go
@@ -83,6 +83,10 @@
 	confirmations attempts                  // to read the store, or to ask another VM
 	readTimeout   storecall.AdaptiveTimeout // of reads
 	lastReadBytes int                       // size of the values in the answer to the latest read
+
+	lastPartAt     time.Duration // clock time at which the last part of an answer to a read arrived
+	openTransfer   *transfer     // from another VM; nil if there is none
+	nextTransferAt time.Duration // no large copy is sent to another VM before
 }
 
 // New returns a Source that stays empty until Run is called.
@@ -233,16 +237,16 @@
 	return sentAt + time.Duration(float64(d)*(1-maxClockDrift))
 }
 
-// minCheckedBytes is the size from which a configuration is read only if it has changed. It
-// takes 0.07 s of a link of 10 Mbit/s, with the base64 text of the store.
-const minCheckedBytes = 64 << 10
+// minLargeBytes is the size from which a configuration is read, or copied from another VM, only
+// if it has changed. It takes 0.07 s of a link of 10 Mbit/s, with the base64 text of the store.
+const minLargeBytes = 64 << 10
 
 // read learns the configuration that is in force.
 func (s *Source) read(ctx context.Context) error {
 	sentAt, sentTime := s.opts.Clock(), time.Now()
 	ctx, cancel := storecall.WithProgressTimeout(ctx, s.readTimeout.Next())
 	defer cancel()
-	entries, revision, err := s.readEntry(ctx)
+	entries, revision, err := s.readEntry(storecall.OnProgress(ctx, s.recordPart))
 	s.readTimeout.RecordCall(sentTime, !errkind.Is(err, errkind.StoreUnavailable))
 	if err != nil {
 		return err
@@ -258,13 +262,19 @@
 	return nil
 }
 
+func (s *Source) recordPart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastPartAt = s.opts.Clock()
+}
+
 // readEntry returns the entry of the configuration, or none if that of a large one has not
 // changed, and the revision from which to watch it; 0 if the watch has one.
 func (s *Source) readEntry(ctx context.Context) ([]platform.Entry, int64, error) {
 	s.mu.Lock()
 	known, watched := s.entry, s.revision > 0
 	s.mu.Unlock()
-	if watched && len(known.Value) >= minCheckedBytes {
+	if watched && len(known.Value) >= minLargeBytes {
 		entries, err := s.readIfChanged(ctx, known.Version)
 		// The store limits writes, of which a transaction is one, more than reads.
 		if !errkind.Is(err, errkind.QuotaExceeded) {
