fleet: a filler runs at full speed once no service is beside it

Cause: throttleFillers did nothing on a worker without both a filler and a service with a target, so the last speed stayed. After a takeover nobody knew it either.

Change: on a worker without such a service fillers run at full speed. An order that is not answered is sent again after the next renewal of the lease; an adopted filler gets one order.

--- a/pkg/fleet/pace.go
+++ b/pkg/fleet/pace.go
@@ -22,6 +22,7 @@
 	// initialThrottlePercent limits a filler until the service beside it has reported
 	// a latency.
 	initialThrottlePercent = 30
+	fullSpeedPercent       = 100
 	// minThrottlePercent is the percentage below which a filler is paused.
 	minThrottlePercent = 5
 	// colocatedMaxWait bounds the wait of a lease renewal at a worker with both; the
@@ -42,12 +43,10 @@
 }
 
 // throttleFillers adjusts the speed of the fillers on a worker to how close the services
-// beside them are to their latency targets; the lock is held.
+// beside them are to their latency targets; without such a service they run at full speed. The
+// lock is held.
 func (o *Owner) throttleFillers(w *worker) {
-	if !w.colocatesFillers() {
-		return
-	}
-	worst := 0.0
+	worst, colocated := 0.0, w.colocatesFillers()
 	for r := range w.runs {
 		spec := r.group.spec()
 		if spec.LongRunning && spec.TargetLatency > 0 && r.phase == phaseRunning {
@@ -58,7 +57,11 @@
 		if !r.group.spec().Filler || r.phase != phaseRunning {
 			continue
 		}
-		if next := nextThrottlePercent(r.throttlePercent, worst); next != r.throttlePercent {
+		next := fullSpeedPercent
+		if colocated {
+			next = nextThrottlePercent(r.throttlePercent, worst)
+		}
+		if next != r.throttlePercent {
 			r.throttlePercent = next
 			o.enqueueOrder(w, order{kind: orderThrottle, run: r})
 		}
@@ -78,7 +81,7 @@
 		}
 		return next
 	case share < throttleLowShare:
-		return min(100, percent+throttleUpPercent)
+		return min(fullSpeedPercent, percent+throttleUpPercent)
 	default:
 		return percent
 	}
@@ -112,8 +115,8 @@
 }
 
 // unknownThrottlePercent stands for the speed of a filler that is not known, as its last
-// throttle order was not answered or its run was adopted. An order is sent as soon as
-// nextThrottlePercent yields another value.
+// throttle order was not answered or its run was adopted. An order is sent as soon as it is
+// to have another one.
 const unknownThrottlePercent = 99
 
 // ThrottleOrder tells a worker to limit a run to a percentage of its full speed.
--- a/pkg/fleet/place.go
+++ b/pkg/fleet/place.go
@@ -509,7 +509,7 @@
 			number = t.Run + 1
 		}
 		t.Phase, t.Run, t.Assigned = workload.Assigned, number, workload.Assignment{Worker: w.ID, Incarnation: w.Incarnation, Machine: w.Machine, Address: w.Address}
-		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: 100}
+		r := &run{group: g, index: i, number: number, worker: w, phase: phasePlanned, phaseSince: now, demand: g.spec().Demand(), throttlePercent: fullSpeedPercent}
 		r.speed.resumed = t.Checkpoint != ""
 		g.addRun(r)
 		o.runRoom--
