configsource: tests do not use timers that are due at once

Several goroutines of a synctest bubble called time.After(0) at the same time, and the runtime of go1.26.8 runs such timers with the one race context of the bubble (unlockAndRun). Timers with a duration are not affected, as time in a bubble moves on only when all goroutines wait.

--- a/pkg/configsource/confirm_test.go
+++ b/pkg/configsource/confirm_test.go
@@ -137,6 +137,11 @@
 }
 
 func delayed(ctx context.Context, d time.Duration, err error) error {
+	if d <= 0 {
+		// Timers that are due at once, of several goroutines in a bubble of synctest, crash the race
+		// detector of go1.26.8: they use its context of the bubble at the same time.
+		return err
+	}
 	select {
 	case <-time.After(d):
 		return err
