fleet: a start refused as late does not end the lease of other runs

Callers would see tasks that run twice at a time (TWICE): a worker refused a start whose deadline had passed, and the next cycle gave up all other runs on it and started them elsewhere, while they went on.

Cause: the refusal cleared the contact with the worker, so that no start relies on the estimate of its clock. leaseExpiredBy takes a worker without contact for one that only a former owner or process has reached, and returns a time that has long passed.

Change: the doubt about the clock is a state of its own. Starts and renewals wait for an answer, as before; the end of the lease follows from the last reading. A worker that finds a start late is ahead of the estimate, so its lease ends earlier than that, not later.

Evidence: TestLateStartKeepsTheLeaseOfOtherRuns failed before (the run had lapsed at once).

--- a/pkg/fleet/ends.go
+++ b/pkg/fleet/ends.go
@@ -22,7 +22,8 @@
 		return false
 	}
 	w.lateReply = w.unansweredCalls > 0 || now-sentAt > maxReplyTime
-	w.contacted, w.clockMS, w.clockReadAt, w.lastAnswerAt, w.unansweredCalls = true, reply.ClockMS, now, now, 0
+	w.contacted, w.clockMS, w.clockReadAt, w.clockDoubtful = true, reply.ClockMS, now, false
+	w.lastAnswerAt, w.unansweredCalls = now, 0
 	if sentAt > w.unconfirmedStartAt {
 		w.unconfirmedStartAt = 0
 	}
--- a/pkg/fleet/look_test.go
+++ b/pkg/fleet/look_test.go
@@ -115,3 +115,45 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: a start that a worker refused as late ended the contact
+// with it, and its other runs counted as lapsed at once, though their lease went on.
+func TestLateStartKeepsTheLeaseOfOtherRuns(t *testing.T) {
+	const lease = 10 * time.Second
+	o, now, _ := newIdleOwner()
+	*now = time.Minute
+	record := &workload.Job{ID: "a", Steps: []workload.Step{{Tasks: 2}}}
+	j := newJob(record, workload.NewProgress(record))
+	j.openOccurrence(0)
+	o.jobs["a"] = j
+	o.addLive(j)
+	w := &worker{
+		WorkerEntry:      WorkerEntry{ID: "w", Address: "w"},
+		incarnationState: incarnationState{contacted: true, clockMS: 1000, clockReadAt: *now, maxDeadlineMS: 1000 + lease.Milliseconds()},
+		runs:             map[*run]struct{}{}, orders: make(chan order, 4), wake: make(chan struct{}, 1), listed: true,
+	}
+	o.workers["w"] = w
+	g := j.group(0, 0)
+	add := func(index int, phase runPhase) *run {
+		g.tasks()[index].Phase, g.tasks()[index].Run = workload.Assigned, 1
+		r := &run{group: g, index: index, number: 1, worker: w, phase: phase}
+		g.addRun(r)
+		return r
+	}
+	running, late := add(0, phaseRunning), add(1, phaseStarting)
+	o.handleStartFailure(w, late, TooLate)
+	present := func() bool {
+		_, ok := w.runs[running]
+		return ok
+	}
+	if o.abandonExpiredRuns(*now); !present() {
+		t.Error("the run beside a late start has lapsed at once")
+	}
+	if o.inContact(w, time.Minute) {
+		t.Error("the next start would rely on the clock that was wrong")
+	}
+	*now += lease + lease/10
+	if o.abandonExpiredRuns(*now); present() {
+		t.Error("the run has not lapsed after its lease")
+	}
+}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -138,7 +138,7 @@
 func (o *Owner) inContact(w *worker, maxAge time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.contacted && o.opts.Clock()-w.clockReadAt < maxAge
+	return w.contacted && !w.clockDoubtful && o.opts.Clock()-w.clockReadAt < maxAge
 }
 
 // unansweredCallsOf returns the number of consecutive calls that a worker did not answer.
@@ -481,7 +481,9 @@
 	case NotSent:
 		w.backoffUntil, w.backoffReason = now+unansweredBackoff, v
 	case TooLate:
-		w.contacted = false // the estimate of its clock is wrong
+		// The last reading still shows when the lease of its runs ends: a clock that is ahead of the
+		// estimate ends it earlier.
+		w.clockDoubtful = true
 	case NoTicket:
 		r.group.ticketRefused = true
 		if a := r.group.advice; a != nil {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -190,6 +190,7 @@
 	contacted          bool          // it has answered a call with the current fencing token
 	clockMS            int64         // its clock, as last reported
 	clockReadAt        time.Duration // when clockMS was received, on the owner's clock
+	clockDoubtful      bool          // it refused a start as late; no start and no renewal relies on the estimate of its clock
 	maxDeadlineMS      int64         // latest lease end or start deadline sent, on the worker's clock
 	maxStartDeadlineMS int64         // latest start deadline sent
 	priorExpiry        time.Duration // leases of a former owner and orders to a former incarnation have expired by then
