fleet: a job that no cycle has seen is not blocked

Callers would see a job start later than others of its priority that were accepted after it, on a VM with more jobs than its memory holds: it was offloaded at once, behind all of them.

The groups of a new job are not ready before the next cycle. Now a group has to be ready and have waited.

The urgent job of the test had the priority of the others. It is urgent now, as its comment says.

--- a/pkg/fleet/offload.go
+++ b/pkg/fleet/offload.go
@@ -207,14 +207,20 @@
 	return all
 }
 
-// blocked reports whether no task of a job without runs has found a place for blockedAfter.
+// blocked reports whether no task of a job without runs has found a place for blockedAfter. A job
+// that no cycle has seen yet has no task that is ready, and is not blocked.
 func (j *job) blocked(now time.Duration) bool {
+	waited := false
 	for g := range j.groups() {
-		if g.ready && now-g.readySince < blockedAfter {
+		if g.complete() || !g.ready {
+			continue
+		}
+		if now-g.readySince < blockedAfter {
 			return false
 		}
+		waited = true
 	}
-	return len(j.open) > 0
+	return waited
 }
 
 // reload reads the records of an offloaded job and adds it again.
--- a/pkg/fleet/offload_test.go
+++ b/pkg/fleet/offload_test.go
@@ -52,7 +52,9 @@
 			t.Errorf("%d jobs are offloaded on the small VM, want most of %d", n, jobs)
 		}
 		b.cancel(waiting[jobs-1])
-		urgent := b.submit(smallStep(1))
+		urgent := b.buildJob(smallStep(1))
+		urgent.Class.Priority = 0
+		b.storeJob(urgent)
 		b.sleep(4 * time.Second)
 		b.wantState(urgent, workload.Completed)
 		b.wantState(waiting[jobs-1], workload.Cancelled)
