--- a/pkg/fleet/look.go
+++ b/pkg/fleet/look.go
@@ -26,7 +26,7 @@
 		if !o.awaitOwnership() {
 			return
 		}
-		if !state.contacted && state.unanswered == 0 && !o.ensureContact(w, maxClockReadingAge) {
+		if !state.clockKnown && state.unanswered == 0 && !o.ensureContact(w, maxClockReadingAge) {
 			wait.Sleep(o.ctx, o.probeInterval(w))
 			continue
 		}
@@ -86,7 +86,7 @@
 	busy             bool // the worker has to be polled
 	endsPending      bool // ends on it are not yet stored
 	unanswered       int  // consecutive calls without an answer
-	contacted        bool // the current incarnation has answered this owner, and its clock is known
+	clockKnown       bool
 	fillersColocated bool // fillers run beside long-running tasks
 	removed          bool // the worker was removed
 }
@@ -94,7 +94,7 @@
 func (o *Owner) leaseLoopStateOf(w *worker) leaseLoopState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls, contacted: w.contacted && !w.clockDoubtful, fillersColocated: w.colocatesFillers(), removed: w.removed}
+	s := leaseLoopState{endsPending: w.ackThrough < w.lastEndSeq, unanswered: w.unansweredCalls, clockKnown: w.clockKnown(), fillersColocated: w.colocatesFillers(), removed: w.removed}
 	for r := range w.runs {
 		s.busy = s.busy || r.phase != phasePlanned
 	}
@@ -133,7 +133,7 @@
 	// An unanswered poll may still have renewed the lease, so a worker that does not
 	// answer gets no further renewals and its lease expires.
 	before := w.maxDeadlineMS
-	if extend && w.contacted && !w.clockDoubtful && w.unansweredCalls == 0 && now < o.validUntil() {
+	if extend && w.clockKnown() && w.unansweredCalls == 0 && now < o.validUntil() {
 		request.LeaseEndMS = w.estimatedClockMS(now) + o.workerLeaseTTL().Milliseconds()
 		w.maxDeadlineMS = max(w.maxDeadlineMS, request.LeaseEndMS)
 	}
--- a/pkg/fleet/memory_test.go
+++ b/pkg/fleet/memory_test.go
@@ -344,3 +344,27 @@
 		runtime.KeepAlive(o)
 	}
 }
+
+// Guards against offloading a job behind others of its priority before a cycle has seen it: it
+// counted as one that finds no place.
+func TestNewJobIsNotBlocked(t *testing.T) {
+	const now = time.Minute
+	record := &workload.Job{ID: "a", Steps: []workload.Step{{Tasks: 1}, {Tasks: 1, After: []int{0}}}}
+	j := newJob(record, workload.NewProgress(record))
+	first, second := j.group(0, 0), j.group(0, 1)
+	check := func(what string, want bool) {
+		t.Helper()
+		if got := j.blocked(now); got != want {
+			t.Errorf("%s: blocked %v, want %v", what, got, want)
+		}
+	}
+	check("no cycle has seen it", false)
+	first.ready, first.readySince = true, now-time.Second
+	check("it waits for 1 s", false)
+	first.readySince = now - blockedAfter
+	check("it waits for blockedAfter", true)
+	first.doneTasks = 1
+	check("the second step is not ready yet", false)
+	second.ready, second.readySince = true, now-time.Second
+	check("the second step waits for 1 s", false)
+}
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -138,7 +138,7 @@
 func (o *Owner) inContact(w *worker, maxAge time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return w.contacted && !w.clockDoubtful && o.opts.Clock()-w.clockReadAt < maxAge
+	return w.clockKnown() && o.opts.Clock()-w.clockReadAt < maxAge
 }
 
 // unansweredCallsOf returns the number of consecutive calls that a worker did not answer.
--- a/pkg/fleet/owner.go
+++ b/pkg/fleet/owner.go
@@ -108,7 +108,9 @@
 	return &Owner{
 		opts: opts, ownership: acquired, ctx: ctx, cancel: cancel,
 		validity: newLeaseValidity(acquired.validUntil),
-		jobs:     map[string]*job{}, live: map[string]*job{}, active: map[string]*job{}, urgentNeed: map[string]int64{}, offloaded: map[string]*offloadedJob{}, ending: map[*job]struct{}{}, released: map[string]*releasedJob{}, leastMemory: math.MaxInt64, workers: map[string]*worker{},
+		jobs:     map[string]*job{}, live: map[string]*job{}, active: map[string]*job{}, ending: map[*job]struct{}{},
+		offloaded: map[string]*offloadedJob{}, released: map[string]*releasedJob{}, urgentNeed: map[string]int64{},
+		leastMemory: math.MaxInt64, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, planners: map[string]*servicePlanner{}, learnedRunTimes: map[string]*learnedRunTime{}, urgentDemand: map[string]*urgentDemand{}, speeds: newSpeedState(),
 		kinds: map[string]*shortage.Kind{}, shortages: map[string]*serviceShortage{}, arriving: map[servicePriority]*shortage.Rate{},
 		batches: map[*progressBatch]struct{}{}, givenUpRuns: map[string][]givenUpRun{}, watchAnsweredAt: map[string]time.Duration{},
@@ -305,7 +307,7 @@
 		return r.state, r.queue.Matches(queue)
 	}
 	if f := o.offloaded[id]; f != nil {
-		return map[bool]workload.State{true: workload.Running, false: workload.Queued}[f.started], f.queue.Matches(queue)
+		return liveState(f.started), f.queue.Matches(queue)
 	}
 	j, ok := o.jobs[id]
 	if !ok || !j.In(queue) {
@@ -314,10 +316,15 @@
 	if j.storedState.Final() {
 		return j.storedState, true
 	}
-	if j.progress.Started() {
-		return workload.Running, true
+	return liveState(j.progress.Started()), true
+}
+
+// liveState returns the state of a job that has not ended.
+func liveState(started bool) workload.State {
+	if started {
+		return workload.Running
 	}
-	return workload.Queued, true
+	return workload.Queued
 }
 
 // NotifySubmitted adds a job that was just stored. The watch on the store delivers
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -190,7 +190,7 @@
 	contacted          bool          // it has answered a call with the current fencing token
 	clockMS            int64         // its clock, as last reported
 	clockReadAt        time.Duration // when clockMS was received, on the owner's clock
-	clockDoubtful      bool          // it refused a start as late; no start and no renewal relies on the estimate of its clock
+	clockDoubtful      bool          // it has refused a start as late since
 	maxDeadlineMS      int64         // latest lease end or start deadline sent, on the worker's clock
 	maxStartDeadlineMS int64         // latest start deadline sent
 	priorExpiry        time.Duration // leases of a former owner and orders to a former incarnation have expired by then
@@ -318,6 +318,10 @@
 	return w.ackThrough
 }
 
+// clockKnown reports whether the current incarnation has answered this owner, and has not shown
+// since that the estimate of its clock is wrong.
+func (w *worker) clockKnown() bool { return w.contacted && !w.clockDoubtful }
+
 // estimatedClockMS extrapolates the worker's clock from its last reading.
 func (w *worker) estimatedClockMS(now time.Duration) int64 {
 	return w.clockMS + (now - w.clockReadAt).Milliseconds()
