workload, configsource: one rule for tasks that have started, a simpler wait for a transfer

DecodeClientState repeated the conditions of Progress.Started on stored rows. It decodes the task now, so that a row of a worker that the record lacks is an error there too, as it was with DecodeProgress.

--- a/pkg/configsource/copy.go
+++ b/pkg/configsource/copy.go
@@ -103,7 +103,7 @@
 	s.mu.Unlock()
 	other, err := s.opts.Ask(ctx, CopyRequest{Confirm: true, Revision: revision, Brief: true})
 	if err == nil && other.Bytes > 0 {
-		other, err = s.awaitTransfer(ctx, other)
+		err = s.awaitTransfer(ctx, other)
 	}
 	if err != nil {
 		s.opts.Log.Info("no copy of the configuration from another VM", "reason", err.Error())
@@ -141,15 +141,14 @@
 	err  error // set when done is closed
 }
 
-// awaitTransfer installs the large value of a copy, unless the store delivers it, and returns the
-// copy. The transfer goes on after ctx, as it takes long over a slow link: if each call that waits
+// awaitTransfer installs the large value of a copy, unless the store delivers it. The transfer goes on after ctx, as it takes long over a slow link: if each call that waits
 // for the configuration began another one, none would arrive, and they would fill the links of
 // both VMs.
-func (s *Source) awaitTransfer(ctx context.Context, c Copy) (Copy, error) {
+func (s *Source) awaitTransfer(ctx context.Context, c Copy) error {
 	s.mu.Lock()
 	if s.storeReached || s.opts.Clock()-s.lastPartAt < peerTimeout {
 		s.mu.Unlock()
-		return Copy{}, errkind.New(errkind.Unavailable, "the store has not delivered revision %d yet", c.Revision)
+		return errkind.New(errkind.Unavailable, "the store has not delivered revision %d yet", c.Revision)
 	}
 	if s.openTransfer == nil {
 		s.openTransfer = &transfer{done: make(chan struct{})}
@@ -159,9 +158,9 @@
 	s.mu.Unlock()
 	select {
 	case <-t.done:
-		return c, t.err
+		return t.err
 	case <-ctx.Done():
-		return Copy{}, errkind.Wrap(ctx.Err(), errkind.Timeout, "revision %d has not arrived from another VM yet", c.Revision)
+		return errkind.Wrap(ctx.Err(), errkind.Timeout, "revision %d has not arrived from another VM yet", c.Revision)
 	}
 }
 
--- a/pkg/workload/progress.go
+++ b/pkg/workload/progress.go
@@ -190,17 +190,15 @@
 	return true
 }
 
-// Started reports whether a worker has started any task. An assignment does not show it, as
-// the worker may refuse the start; the other conditions are those of records of earlier versions,
-// which do not say whether the job has begun.
+// Started reports whether a worker has started any task. Records of earlier versions do not say
+// whether the job has begun, but their tasks show it.
 func (p *Progress) Started() bool {
 	if p.Begun || p.DoneRanges() > 0 {
 		return true
 	}
 	for _, tasks := range p.open {
 		for i := range tasks {
-			t := &tasks[i]
-			if t.Phase == Done || t.Failures > 0 || t.Checkpoint != "" || t.Assigned.StartSettled {
+			if tasks[i].started() {
 				return true
 			}
 		}
@@ -208,6 +206,12 @@
 	return false
 }
 
+// started reports whether a worker has started the task, as far as its state shows it. An
+// assignment does not, as the worker may refuse the start.
+func (t *Task) started() bool {
+	return t.Phase == Done || t.Failures > 0 || t.Checkpoint != "" || t.Assigned.StartSettled
+}
+
 // progressRecord is the stored form of Progress. It contains only the tasks that
 // differ from the initial state.
 type progressRecord struct {
@@ -391,12 +395,18 @@
 	if r.State.Final() {
 		return r.State, nil
 	}
-	started := func(row taskRecord) bool {
-		return row.Phase == Done || row.Failures > 0 || row.Checkpoint != "" || (row.Worker >= 0 && row.Worker < len(r.Workers) && r.Workers[row.Worker].StartSettled)
-	}
-	if r.Begun || slices.ContainsFunc(r.Tasks, started) {
+	if r.Begun {
 		return Running, nil
 	}
+	for i := range r.Tasks {
+		t, err := r.Tasks[i].task(r.Workers, nil)
+		if err != nil {
+			return "", errkind.Wrap(err, errkind.Internal, "progress record")
+		}
+		if t.started() {
+			return Running, nil
+		}
+	}
 	return Queued, nil
 }
 
